--- /dev/null
+++ b/node/src/config.rs
@@ -0,0 +1,77 @@
+//! The configuration that a platform activator is started with.
+
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+use serde_json::Value;
+use wheellink_settings::{Deployment, Options};
+
+use crate::bus::{self, Event};
+
+/// What the program needs to know.
+pub struct Config {
+    pub listen: SocketAddr,
+    pub seed: u64,
+    /// Descriptors that the process may hold.
+    pub sockets: usize,
+    pub bus: SocketAddr,
+    /// Number of the last event known, and the events.
+    pub offset: u64,
+    pub known: Vec<Event>,
+    pub deployment: Deployment,
+}
+
+#[derive(Deserialize)]
+struct File {
+    listen: String,
+    seed: Value,
+    limits: Option<Limits>,
+    bus: String,
+    known: Known,
+    settings: Options,
+}
+
+#[derive(Deserialize)]
+struct Limits {
+    sockets: Option<usize>,
+}
+
+#[derive(Deserialize)]
+struct Known {
+    offset: u64,
+    batch: Vec<Value>,
+}
+
+/// Descriptors on a scored day, where the configuration tells none.
+const SOCKETS: usize = 1024;
+
+/// Reads the configuration, with `listen` from the environment where it is set there.
+pub fn parse(text: &str, listen: Option<&str>) -> Result<Config, String> {
+    let file: File = serde_json::from_str(text).map_err(|e| e.to_string())?;
+    let address = |what: &str, text: &str| {
+        text.parse::<SocketAddr>().map_err(|_| format!("{what} is no address with a port: {text:?}"))
+    };
+    let deployment = Deployment::try_from(file.settings).map_err(|e| format!("settings: {e}"))?;
+    deployment.settings.check().map_err(|e| e.to_string())?;
+    let known: Result<_, _> = file
+        .known
+        .batch
+        .iter()
+        .map(|e| bus::known(e, &deployment).map_err(|e| format!("known: {e}")))
+        .collect();
+    Ok(Config {
+        listen: address("listen", listen.unwrap_or(&file.listen))?,
+        seed: seed(&file.seed)?,
+        sockets: file.limits.and_then(|l| l.sockets).unwrap_or(SOCKETS),
+        bus: address("bus", &file.bus)?,
+        offset: file.known.offset,
+        known: known?,
+        deployment,
+    })
+}
+
+fn seed(value: &Value) -> Result<u64, String> {
+    let hex = |s: &str| u64::from_str_radix(s, 16).ok();
+    let number = value.as_u64().or_else(|| value.as_str().and_then(hex));
+    number.ok_or_else(|| format!("seed is neither a number nor hex digits: {value}"))
+}
--- /dev/null
+++ b/node/src/front.rs
@@ -0,0 +1,3 @@
+//! What stands before the engine: the platform's frames.
+
+pub mod platform;
--- /dev/null
+++ b/node/src/front/platform.rs
@@ -0,0 +1,331 @@
+//! The platform's front: binary frames from clients, answers back to them. Decides nothing.
+
+pub mod frames;
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::{SocketAddr, TcpStream};
+
+use calloop::LoopHandle;
+use wheellink::{Micros, Ticket};
+
+use crate::conn::{Conn, ConnId};
+use crate::log::{Log, Reason};
+use crate::node::Node;
+use frames::{Code, Frame, Head, Request};
+
+/// Requests that one connection may have open.
+const OPEN: usize = 32;
+/// What a connection may hold unsent before nothing more is read from it, and at most.
+const BACKED_UP: usize = 64 << 10;
+const OUTBOX: usize = 320 << 10;
+const INBOX: usize = 32 << 10;
+/// Streams used out of order that a connection may have: beyond that its numbering is no numbering.
+const SCATTERED: usize = 1024;
+/// A client that takes nothing for so long while answers wait has stopped reading.
+const STALLED: Micros = 10_000_000;
+
+/// Where an answer goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Origin {
+    pub conn: ConnId,
+    pub stream: u32,
+}
+
+/// What the front hands to the node.
+pub enum Notice {
+    Request { origin: Origin, request: Box<Request> },
+    Left { ticket: Ticket },
+}
+
+struct ClientConn {
+    conn: Conn,
+    peer: SocketAddr,
+    /// Open streams; a stream has no ticket while its request is being taken.
+    open: BTreeMap<u32, Option<Ticket>>,
+    used: Streams,
+    /// Bytes of a frame too long to be taken that are still to be passed over.
+    skip: usize,
+    /// Framing is lost: nothing more is read, and it closes once all is answered.
+    broken: bool,
+    active: Micros,
+    taken: u64,
+}
+
+/// Stream numbers that a connection has used.
+#[derive(Default)]
+struct Streams {
+    /// All up to this one.
+    below: u32,
+    above: BTreeSet<u32>,
+}
+
+impl Streams {
+    /// Whether the number is new.
+    fn take(&mut self, stream: u32) -> bool {
+        if stream <= self.below || self.above.len() >= SCATTERED || !self.above.insert(stream) {
+            return false;
+        }
+        while self.above.remove(&(self.below + 1)) {
+            self.below += 1;
+        }
+        true
+    }
+}
+
+pub struct Platform {
+    handle: LoopHandle<'static, Node>,
+    conns: HashMap<ConnId, ClientConn>,
+    most: usize,
+    conn_idle: Micros,
+    /// Told to stop: clients are asked to open nothing new.
+    stopping: bool,
+    pub notices: Vec<Notice>,
+}
+
+fn ready(node: &mut Node, id: ConnId) {
+    node.client_ready(id);
+}
+
+impl Platform {
+    pub fn new(handle: LoopHandle<'static, Node>, most: usize, conn_idle: Micros) -> Self {
+        Self { handle, conns: HashMap::new(), most, conn_idle, stopping: false, notices: Vec::new() }
+    }
+
+    /// Whether nothing is owed to anybody: all answers have left.
+    pub fn is_quiet(&self) -> bool {
+        self.conns.values().all(|c| c.open.is_empty() && c.conn.outbox.is_empty())
+    }
+
+    pub fn accept(&mut self, now: Micros, stream: TcpStream, peer: SocketAddr, log: &mut Log) {
+        if self.conns.len() >= self.most && !self.evict(now, log) {
+            return log.ended(now, format_args!("client {peer}"), Reason::Evicted, "requests=0");
+        }
+        let id = crate::node::fresh_id();
+        match Conn::accepted(&self.handle, id, stream, (INBOX, OUTBOX), ready) {
+            Ok(conn) => {
+                let fresh = ClientConn {
+                    conn,
+                    peer,
+                    open: BTreeMap::new(),
+                    used: Streams::default(),
+                    skip: 0,
+                    broken: false,
+                    active: now,
+                    taken: 0,
+                };
+                self.conns.insert(id, fresh);
+                if self.stopping {
+                    self.write(now, id, &frames::no_more(), log);
+                }
+            }
+            Err(e) => log.line(now, format_args!("client {peer} cannot be taken in: {e}")),
+        }
+    }
+
+    /// Makes room by closing the connection without an open request that has been idle longest.
+    fn evict(&mut self, now: Micros, log: &mut Log) -> bool {
+        let idle = self.conns.iter().filter(|(_, c)| c.open.is_empty() && c.conn.inbox.is_empty());
+        let oldest = idle.min_by_key(|(id, c)| (c.active, **id)).map(|(id, _)| *id);
+        oldest.inspect(|id| self.end(now, *id, Reason::Evicted, log)).is_some()
+    }
+
+    /// Asks clients to open nothing new.
+    pub fn stop(&mut self, now: Micros, log: &mut Log) {
+        self.stopping = true;
+        for id in self.ids() {
+            self.write(now, id, &frames::no_more(), log);
+        }
+    }
+
+    fn ids(&self) -> Vec<ConnId> {
+        let mut ids: Vec<_> = self.conns.keys().copied().collect();
+        ids.sort();
+        ids
+    }
+
+    /// The socket has something to say, or may take more.
+    pub fn ready(&mut self, now: Micros, id: ConnId, log: &mut Log) {
+        if let Err(reason) = self.serve(now, id, log) {
+            self.end(now, id, reason, log);
+        }
+    }
+
+    fn serve(&mut self, now: Micros, id: ConnId, log: &mut Log) -> Result<(), Reason> {
+        loop {
+            let Some(c) = self.conns.get_mut(&id) else { return Ok(()) };
+            if c.conn.flush()? > 0 {
+                c.active = now;
+            }
+            // Backpressure: who does not read its answers is not read from. A later flush comes back here.
+            if c.conn.outbox.len() > BACKED_UP || c.broken {
+                return self.end_if_done(id);
+            }
+            let filled = c.conn.fill();
+            while self.take(now, id, log)? {}
+            if !filled? {
+                return self.end_if_done(id);
+            }
+            let Some(c) = self.conns.get_mut(&id) else { return Ok(()) };
+            if c.conn.inbox.room() == 0 {
+                // No frame that is taken in is longer than the ring: only backpressure leaves it full.
+                return Ok(());
+            }
+        }
+    }
+
+    /// A client that has ended its side may still wait for answers; it is closed when it has them.
+    fn end_if_done(&mut self, id: ConnId) -> Result<(), Reason> {
+        let Some(c) = self.conns.get(&id) else { return Ok(()) };
+        let done = c.open.is_empty() && c.conn.outbox.is_empty();
+        match (done, c.broken, c.conn.eof) {
+            (true, true, _) => Err(Reason::Protocol),
+            (true, false, true) => Err(Reason::PeerClosed),
+            _ => Ok(()),
+        }
+    }
+
+    /// Takes one frame; false when none is whole.
+    fn take(&mut self, now: Micros, id: ConnId, log: &mut Log) -> Result<bool, Reason> {
+        let Some(c) = self.conns.get_mut(&id) else { return Ok(false) };
+        if c.broken || c.conn.outbox.len() > BACKED_UP {
+            return Ok(false);
+        }
+        if c.skip > 0 {
+            let n = c.skip.min(c.conn.inbox.len());
+            c.conn.inbox.consume(n);
+            c.skip -= n;
+            return Ok(n > 0);
+        }
+        let head = match frames::head(&c.conn.inbox) {
+            Ok(Some(head)) => head,
+            Ok(None) => return Ok(false),
+            Err(problem) => {
+                c.broken = true;
+                log.line(now, format_args!("client {} sent {problem}", c.peer));
+                self.error(now, Origin { conn: id, stream: 0 }, &problem, log);
+                return Ok(false);
+            }
+        };
+        if head.length > frames::LONGEST_TAKEN {
+            // Longer than any request may be: answered at once, and passed over as it comes.
+            c.conn.inbox.consume(frames::HEAD);
+            c.skip = head.length - (frames::HEAD - 4);
+            let new = head.kind == 1 && head.stream > 0 && c.used.take(head.stream);
+            let stream = if new { head.stream } else { 0 };
+            self.error(now, Origin { conn: id, stream }, "a body of over 16 KiB", log);
+            return Ok(true);
+        }
+        let Some(payload) = frames::payload(&mut c.conn.inbox, &head) else { return Ok(false) };
+        c.active = now;
+        self.frame(now, id, head, &payload, log);
+        Ok(true)
+    }
+
+    fn frame(&mut self, now: Micros, id: ConnId, head: Head, payload: &[u8], log: &mut Log) {
+        let Some(c) = self.conns.get_mut(&id) else { return };
+        let nowhere = Origin { conn: id, stream: 0 };
+        let origin = Origin { conn: id, stream: head.stream };
+        match frames::frame(&head, payload) {
+            Ok(Frame::Request(request)) => {
+                if head.stream == 0 || !c.used.take(head.stream) {
+                    return self.error(now, nowhere, "a stream that is not new", log);
+                }
+                match request {
+                    Err(problem) => self.error(now, origin, &problem, log),
+                    // It never ran, and there may be room soon: the one error that is a refusal.
+                    Ok(_) if c.open.len() >= OPEN => {
+                        self.answer(now, origin, Code::Refused, &[], b"over 32 requests are open", log)
+                    }
+                    Ok(request) => {
+                        c.taken += 1;
+                        c.open.insert(head.stream, None);
+                        self.notices.push(Notice::Request { origin, request });
+                    }
+                }
+            }
+            Ok(Frame::Left) => {
+                if let Some(Some(ticket)) = c.open.remove(&head.stream) {
+                    self.notices.push(Notice::Left { ticket });
+                }
+            }
+            Ok(Frame::IsReady) => {
+                let code = if self.stopping { Code::Refused } else { Code::Served };
+                self.write(now, id, &frames::readiness(head.stream, code), log);
+            }
+            Err(problem) => self.error(now, nowhere, &problem, log),
+        }
+    }
+
+    /// The node has taken the request under this ticket. False if its client has left since.
+    pub fn taken(&mut self, origin: Origin, ticket: Ticket) -> bool {
+        let slot = self.conns.get_mut(&origin.conn).and_then(|c| c.open.get_mut(&origin.stream));
+        slot.map(|slot| *slot = Some(ticket)).is_some()
+    }
+
+    /// An error of the client's: an answer on its stream, or on stream 0, and nothing else is touched.
+    pub fn error(&mut self, now: Micros, origin: Origin, problem: &str, log: &mut Log) {
+        self.answer(now, origin, Code::Failed, &[], problem.as_bytes(), log);
+    }
+
+    pub fn answer(
+        &mut self,
+        now: Micros,
+        origin: Origin,
+        code: Code,
+        fields: &[(&str, &str)],
+        body: &[u8],
+        log: &mut Log,
+    ) {
+        if let Some(c) = self.conns.get_mut(&origin.conn) {
+            c.open.remove(&origin.stream);
+            self.write(now, origin.conn, &frames::answer(origin.stream, code, fields, body), log);
+        }
+    }
+
+    fn write(&mut self, now: Micros, id: ConnId, frame: &[u8], log: &mut Log) {
+        let Some(c) = self.conns.get_mut(&id) else { return };
+        let empty = c.conn.outbox.is_empty();
+        if !c.conn.outbox.push(frame) {
+            return self.end(now, id, Reason::SlowReader, log);
+        }
+        if empty {
+            match c.conn.flush() {
+                Ok(_) => c.active = now,
+                Err(reason) => self.end(now, id, reason, log),
+            }
+        }
+    }
+
+    fn end(&mut self, now: Micros, id: ConnId, reason: Reason, log: &mut Log) {
+        let Some(c) = self.conns.remove(&id) else { return };
+        log.ended(
+            now,
+            format_args!("client {}", c.peer),
+            reason,
+            format_args!("requests={} open={}", c.taken, c.open.len()),
+        );
+        self.notices.extend(c.open.into_values().flatten().map(|ticket| Notice::Left { ticket }));
+        c.conn.close(&self.handle);
+    }
+
+    /// Closes connections that are idle, done, or not read from.
+    pub fn tick(&mut self, now: Micros, log: &mut Log) {
+        for id in self.ids() {
+            let Some(c) = self.conns.get(&id) else { continue };
+            let quiet = now - c.active;
+            if !c.conn.outbox.is_empty() && quiet >= STALLED {
+                self.end(now, id, Reason::SlowReader, log);
+            } else if c.open.is_empty() && c.conn.outbox.is_empty() && quiet >= self.conn_idle {
+                self.end(now, id, Reason::Idle, log);
+            } else if let Err(reason) = self.end_if_done(id) {
+                self.end(now, id, reason, log);
+            }
+        }
+    }
+
+    pub fn shut_down(&mut self, now: Micros, log: &mut Log) {
+        for id in self.ids() {
+            self.end(now, id, Reason::Shutdown, log);
+        }
+    }
+}
--- /dev/null
+++ b/node/src/hosts.rs
@@ -0,0 +1,6 @@
+//! Script hosts: the lines that are spoken with them, and the pool of connections to them.
+
+pub mod lines;
+mod pool;
+
+pub use pool::{Call, Hosts, Notice};
--- /dev/null
+++ b/node/src/hosts/lines.rs
@@ -0,0 +1,130 @@
+//! The lines codec: commands to a script host and its answers. Pure: bytes in, values out.
+
+use std::fmt::Write;
+
+use wheellink::engine::AttemptEnd;
+use wheellink::{Found, Outcome};
+
+use crate::ring::Ring;
+
+/// Longest first line of an answer.
+const LONGEST_LINE: usize = 4096;
+/// Longest body that still fits into one frame to a client.
+pub const LONGEST_BODY: usize = 262_144 - 64;
+/// What the ring of a connection must hold for the longest answer.
+pub const LONGEST_ANSWER: usize = LONGEST_BODY + LONGEST_LINE + 4;
+
+/// Whether a word may stand in a line or a list of fields without changing its meaning.
+pub fn is_word(text: &str) -> bool {
+    !text.is_empty()
+        && text.len() <= 128
+        && text.bytes().all(|b| b.is_ascii_graphic() && b != b',' && b != b'=')
+}
+
+/// A request. `limit` is how long it will be waited for, in milliseconds.
+pub fn call(id: &str, class: &str, function: &str, limit: i64, key: Option<&str>, body: &[u8]) -> Vec<u8> {
+    let mut line = format!("FN {id} cls={class},item={function},limit={limit}");
+    if let Some(key) = key {
+        write!(line, ",nonce={key}").expect("writing to a string cannot fail");
+    }
+    write!(line, " {}\r\n", body.len()).expect("writing to a string cannot fail");
+    let mut bytes = line.into_bytes();
+    bytes.extend_from_slice(body);
+    bytes.extend_from_slice(b"\r\n");
+    bytes
+}
+
+pub fn kill(id: &str) -> Vec<u8> {
+    format!("KILL {id}\r\n").into_bytes()
+}
+
+pub fn spawn(tag: &str, function: &str, copies: u32) -> Vec<u8> {
+    format!("SPAWN {tag} item={function},copies={copies}\r\n").into_bytes()
+}
+
+pub fn reap(function: &str) -> Vec<u8> {
+    format!("REAP {function}\r\n").into_bytes()
+}
+
+pub fn helo(tag: &str) -> Vec<u8> {
+    format!("HELO {tag}\r\n").into_bytes()
+}
+
+/// An answer: to a request, an order or a probe.
+#[derive(Debug, PartialEq)]
+pub struct Answer {
+    pub id: String,
+    pub word: String,
+    fields: Vec<(String, String)>,
+    pub body: Vec<u8>,
+}
+
+impl Answer {
+    pub fn field(&self, name: &str) -> Option<&str> {
+        self.fields.iter().find(|(n, _)| n == name).map(|(_, v)| v.as_str())
+    }
+
+    /// What it says of an attempt. A word that is not known proves nothing.
+    pub fn attempt_end(&self, says_warm: bool, counts_alike: bool) -> AttemptEnd {
+        let outcome = self.outcome();
+        let found = match (self.field("tell"), outcome) {
+            (Some("warm"), Outcome::Done) if says_warm => Some(Found::Warm),
+            (Some("cold"), Outcome::Done) if says_warm => Some(Found::BeganLoad),
+            (Some("joined"), Outcome::Done) if says_warm => Some(Found::AwaitedLoad),
+            (Some("load_failed"), Outcome::Miss | Outcome::Error) => Some(Found::LoadFailed),
+            _ => None,
+        };
+        let counted = counts_alike && matches!(outcome, Outcome::Done | Outcome::Full);
+        let held = self.field("queue_fn").and_then(|n| n.parse().ok()).unwrap_or(0);
+        AttemptEnd { outcome, found, crowd: counted.then_some(held) }
+    }
+
+    pub fn outcome(&self) -> Outcome {
+        match self.word.as_str() {
+            "200" => Outcome::Done,
+            "404" => Outcome::Miss,
+            "503" => Outcome::Full,
+            "504" => Outcome::NotSent,
+            _ => Outcome::Error,
+        }
+    }
+
+    /// Copies that stand, in the answer to an order.
+    pub fn copies(&self) -> u32 {
+        self.field("copies").and_then(|n| n.parse().ok()).unwrap_or(0)
+    }
+}
+
+/// Takes the next answer off the ring; `None` while it is not whole.
+pub fn next_answer(ring: &mut Ring) -> Result<Option<Answer>, String> {
+    let Some(end) = ring.find_line_end() else {
+        return if ring.len() > LONGEST_LINE { Err("a line without an end".into()) } else { Ok(None) };
+    };
+    let line = ring.copy(0, end).and_then(|l| String::from_utf8(l).ok()).ok_or("a line that is no text")?;
+    let mut words = line.split(' ');
+    let (Some(id), Some(word), Some(fields), Some(length), None) =
+        (words.next(), words.next(), words.next(), words.next(), words.next())
+    else {
+        return Err(format!("no answer: {line:?}"));
+    };
+    let length: usize = length.parse().map_err(|_| format!("no length: {line:?}"))?;
+    if length > LONGEST_BODY {
+        return Err(format!("a body of {length} bytes"));
+    }
+    let fields = match fields {
+        "-" => Vec::new(),
+        list => list
+            .split(',')
+            .map(|f| f.split_once('=').map(|(n, v)| (n.to_string(), v.to_string())))
+            .collect::<Option<_>>()
+            .ok_or_else(|| format!("no fields: {line:?}"))?,
+    };
+    let Some(mut body) = ring.copy(end + 2, length + 2) else { return Ok(None) };
+    if !body.ends_with(b"\r\n") {
+        return Err("a body that is longer than told".into());
+    }
+    body.truncate(length);
+    let answer = Answer { id: id.into(), word: word.into(), fields, body };
+    ring.consume(end + 2 + length + 2);
+    Ok(Some(answer))
+}
--- /dev/null
+++ b/node/src/hosts/pool.rs
@@ -0,0 +1,535 @@
+//! Connections to script hosts: who listens where, what is queued, what is out.
+//!
+//! A command waits in its connection's queue until all before it has left the ring, so that it can be
+//! withdrawn, as never sent, up to its first byte.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use calloop::LoopHandle;
+use wheellink::engine::{AttemptEnd, AttemptId, OrderId};
+use wheellink::{Condition, FunctionId, ListKind, Micros, Outcome, WorkerId};
+use wheellink_settings::Transport;
+
+use super::lines;
+use crate::bus::Host;
+use crate::conn::{Conn, ConnId};
+use crate::log::{Log, Reason};
+use crate::node::Node;
+
+/// What is sent for a request, however many attempts it takes.
+pub struct Call {
+    pub id: Rc<str>,
+    pub class: String,
+    pub function: FunctionId,
+    pub key: Option<String>,
+    pub body: Rc<[u8]>,
+}
+
+/// What the pool has learnt.
+pub enum Notice {
+    Attempt { attempt: AttemptId, end: AttemptEnd, body: Vec<u8> },
+    Order { order: OrderId, outcome: Outcome, copies: u32 },
+}
+
+struct Member {
+    address: SocketAddr,
+    condition: Condition,
+    conns: Vec<ConnId>,
+}
+
+enum Item {
+    Call {
+        attempt: AttemptId,
+        id: Rc<str>,
+        bytes: Vec<u8>,
+    },
+    /// Ends the attempt once it has been written.
+    Kill {
+        attempt: AttemptId,
+        id: Rc<str>,
+    },
+    Order {
+        order: OrderId,
+        bytes: Vec<u8>,
+    },
+    Plain(Vec<u8>),
+}
+
+struct HostConn {
+    host: WorkerId,
+    conn: Conn,
+    standing: bool,
+    begun: Micros,
+    used: Micros,
+    queue: VecDeque<Item>,
+    /// The item whose bytes are in the ring, and whether any of them has left it.
+    writing: Option<(Item, bool)>,
+    calls: HashMap<Rc<str>, AttemptId>,
+    /// Orders that have left whole, and when: one that is lost gets no answer.
+    orders: HashMap<String, (OrderId, Micros)>,
+    /// Ids given up here, newest last: their answers may still come, and must not be taken for those of a
+    /// later attempt of the same request.
+    killed: VecDeque<Rc<str>>,
+}
+
+impl HostConn {
+    /// Attempts that are queued or out here.
+    fn load(&self) -> usize {
+        let queued = self.queue.iter().filter(|i| matches!(i, Item::Call { .. })).count();
+        let writing = matches!(self.writing, Some((Item::Call { .. }, _)));
+        queued + usize::from(writing) + self.calls.len()
+    }
+
+    fn is_idle(&self) -> bool {
+        self.queue.is_empty() && self.writing.is_none() && self.calls.is_empty() && self.orders.is_empty()
+    }
+
+    fn knows(&self, id: &Rc<str>) -> bool {
+        self.calls.contains_key(id) || self.killed.contains(id)
+    }
+}
+
+/// Ids of given-up attempts that a connection remembers: more than it carries within any deadline.
+const KILLED: usize = 256;
+/// Idle connections are closed a little early, so that no request meets a close by the host.
+const IDLE_SHARE: f64 = 0.8;
+/// Connections to one host.
+const PER_HOST: usize = 24;
+
+pub struct Hosts {
+    handle: LoopHandle<'static, Node>,
+    transport: Transport,
+    /// Connections to all hosts together.
+    most: usize,
+    members: BTreeMap<WorkerId, Member>,
+    conns: HashMap<ConnId, HostConn>,
+    /// Where each attempt is that has not ended.
+    attempts: HashMap<AttemptId, ConnId>,
+    next_probe: u64,
+    pub notices: VecDeque<Notice>,
+}
+
+fn ready(node: &mut Node, id: ConnId) {
+    node.host_ready(id);
+}
+
+impl Hosts {
+    pub fn new(handle: LoopHandle<'static, Node>, transport: Transport, most: usize) -> Self {
+        Self {
+            handle,
+            transport,
+            most,
+            members: BTreeMap::new(),
+            conns: HashMap::new(),
+            attempts: HashMap::new(),
+            next_probe: 0,
+            notices: VecDeque::new(),
+        }
+    }
+
+    /// When a connection that is being made is given up next.
+    pub fn next_tick(&self) -> Option<Micros> {
+        let pending = self.conns.values().filter(|c| !c.standing).map(|c| c.begun);
+        pending.min().map(|begun| begun + self.transport.connect_timeout)
+    }
+
+    /// News of the host list. What has not begun to leave for a host that drains or is gone is withdrawn at
+    /// once: after its time the rules allow not even the first byte.
+    pub fn list(&mut self, now: Micros, kind: ListKind, hosts: &[Host], log: &mut Log) {
+        if kind != ListKind::Delta {
+            let named: Vec<&WorkerId> = hosts.iter().map(|h| &h.entry.worker).collect();
+            let left: Vec<_> = self.members.keys().filter(|m| !named.contains(m)).cloned().collect();
+            for host in left {
+                self.gone(now, &host, log);
+            }
+        }
+        for Host { entry, address } in hosts {
+            let host = &entry.worker;
+            let known = self.members.entry(host.clone()).or_insert_with(|| Member {
+                address: *address,
+                condition: entry.condition,
+                conns: Vec::new(),
+            });
+            known.condition = entry.condition;
+            let moved = known.address != *address;
+            known.address = *address;
+            if moved || entry.condition == Condition::Gone {
+                self.gone_conns(now, host, |_| true, log);
+            } else if entry.ready_at > 0 {
+                // The same host with a new process: whatever was begun before that is with the dead one.
+                self.gone_conns(now, host, |c| c.begun < entry.ready_at, log);
+            }
+            match entry.condition {
+                Condition::Up => {}
+                Condition::Draining => self.withdraw(host),
+                Condition::Gone => drop(self.members.remove(host)),
+            }
+        }
+    }
+
+    fn gone(&mut self, now: Micros, host: &WorkerId, log: &mut Log) {
+        self.gone_conns(now, host, |_| true, log);
+        self.members.remove(host);
+    }
+
+    fn gone_conns(&mut self, now: Micros, host: &WorkerId, which: impl Fn(&HostConn) -> bool, log: &mut Log) {
+        let ids = self.members.get(host).map(|m| m.conns.clone()).unwrap_or_default();
+        for id in ids {
+            if self.conns.get(&id).is_some_and(&which) {
+                self.end(now, id, Reason::HostGone, log);
+            }
+        }
+    }
+
+    /// Takes back all that has not begun to leave for the host.
+    fn withdraw(&mut self, host: &WorkerId) {
+        let ids = self.members.get(host).map(|m| m.conns.clone()).unwrap_or_default();
+        for id in ids {
+            let Some(c) = self.conns.get_mut(&id) else { continue };
+            let mut items: Vec<Item> = Vec::new();
+            if let Some((item, false)) =
+                c.writing.take_if(|(i, begun)| !*begun && !matches!(i, Item::Kill { .. }))
+            {
+                c.conn.outbox.consume(usize::MAX);
+                items.push(item);
+            }
+            let (kills, rest): (VecDeque<_>, VecDeque<_>) =
+                c.queue.drain(..).partition(|i| matches!(i, Item::Kill { .. }));
+            c.queue = kills;
+            items.extend(rest);
+            for item in items {
+                match item {
+                    Item::Call { attempt, .. } => self.end_attempt(attempt, Outcome::ConnectFailed.into()),
+                    Item::Order { order, .. } => {
+                        self.notices.push_back(Notice::Order { order, outcome: Outcome::Full, copies: 0 })
+                    }
+                    Item::Kill { .. } | Item::Plain(_) => {}
+                }
+            }
+        }
+    }
+
+    /// Sends an attempt; how it ends is noticed later, once.
+    pub fn send(
+        &mut self,
+        now: Micros,
+        attempt: AttemptId,
+        host: &WorkerId,
+        call: &Call,
+        until: Micros,
+        log: &mut Log,
+    ) {
+        let limit = ((until - now) / 1000).max(1);
+        let bytes =
+            lines::call(&call.id, &call.class, &call.function.0, limit, call.key.as_deref(), &call.body);
+        let fits = |c: &HostConn, streams| c.load() < streams && !c.knows(&call.id);
+        match self.pick(now, host, fits, log) {
+            Some(id) => {
+                self.attempts.insert(attempt, id);
+                let item = Item::Call { attempt, id: call.id.clone(), bytes };
+                self.push(now, id, item, log);
+            }
+            None => self.end_attempt(attempt, Outcome::ConnectFailed.into()),
+        }
+    }
+
+    /// Gives an attempt up. What has not begun to leave is taken back, which proves that it never ran; else
+    /// the attempt ends once KILL has been written, so that no other attempt can be out beside it.
+    pub fn cancel(&mut self, now: Micros, attempt: AttemptId, log: &mut Log) {
+        let Some(id) = self.attempts.get(&attempt).copied() else { return };
+        let Some(c) = self.conns.get_mut(&id) else { return };
+        let is_it = |i: &Item| matches!(i, Item::Call { attempt: a, .. } if *a == attempt);
+        if let Some(at) = c.queue.iter().position(is_it) {
+            c.queue.remove(at);
+            return self.end_attempt(attempt, Outcome::ConnectFailed.into());
+        }
+        if c.writing.take_if(|(i, begun)| !*begun && is_it(i)).is_some() {
+            c.conn.outbox.consume(usize::MAX);
+            self.end_attempt(attempt, Outcome::ConnectFailed.into());
+            return self.pump(now, id, log);
+        }
+        let written = c.calls.iter().find(|(_, a)| **a == attempt).map(|(id, _)| id.clone());
+        let wire_id = written.or_else(|| match &c.writing {
+            Some((Item::Call { id, attempt: a, .. }, _)) if *a == attempt => Some(id.clone()),
+            _ => None,
+        });
+        if let Some(wire_id) = wire_id {
+            c.queue.push_front(Item::Kill { attempt, id: wire_id });
+            self.pump(now, id, log);
+        }
+    }
+
+    pub fn load(
+        &mut self,
+        now: Micros,
+        order: OrderId,
+        host: &WorkerId,
+        (function, copies): (&FunctionId, u32),
+        log: &mut Log,
+    ) {
+        match self.pick(now, host, |_, _| true, log) {
+            Some(id) => {
+                let bytes = lines::spawn(&order_tag(order), &function.0, copies);
+                self.push(now, id, Item::Order { order, bytes }, log);
+            }
+            None => {
+                let outcome = Outcome::ConnectFailed;
+                self.notices.push_back(Notice::Order { order, outcome, copies: 0 });
+            }
+        }
+    }
+
+    pub fn unload(&mut self, now: Micros, host: &WorkerId, function: &FunctionId, log: &mut Log) {
+        if let Some(id) = self.pick(now, host, |_, _| true, log) {
+            self.push(now, id, Item::Plain(lines::reap(&function.0)), log);
+        }
+    }
+
+    pub fn probe(&mut self, now: Micros, host: &WorkerId, log: &mut Log) {
+        if let Some(id) = self.pick(now, host, |_, _| true, log) {
+            self.next_probe += 1;
+            self.push(now, id, Item::Plain(lines::helo(&format!("p{}", self.next_probe))), log);
+        }
+    }
+
+    /// The connection for the next command: the least used that stands and fits, else one that is being
+    /// made, else a new one.
+    fn pick(
+        &mut self,
+        now: Micros,
+        host: &WorkerId,
+        fits: impl Fn(&HostConn, usize) -> bool,
+        log: &mut Log,
+    ) -> Option<ConnId> {
+        let member = self.members.get(host).filter(|m| m.condition == Condition::Up)?;
+        let fitting = member.conns.iter().filter_map(|id| self.conns.get(id).map(|c| (*id, c)));
+        let fitting = fitting.filter(|(_, c)| fits(c, self.transport.streams));
+        let best = fitting.min_by_key(|(id, c)| (!c.standing, c.load(), *id)).map(|(id, _)| id);
+        if best.is_some() {
+            return best;
+        }
+        if member.conns.len() >= PER_HOST || self.conns.len() >= self.most {
+            log.line(now, format_args!("no connection left for host {}", host.0));
+            return None;
+        }
+        let id = crate::node::fresh_id();
+        let address = member.address;
+        let conn = match Conn::connect(&self.handle, id, address, (lines::LONGEST_ANSWER, 64 << 10), ready) {
+            Ok(conn) => conn,
+            Err(e) => {
+                log.line(now, format_args!("no connection to host {} at {address}: {e}", host.0));
+                return None;
+            }
+        };
+        let fresh = HostConn {
+            host: host.clone(),
+            conn,
+            standing: false,
+            begun: now,
+            used: now,
+            queue: VecDeque::new(),
+            writing: None,
+            calls: HashMap::new(),
+            orders: HashMap::new(),
+            killed: VecDeque::new(),
+        };
+        self.conns.insert(id, fresh);
+        self.members.get_mut(host)?.conns.push(id);
+        Some(id)
+    }
+
+    fn push(&mut self, now: Micros, id: ConnId, item: Item, log: &mut Log) {
+        if let Some(c) = self.conns.get_mut(&id) {
+            c.queue.push_back(item);
+            c.used = now;
+            self.pump(now, id, log);
+        }
+    }
+
+    /// The socket has something to say, or may take more.
+    pub fn ready(&mut self, now: Micros, id: ConnId, log: &mut Log) {
+        let Some(c) = self.conns.get_mut(&id) else { return };
+        if !c.standing {
+            match c.conn.connected() {
+                Ok(true) => c.standing = true,
+                Ok(false) => return,
+                Err(_) => return self.end(now, id, Reason::ConnectRefused, log),
+            }
+        }
+        self.pump(now, id, log);
+        if let Err(reason) = self.read(now, id, log) {
+            self.end(now, id, reason, log);
+        }
+    }
+
+    fn read(&mut self, now: Micros, id: ConnId, log: &mut Log) -> Result<(), Reason> {
+        loop {
+            let Some(c) = self.conns.get_mut(&id) else { return Ok(()) };
+            // A reset must not swallow the answers that came before it.
+            let filled = c.conn.fill();
+            loop {
+                let Some(c) = self.conns.get_mut(&id) else { return Ok(()) };
+                match lines::next_answer(&mut c.conn.inbox) {
+                    Ok(Some(answer)) => self.answered(now, id, answer),
+                    Ok(None) => break,
+                    Err(problem) => {
+                        log.line(now, format_args!("host {} sent {problem}", c.host.0));
+                        return Err(Reason::Protocol);
+                    }
+                }
+            }
+            let more = filled?;
+            let Some(c) = self.conns.get(&id) else { return Ok(()) };
+            if c.conn.eof {
+                return Err(if c.is_idle() { Reason::PeerClosed } else { Reason::PeerReset });
+            }
+            if !more {
+                return Ok(());
+            }
+        }
+    }
+
+    fn answered(&mut self, now: Micros, id: ConnId, answer: lines::Answer) {
+        let Some(c) = self.conns.get_mut(&id) else { return };
+        c.used = now;
+        if let Some((order, _)) = c.orders.remove(&answer.id) {
+            let (outcome, copies) = (answer.outcome(), answer.copies());
+            return self.notices.push_back(Notice::Order { order, outcome, copies });
+        }
+        let Some(attempt) = c.calls.remove(answer.id.as_str()) else { return };
+        // Its KILL has nothing left to give up.
+        c.queue.retain(|i| !matches!(i, Item::Kill { attempt: a, .. } if *a == attempt));
+        self.attempts.remove(&attempt);
+        let end = answer.attempt_end(self.transport.says_warm, self.transport.counts_alike);
+        self.notices.push_back(Notice::Attempt { attempt, end, body: answer.body });
+    }
+
+    /// Moves queued commands into the socket, one at a time.
+    fn pump(&mut self, now: Micros, id: ConnId, log: &mut Log) {
+        let Some(c) = self.conns.get_mut(&id).filter(|c| c.standing) else { return };
+        let mut killed = Vec::new();
+        let ended = loop {
+            if c.writing.is_none() {
+                let Some(item) = c.queue.pop_front() else { break None };
+                let fits = match &item {
+                    Item::Call { bytes, .. } | Item::Order { bytes, .. } | Item::Plain(bytes) => {
+                        c.conn.outbox.push(bytes)
+                    }
+                    Item::Kill { id, .. } => c.conn.outbox.push(&lines::kill(id)),
+                };
+                debug_assert!(fits, "a command is shorter than the ring");
+                c.writing = Some((item, false));
+            }
+            match c.conn.flush() {
+                Err(reason) => break Some(reason),
+                Ok(written) => {
+                    let whole = c.conn.outbox.is_empty();
+                    if let Some((_, begun)) = &mut c.writing {
+                        *begun |= written > 0;
+                    }
+                    if !whole {
+                        break None;
+                    }
+                }
+            }
+            match c.writing.take() {
+                Some((Item::Call { attempt, id, .. }, _)) => drop(c.calls.insert(id, attempt)),
+                Some((Item::Order { order, .. }, _)) => drop(c.orders.insert(order_tag(order), (order, now))),
+                Some((Item::Kill { attempt, id }, _)) => {
+                    // An answer may have come just before: then it is the end of the attempt.
+                    if c.calls.remove(&id).is_some() {
+                        c.killed.push_back(id);
+                        if c.killed.len() > KILLED {
+                            c.killed.pop_front();
+                        }
+                        killed.push(attempt);
+                    }
+                }
+                Some((Item::Plain(_), _)) | None => {}
+            }
+        };
+        for attempt in killed {
+            self.end_attempt(attempt, Outcome::Cancelled.into());
+        }
+        if let Some(reason) = ended {
+            // What the host said before it broke off still counts.
+            let reason = self.read(now, id, log).err().unwrap_or(reason);
+            self.end(now, id, reason, log);
+        }
+    }
+
+    fn end_attempt(&mut self, attempt: AttemptId, end: AttemptEnd) {
+        self.attempts.remove(&attempt);
+        self.notices.push_back(Notice::Attempt { attempt, end, body: Vec::new() });
+    }
+
+    /// Ends a connection: what had left whole may have run, all else proves that it did not.
+    fn end(&mut self, now: Micros, id: ConnId, reason: Reason, log: &mut Log) {
+        let Some(mut c) = self.conns.remove(&id) else { return };
+        if let Some(m) = self.members.get_mut(&c.host) {
+            m.conns.retain(|other| *other != id);
+        }
+        let detail = format!("calls={} orders={} queued={}", c.calls.len(), c.orders.len(), c.queue.len());
+        log.ended(now, format_args!("host {}", c.host.0), reason, detail);
+        let unsent = c.writing.take().map(|(item, _)| item).into_iter().chain(c.queue.drain(..));
+        for item in unsent.collect::<Vec<_>>() {
+            match item {
+                Item::Call { attempt, .. } => self.end_attempt(attempt, Outcome::ConnectFailed.into()),
+                Item::Order { order, .. } => {
+                    let outcome = Outcome::ConnectFailed;
+                    self.notices.push_back(Notice::Order { order, outcome, copies: 0 });
+                }
+                // The end of the connection gives up what it carried, as KILL would have.
+                Item::Kill { attempt, id } => {
+                    if c.calls.remove(&id).is_some() {
+                        self.end_attempt(attempt, Outcome::Cancelled.into());
+                    }
+                }
+                Item::Plain(_) => {}
+            }
+        }
+        let mut out: Vec<_> = c.calls.into_values().collect();
+        out.sort();
+        for attempt in out {
+            self.end_attempt(attempt, Outcome::Reset.into());
+        }
+        let mut orders: Vec<_> = c.orders.into_values().map(|(order, _)| order).collect();
+        orders.sort();
+        for order in orders {
+            self.notices.push_back(Notice::Order { order, outcome: Outcome::Reset, copies: 0 });
+        }
+        c.conn.close(&self.handle);
+    }
+
+    /// Gives up connections that do not come up, and closes idle ones.
+    pub fn tick(&mut self, now: Micros, log: &mut Log) {
+        let idle = (self.transport.conn_idle as f64 * IDLE_SHARE) as Micros;
+        let patience = self.transport.order_timeout;
+        self.conns.values_mut().for_each(|c| c.orders.retain(|_, (_, at)| now - *at <= patience));
+        let over = |c: &HostConn| match c.standing {
+            false if now - c.begun >= self.transport.connect_timeout => Some(Reason::ConnectTimeout),
+            true if c.is_idle() && now - c.used >= idle => Some(Reason::Idle),
+            _ => None,
+        };
+        let mut over: Vec<_> = self.conns.iter().filter_map(|(id, c)| Some((*id, over(c)?))).collect();
+        over.sort_by_key(|(id, _)| *id);
+        for (id, reason) in over {
+            self.end(now, id, reason, log);
+        }
+    }
+
+    /// Ends all connections.
+    pub fn shut_down(&mut self, now: Micros, log: &mut Log) {
+        let mut ids: Vec<_> = self.conns.keys().copied().collect();
+        ids.sort();
+        for id in ids {
+            self.end(now, id, Reason::Shutdown, log);
+        }
+    }
+}
+
+fn order_tag(order: OrderId) -> String {
+    format!("o{}", order.0)
+}
--- a/simhost/src/main.rs
+++ b/simhost/src/main.rs
@@ -1,4 +1,4 @@
-//! Hosts wheatgap routers on the marsh-74f8 wire: decodes, calls, encodes. Decides nothing.
+//! Hosts wheellink routers on the marsh-74f8 wire: decodes, calls, encodes. Decides nothing.
 
 mod wire;
 
@@ -14,7 +14,7 @@
     match run(io::stdin().lock(), BufWriter::new(io::stdout().lock())) {
         Ok(()) => ExitCode::SUCCESS,
         Err(problem) => {
-            eprintln!("wheatgap-simhost: {problem}");
+            eprintln!("wheellink-simhost: {problem}");
             ExitCode::FAILURE
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,17 +1,14 @@
-//! Decisions of a dispatcher for many small models that share a fleet of workers.
+//! Decisions of an activator that routes calls of form scripts to script hosts.
 //!
-//! The types are in [`interface`], the decisions in [`rules`]; the README shows how to embed them.
+//! The types are in [`interface`], the decisions in [`rules`], and [`engine`] keeps the promises round them.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod engine;
 pub mod interface;
 pub mod rules;
 mod state;
 
+pub use engine::{Engine, Ticket};
 pub use interface::*;
 pub use rules::Router;
-
-/// The README's example, compiled and run as a documentation test.
-#[cfg(doctest)]
-#[doc = include_str!("../README.md")]
-pub struct Readme;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -1,4 +1,4 @@
-//! All decisions of the library. The types are in `src/interface.rs`; docs/design.md tells where each rule
+//! All decisions of the library. The types are in `src/interface.rs`; ARCHITECTURE.md tells where each rule
 //! comes from. Reading order: constants, state, events, routing, chain preloading, attempts and answers,
 //! health and guards.
 
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! A small embedder for tests: feeds events, keeps what came out.
 #![allow(dead_code)]
 
-use wheatgap::*;
+use wheellink::*;
 
 pub const S: Micros = 1_000_000;
 pub const MS: Micros = 1_000;
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -5,7 +5,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use common::*;
-use wheatgap::*;
+use wheellink::*;
 
 struct Out {
     worker: WorkerId,
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use wheatgap::*;
+use wheellink::*;
 
 #[test]
 fn unsafe_after_a_time_out_is_failed_never_refused_or_sent_again() {
