--- a/node/src/bus.rs
+++ b/node/src/bus.rs
@@ -184,10 +184,15 @@
         }
     }
 
-    /// The connection stands: the 8 bytes that ask for what came after the last event known.
-    pub fn greeting(&mut self) -> [u8; 8] {
-        self.standing = true;
-        if self.from_start { 0 } else { self.last }.to_be_bytes()
+    /// Once the connection stands, asks for what came after the last event known, by 8 bytes.
+    pub fn greet(&mut self) -> Result<(), Reason> {
+        let Some(conn) = self.conn.as_mut().filter(|_| !self.standing) else { return Ok(()) };
+        self.standing = conn.connected().map_err(|_| Reason::ConnectRefused)?;
+        if self.standing {
+            let last = if self.from_start { 0 } else { self.last };
+            conn.outbox.push(&last.to_be_bytes());
+        }
+        Ok(())
     }
 
     /// The connection has ended.
@@ -224,7 +229,4 @@
         self.last = number;
         Step::Apply
     }
-
-    /// A reason to log for a silent bus.
-    pub const SILENCE: Reason = Reason::Silent;
 }
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -1,12 +1,18 @@
-//! The configuration that a platform activator is started with.
+//! What the program is started with: the platform's configuration, or an operator's file.
 
+mod operator;
+
+use std::hash::{BuildHasher, RandomState};
 use std::net::SocketAddr;
 
+use hickory_proto::rr::Name;
 use serde::Deserialize;
 use serde_json::Value;
+use wheellink::Micros;
 use wheellink_settings::{Deployment, Options};
 
 use crate::bus::{self, Event};
+use crate::front::invoke::results::Bounds;
 
 /// What the program needs to know.
 pub struct Config {
@@ -14,11 +20,17 @@
     pub seed: u64,
     /// Descriptors that the process may hold.
     pub sockets: usize,
-    pub bus: SocketAddr,
-    /// Number of the last event known, and the events.
-    pub offset: u64,
-    pub known: Vec<Event>,
     pub deployment: Deployment,
+    pub side: Side,
+}
+
+/// Who speaks with clients, and who tells of hosts.
+pub enum Side {
+    /// The platform's front and its event bus, with the events known and the number of the last of them.
+    Platform { bus: SocketAddr, offset: u64, known: Vec<Event> },
+    /// The invoke front, and hosts by DNS-SD. By class: how long a deferred call is tried, and the lanes of a
+    /// copy where a call does not tell them.
+    Operator { resolver: SocketAddr, service: Name, bounds: Bounds, classes: Vec<(Micros, u32)> },
 }
 
 #[derive(Deserialize)]
@@ -45,8 +57,8 @@
 /// Descriptors on a scored day, where the configuration tells none.
 const SOCKETS: usize = 1024;
 
-/// Reads the configuration, with `listen` from the environment where it is set there.
-pub fn parse(text: &str, listen: Option<&str>) -> Result<Config, String> {
+/// Reads the platform's configuration, with `listen` from the environment where it is set there.
+pub fn platform(text: &str, listen: Option<&str>) -> Result<Config, String> {
     let file: File = serde_json::from_str(text).map_err(|e| e.to_string())?;
     let address = |what: &str, text: &str| {
         text.parse::<SocketAddr>().map_err(|_| format!("{what} is no address with a port: {text:?}"))
@@ -63,13 +75,16 @@
         listen: address("listen", listen.unwrap_or(&file.listen))?,
         seed: seed(&file.seed)?,
         sockets: file.limits.and_then(|l| l.sockets).unwrap_or(SOCKETS),
-        bus: address("bus", &file.bus)?,
-        offset: file.known.offset,
-        known: known?,
         deployment,
+        side: Side::Platform { bus: address("bus", &file.bus)?, offset: file.known.offset, known: known? },
     })
 }
 
+/// Reads an operator's file.
+pub fn operator(text: &str) -> Result<Config, String> {
+    operator::parse(text, RandomState::new().hash_one(0))
+}
+
 fn seed(value: &Value) -> Result<u64, String> {
     let hex = |s: &str| u64::from_str_radix(s, 16).ok();
     let number = value.as_u64().or_else(|| value.as_str().and_then(hex));
--- /dev/null
+++ b/node/src/config/operator.rs
@@ -0,0 +1,256 @@
+//! The operator's file: the invoke front, where its hosts are found, classes and bounds. In TOML.
+
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+use wheellink::{Class, Discovery, Effect, LoadBudget, Micros, Scope, Settings, Tenant, WhenCold};
+use wheellink_settings::{Deployment, Transport};
+
+use super::{Config, Side};
+use crate::dnssd;
+use crate::front::invoke::results::Bounds;
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct File {
+    listen: SocketAddr,
+    #[serde(default = "sockets")]
+    sockets: usize,
+    hosts: Hosts,
+    #[serde(default)]
+    results: Results,
+    #[serde(default)]
+    class: Vec<ClassTable>,
+    #[serde(default)]
+    tenant: Vec<TenantTable>,
+}
+
+fn sockets() -> usize {
+    1024
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Hosts {
+    resolver: SocketAddr,
+    service: String,
+    #[serde(default)]
+    zones: Vec<String>,
+    zone: Option<String>,
+    #[serde(default = "one")]
+    activators: u32,
+    #[serde(default = "misses")]
+    on_miss: String,
+    keep_ms: Micros,
+    #[serde(default = "attempts")]
+    max_attempts: u32,
+    #[serde(default = "second")]
+    retry_after_ms: Micros,
+    orders: Option<Orders>,
+    cold_from: f64,
+    cold_ms: Micros,
+    fall_multiple: f64,
+    fall_ms: Micros,
+    #[serde(default = "connect")]
+    connect_timeout_ms: Micros,
+    #[serde(default = "idle")]
+    idle_ms: Micros,
+    #[serde(default = "streams")]
+    streams: usize,
+    #[serde(default = "order")]
+    order_timeout_ms: Micros,
+}
+
+fn one() -> u32 {
+    1
+}
+fn misses() -> String {
+    "miss".into()
+}
+fn attempts() -> u32 {
+    5
+}
+fn second() -> Micros {
+    1_000
+}
+fn connect() -> Micros {
+    250
+}
+fn idle() -> Micros {
+    30_000
+}
+fn streams() -> usize {
+    32
+}
+fn order() -> Micros {
+    10_000
+}
+
+/// At most `free + share * calls` orders to load within `period_ms`.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Orders {
+    free: f64,
+    share: f64,
+    period_ms: Micros,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct Results {
+    most: usize,
+    megabytes: usize,
+    keep_ms: Micros,
+}
+
+impl Default for Results {
+    fn default() -> Self {
+        Self { most: 1000, megabytes: 16, keep_ms: 60_000 }
+    }
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ClassTable {
+    name: String,
+    effect: String,
+    scope: Option<String>,
+    window_ms: Option<Micros>,
+    aim_ms: Micros,
+    give_up_ms: Micros,
+    deferred_give_up_ms: Option<Micros>,
+    #[serde(default = "whole")]
+    worth: f64,
+    #[serde(default)]
+    late_worth: f64,
+    #[serde(default = "one")]
+    lanes: u32,
+}
+
+fn whole() -> f64 {
+    1.0
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct TenantTable {
+    name: String,
+    quota_per_s: f64,
+}
+
+/// Reads the file. What is wrong with it is told in one line.
+pub fn parse(text: &str, seed: u64) -> Result<Config, String> {
+    let file: File = toml::from_str(text).map_err(|e| {
+        let line = e.span().map_or(1, |span| 1 + text[..span.start.min(text.len())].matches('\n').count());
+        format!("line {line}: {}", e.message().trim().replace('\n', " "))
+    })?;
+    let hosts = &file.hosts;
+    let wrong = |wrong: bool, what: &str| if wrong { Err(what.to_string()) } else { Ok(()) };
+    wrong(!hosts.resolver.ip().is_loopback(), "hosts.resolver must be a loopback address")?;
+    wrong(file.sockets < 64, "sockets must be 64 at least")?;
+    wrong(hosts.streams == 0 || hosts.activators == 0, "hosts.streams and hosts.activators begin at 1")?;
+    let times = [hosts.connect_timeout_ms, hosts.idle_ms, hosts.order_timeout_ms, file.results.keep_ms];
+    wrong(times.iter().any(|t| *t <= 0), "a time that is not above 0")?;
+    wrong(file.results.most == 0 || file.results.megabytes == 0, "results must leave room for one")?;
+    let mut names: Vec<_> = file.class.iter().map(|c| &c.name).collect();
+    names.sort();
+    wrong(names.windows(2).any(|w| w[0] == w[1]), "two classes of one name")?;
+    for c in &file.class {
+        wrong(c.aim_ms <= 0 || c.give_up_ms < c.aim_ms, &format!("class {}: aim_ms and give_up_ms", c.name))?;
+        wrong(
+            c.deferred_give_up_ms.is_some_and(|t| t <= 0),
+            &format!("class {}: deferred_give_up_ms", c.name),
+        )?;
+    }
+    let settings = Settings {
+        routers: hosts.activators,
+        classes: file.class.iter().map(class).collect::<Result<_, _>>()?,
+        tenants: file.tenant.iter().map(|t| Tenant { quota: t.quota_per_s }).collect(),
+        over_share_worth: 1.0,
+        zone: zone(hosts),
+        discovery: Discovery::Pushed,
+        when_cold: match hosts.on_miss.as_str() {
+            "miss" => WhenCold::Misses,
+            "load" => WhenCold::Loads,
+            other => return Err(format!("hosts.on_miss is \"miss\" or \"load\", not {other:?}")),
+        },
+        keep: hosts.keep_ms * 1000,
+        orders: true,
+        load_budget: hosts.orders.as_ref().map(|o| LoadBudget {
+            free: o.free,
+            share: o.share,
+            period: o.period_ms * 1000,
+        }),
+        cancel: true,
+        max_attempts: hosts.max_attempts,
+        max_retry_after: hosts.retry_after_ms * 1000,
+        cold_from: hosts.cold_from,
+        cold_for: hosts.cold_ms * 1000,
+        fall_multiple: hosts.fall_multiple,
+        fall_window: hosts.fall_ms * 1000,
+    };
+    settings.check().map_err(|e| e.to_string())?;
+    let transport = Transport {
+        conn_idle: hosts.idle_ms * 1000,
+        connect_timeout: hosts.connect_timeout_ms * 1000,
+        streams: hosts.streams,
+        order_timeout: hosts.order_timeout_ms * 1000,
+        says_warm: true,
+        counts_alike: true,
+        retry_after: (true, settings.max_retry_after),
+    };
+    let deferred = |c: &ClassTable| c.deferred_give_up_ms.unwrap_or(c.give_up_ms) * 1000;
+    let side = Side::Operator {
+        resolver: hosts.resolver,
+        service: dnssd::parse_name(&hosts.service).map_err(|e| format!("hosts.service: {e}"))?,
+        bounds: Bounds {
+            most: file.results.most,
+            bytes: file.results.megabytes << 20,
+            keep: file.results.keep_ms * 1000,
+        },
+        classes: file.class.iter().map(|c| (deferred(c), c.lanes.max(1))).collect(),
+    };
+    let deployment = Deployment {
+        settings,
+        classes: file.class.into_iter().map(|c| c.name).collect(),
+        tenants: file.tenant.into_iter().map(|t| t.name).collect(),
+        zones: file.hosts.zones,
+        transport,
+    };
+    Ok(Config { listen: file.listen, seed, sockets: file.sockets, deployment, side })
+}
+
+fn zone(hosts: &Hosts) -> u32 {
+    let at = hosts.zone.as_ref().and_then(|zone| hosts.zones.iter().position(|z| z == zone));
+    at.map_or(u32::MAX, |i| i as u32)
+}
+
+fn class(c: &ClassTable) -> Result<Class, String> {
+    let effect = match (c.effect.as_str(), c.scope.as_deref()) {
+        ("safe", None) => Effect::Safe,
+        ("unsafe", None) => Effect::Unsafe,
+        ("keyed", scope) => {
+            let scope = match scope {
+                Some("all") => Scope::All,
+                Some("zone") => Scope::Zone,
+                Some("cell") => Scope::Cell,
+                _ => return Err(format!("class {}: scope is \"all\", \"zone\" or \"cell\"", c.name)),
+            };
+            let window = c.window_ms.ok_or_else(|| format!("class {}: window_ms is missing", c.name))?;
+            Effect::Keyed { scope, window: window * 1000 }
+        }
+        _ => {
+            return Err(format!(
+                "class {}: effect is \"safe\", \"unsafe\", or \"keyed\" with a scope",
+                c.name
+            ))
+        }
+    };
+    Ok(Class {
+        aim: c.aim_ms * 1000,
+        give_up: c.give_up_ms * 1000,
+        worth: c.worth,
+        late_worth: c.late_worth,
+        effect,
+    })
+}
--- a/node/src/conn.rs
+++ b/node/src/conn.rs
@@ -123,9 +123,14 @@
         Ok(written)
     }
 
+    /// Ends this side: the other sees the end after all that was written, and may still send.
+    pub fn half_close(&self) {
+        let _ = self.stream.shutdown(Shutdown::Write);
+    }
+
     /// Takes it out of the loop and closes it. What the other side has already been sent still reaches it.
     pub fn close(self, handle: &LoopHandle<'static, Node>) {
         handle.remove(self.token);
-        let _ = self.stream.shutdown(Shutdown::Write);
+        self.half_close();
     }
 }
--- /dev/null
+++ b/node/src/front/invoke.rs
@@ -0,0 +1,462 @@
+//! The invoke front: HTTP/1.1 calls, waited for or deferred. Decides nothing.
+//!
+//! `POST /v1/functions/NAME/calls` with `Wheellink-Class` calls a function. It waits for the answer, or with
+//! `Prefer: respond-async` gets 202 and a Location, to be asked with GET and given up with DELETE.
+
+pub mod http;
+pub mod results;
+
+use std::collections::HashMap;
+use std::net::{SocketAddr, TcpStream};
+
+use calloop::LoopHandle;
+use wheellink::{Micros, Ticket};
+
+use crate::conn::{Conn, ConnId};
+use crate::front::Reply;
+use crate::hosts::lines::is_word;
+use crate::log::{Log, Reason};
+use crate::node::Node;
+use http::{Bad, Parsed, Request, Response};
+use results::{Bounds, Job, Results};
+
+/// Longest body of a call.
+const LONGEST_BODY: usize = 16 << 10;
+const INBOX: usize = 2 * LONGEST_BODY + 2 * http::LONGEST_HEAD;
+const OUTBOX: usize = 288 << 10;
+/// A client that takes nothing for so long while an answer waits has stopped reading.
+const STALLED: Micros = 10_000_000;
+/// How long a client that is being closed is given to see that.
+const LINGER: Micros = 1_000_000;
+/// A request must be whole within this time from its first byte.
+const SLOW_REQUEST: Micros = 10_000_000;
+/// Advice to clients that ask again for a deferred result, or after a bound of this front, in seconds.
+const ASK_AGAIN: &str = "1";
+const RESULTS: &str = "/v1/results/";
+
+/// Where an answer goes.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Origin {
+    /// To the client that waits on this connection.
+    Waiting(ConnId),
+    /// Among the results.
+    Deferred(String),
+}
+
+/// A call as a client words it.
+#[derive(Debug, Default, PartialEq)]
+pub struct Call {
+    pub class: usize,
+    pub tenant: Option<usize>,
+    pub function: String,
+    /// How long its client is ready to wait; the class's time where it does not say.
+    pub timeout: Option<Micros>,
+    pub repeat: bool,
+    pub key: Option<String>,
+    pub lanes: Option<u32>,
+    pub body: Vec<u8>,
+}
+
+/// What the front hands to the node.
+pub enum Notice {
+    Call { origin: Origin, call: Box<Call> },
+    Left { ticket: Ticket },
+}
+
+enum State {
+    /// Between requests, or within one that is not whole.
+    Reading,
+    /// A call is out; its answer comes here.
+    Waiting { ticket: Option<Ticket>, keep_alive: bool },
+    /// The last answer is on its way out.
+    Closing(Reason),
+    /// It has left, and the client is given time to see it: a reset for what it still sends would overtake it.
+    Lingering(Reason, Micros),
+}
+
+struct HttpConn {
+    conn: Conn,
+    peer: SocketAddr,
+    state: State,
+    told_to_continue: bool,
+    /// The last time that something was finished; the first byte of a request that is not whole.
+    active: Micros,
+    begun: Option<Micros>,
+    taken: u64,
+}
+
+impl HttpConn {
+    /// Ends this side once the last answer has left.
+    fn linger_if_done(&mut self, now: Micros) {
+        if let (State::Closing(reason), true) = (&self.state, self.conn.outbox.is_empty()) {
+            self.state = State::Lingering(*reason, now);
+            self.conn.half_close();
+        }
+    }
+}
+
+pub struct Invoke {
+    handle: LoopHandle<'static, Node>,
+    conns: HashMap<ConnId, HttpConn>,
+    most: usize,
+    conn_idle: Micros,
+    results: Results,
+    /// Of classes and tenants; calls go by their places.
+    names: (Vec<String>, Vec<String>),
+    stopping: bool,
+    /// Whether hosts are known, for those that ask whether to send calls here.
+    pub ready: bool,
+    pub notices: Vec<Notice>,
+}
+
+fn ready(node: &mut Node, id: ConnId) {
+    node.client_ready(id);
+}
+
+impl Invoke {
+    pub fn new(
+        handle: LoopHandle<'static, Node>,
+        most: usize,
+        conn_idle: Micros,
+        bounds: Bounds,
+        names: (Vec<String>, Vec<String>),
+    ) -> Self {
+        Self {
+            handle,
+            conns: HashMap::new(),
+            most,
+            conn_idle,
+            results: Results::new(bounds),
+            names,
+            stopping: false,
+            ready: false,
+            notices: Vec::new(),
+        }
+    }
+
+    pub fn is_quiet(&self) -> bool {
+        self.conns.values().all(|c| c.conn.outbox.is_empty() && !matches!(c.state, State::Waiting { .. }))
+    }
+
+    /// From now on each answer is its connection's last.
+    pub fn stop(&mut self) {
+        self.stopping = true;
+    }
+
+    pub fn accept(&mut self, now: Micros, stream: TcpStream, peer: SocketAddr, log: &mut Log) {
+        if self.conns.len() >= self.most && !self.evict(now, log) {
+            return log.ended(now, format_args!("http {peer}"), Reason::Evicted, "calls=0");
+        }
+        let id = crate::node::fresh_id();
+        match Conn::accepted(&self.handle, id, stream, (INBOX, OUTBOX), ready) {
+            Ok(conn) => {
+                let state = State::Reading;
+                let (told_to_continue, begun, taken) = (false, None, 0);
+                let fresh = HttpConn { conn, peer, state, told_to_continue, active: now, begun, taken };
+                self.conns.insert(id, fresh);
+            }
+            Err(e) => log.line(now, format_args!("http client {peer} cannot be taken in: {e}")),
+        }
+    }
+
+    fn evict(&mut self, now: Micros, log: &mut Log) -> bool {
+        let idle = self.conns.iter().filter(|(_, c)| matches!(c.state, State::Reading) && c.begun.is_none());
+        let oldest = idle.min_by_key(|(id, c)| (c.active, **id)).map(|(id, _)| *id);
+        oldest.inspect(|id| self.end(now, *id, Reason::Evicted, log)).is_some()
+    }
+
+    /// The socket has something to say, or may take more.
+    pub fn ready(&mut self, now: Micros, id: ConnId, log: &mut Log) {
+        if let Err(reason) = self.serve(now, id, log) {
+            self.end(now, id, reason, log);
+        }
+    }
+
+    fn serve(&mut self, now: Micros, id: ConnId, log: &mut Log) -> Result<(), Reason> {
+        loop {
+            let Some(c) = self.conns.get_mut(&id) else { return Ok(()) };
+            if c.conn.flush()? > 0 {
+                c.active = now;
+            }
+            c.linger_if_done(now);
+            let more = c.conn.fill()?;
+            // Whoever waited for the answer to a call is gone, or has nothing more to ask.
+            match (c.conn.eof, &c.state) {
+                (true, State::Lingering(reason, _)) => return Err(*reason),
+                (true, State::Reading | State::Waiting { .. }) => return Err(Reason::PeerClosed),
+                (_, State::Closing(_) | State::Lingering(..)) => c.conn.inbox.consume(usize::MAX),
+                _ => {}
+            }
+            if matches!(c.state, State::Closing(_) | State::Lingering(..)) {
+                if more {
+                    continue;
+                }
+                return Ok(());
+            }
+            // The next request is read once the one before it is answered and has left.
+            let mut took = false;
+            while self.take(now, id, log)? {
+                took = true;
+            }
+            if !more || !took {
+                return Ok(());
+            }
+        }
+    }
+
+    /// Takes one request; false when none is whole, or the last one is not answered yet.
+    fn take(&mut self, now: Micros, id: ConnId, log: &mut Log) -> Result<bool, Reason> {
+        let Some(c) = self.conns.get_mut(&id) else { return Ok(false) };
+        if !matches!(c.state, State::Reading) || !c.conn.outbox.is_empty() {
+            return Ok(false);
+        }
+        match http::next_request(&mut c.conn.inbox, LONGEST_BODY) {
+            Ok(Parsed::Partial { expects_continue }) => {
+                c.begun = if c.conn.inbox.is_empty() { None } else { c.begun.or(Some(now)) };
+                if expects_continue && !std::mem::replace(&mut c.told_to_continue, true) {
+                    c.conn.outbox.push(http::CONTINUE);
+                    c.conn.flush()?;
+                }
+                Ok(false)
+            }
+            Ok(Parsed::Whole(request)) => {
+                (c.begun, c.told_to_continue, c.active) = (None, false, now);
+                c.taken += 1;
+                self.route(now, id, request, log);
+                Ok(true)
+            }
+            Err(Bad(status, what)) => {
+                c.state = State::Closing(Reason::Protocol);
+                let peer = c.peer;
+                log.line(now, format_args!("http client {peer} sent a bad request: {what}"));
+                let bytes = Response::problem(status, what).encode(false, false);
+                self.write(now, id, &bytes, log);
+                Ok(false)
+            }
+        }
+    }
+
+    fn route(&mut self, now: Micros, id: ConnId, request: Request, log: &mut Log) {
+        let keep_alive = request.keep_alive && !self.stopping;
+        let head_only = request.method == "HEAD";
+        let path = request.path.split('?').next().unwrap_or_default().to_string();
+        let function = path.strip_prefix("/v1/functions/").and_then(|p| p.strip_suffix("/calls"));
+        let result = path.strip_prefix(RESULTS);
+        let answer = match (request.method.as_str(), function, result, path.as_str()) {
+            ("POST", Some(function), ..) => match self.call(function, request) {
+                Ok((call, true)) => self.defer(call),
+                Ok((call, false)) => {
+                    if let Some(c) = self.conns.get_mut(&id) {
+                        c.state = State::Waiting { ticket: None, keep_alive };
+                        let call = Box::new(call);
+                        self.notices.push(Notice::Call { origin: Origin::Waiting(id), call });
+                    }
+                    return;
+                }
+                Err(problem) => problem,
+            },
+            ("GET" | "HEAD", _, Some(name), _) => match self.results.get(name) {
+                Some(Job::Open(_)) => Response::new(202).with("Retry-After", ASK_AGAIN),
+                Some(Job::Finished { response, .. }) => response.clone(),
+                None => Response::problem(404, "no such result, or it was not collected in time"),
+            },
+            ("DELETE", _, Some(name), _) => match self.results.remove(name) {
+                Some(Job::Open(ticket)) => {
+                    self.notices.extend(ticket.map(|ticket| Notice::Left { ticket }));
+                    Response::new(204)
+                }
+                Some(Job::Finished { .. }) => Response::new(204),
+                None => Response::problem(404, "no such result, or it was not collected in time"),
+            },
+            ("GET" | "HEAD", .., "/healthz") if self.ready && !self.stopping => Response::new(200),
+            ("GET" | "HEAD", .., "/healthz") => {
+                Response::problem(503, "no script host is known, or the program ends")
+                    .with("Retry-After", ASK_AGAIN)
+            }
+            (_, Some(_), ..) => Response::problem(405, "calls are made with POST").with("Allow", "POST"),
+            (_, _, Some(_), _) => {
+                Response::problem(405, "results are asked for or given up").with("Allow", "GET, HEAD, DELETE")
+            }
+            (.., "/healthz") => Response::problem(405, "health is asked for").with("Allow", "GET, HEAD"),
+            _ => Response::problem(404, "no such place"),
+        };
+        self.respond(now, id, answer, keep_alive, head_only, log);
+    }
+
+    /// Reads a call, and whether it is to be deferred.
+    fn call(&self, function: &str, request: Request) -> Result<(Call, bool), Response> {
+        let bad = |detail: &str| Response::problem(400, detail);
+        if !is_word(function) {
+            return Err(bad("no name of a function"));
+        }
+        let place = |names: &[String], name: &str| names.iter().position(|n| n == name);
+        let class = request.header("wheellink-class").and_then(|c| place(&self.names.0, c));
+        let tenant = request.header("wheellink-tenant").map(|t| place(&self.names.1, t));
+        if tenant == Some(None) {
+            return Err(bad("Wheellink-Tenant must name a tenant, where it stands"));
+        }
+        let mut call = Call {
+            class: class.ok_or_else(|| bad("Wheellink-Class must name a class"))?,
+            tenant: tenant.flatten(),
+            function: function.to_string(),
+            repeat: request.header("wheellink-repeat") == Some("1"),
+            ..Call::default()
+        };
+        if let Some(text) = request.header("wheellink-timeout-ms") {
+            let ms = text.parse::<u32>().ok().filter(|ms| *ms > 0);
+            let ms = ms.ok_or_else(|| bad("Wheellink-Timeout-Ms is no time in milliseconds"))?;
+            call.timeout = Some(Micros::from(ms) * 1000);
+        }
+        if let Some(text) = request.header("wheellink-lanes") {
+            let lanes = text.parse::<u32>().ok().filter(|n| *n > 0);
+            call.lanes = Some(lanes.ok_or_else(|| bad("Wheellink-Lanes is no number of lanes"))?);
+        }
+        if let Some(key) = request.header("idempotency-key") {
+            let key = key.trim_matches('"');
+            if !is_word(key) {
+                return Err(bad("Idempotency-Key must be up to 128 visible characters without , and ="));
+            }
+            call.key = Some(key.to_string());
+        }
+        let preferences = request.preferences();
+        let deferred = preferences.iter().any(|(name, _)| name == "respond-async");
+        // Without respond-async, `wait` is how long the client is ready to wait for the answer itself.
+        let wait =
+            preferences.iter().find(|(name, _)| name == "wait").and_then(|(_, v)| v.parse::<u32>().ok());
+        if let (false, Some(seconds)) = (deferred, wait.filter(|s| *s > 0)) {
+            let wait = Micros::from(seconds) * 1_000_000;
+            call.timeout = Some(call.timeout.map_or(wait, |t| t.min(wait)));
+        }
+        call.body = request.body;
+        Ok((call, deferred))
+    }
+
+    fn defer(&mut self, call: Call) -> Response {
+        let Some(name) = self.results.open() else {
+            return Response::problem(429, "too many results wait to be collected")
+                .with("Retry-After", ASK_AGAIN);
+        };
+        let location = format!("{RESULTS}{name}");
+        self.notices.push(Notice::Call { origin: Origin::Deferred(name), call: Box::new(call) });
+        Response::new(202)
+            .with("Location", location)
+            .with("Preference-Applied", "respond-async")
+            .with("Retry-After", ASK_AGAIN)
+    }
+
+    /// The node has taken the call under this ticket. False if its client has left since.
+    pub fn taken(&mut self, origin: &Origin, ticket: Ticket) -> bool {
+        match origin {
+            Origin::Waiting(id) => match self.conns.get_mut(id).map(|c| &mut c.state) {
+                Some(State::Waiting { ticket: slot, .. }) => {
+                    *slot = Some(ticket);
+                    true
+                }
+                _ => false,
+            },
+            Origin::Deferred(name) => {
+                self.results.taken(name, ticket);
+                self.results.get(name).is_some()
+            }
+        }
+    }
+
+    /// The final answer of a call.
+    pub fn reply(&mut self, now: Micros, origin: &Origin, reply: Reply, log: &mut Log) {
+        let response = match reply {
+            Reply::Served(body) => Response::served(body),
+            Reply::Refused(wait) => {
+                let seconds = (wait + 999_999) / 1_000_000;
+                Response::problem(503, "there is no room for the call; trying again is harmless")
+                    .with("Retry-After", seconds.max(1).to_string())
+            }
+            Reply::Failed => Response::problem(502, "the call failed and may have run"),
+            Reply::TimedOut => Response::problem(504, "the call was not answered in time and may have run"),
+        };
+        self.give(now, origin, response, log);
+    }
+
+    fn give(&mut self, now: Micros, origin: &Origin, response: Response, log: &mut Log) {
+        match origin {
+            Origin::Waiting(id) => {
+                let Some(c) = self.conns.get_mut(id) else { return };
+                if let State::Waiting { keep_alive, .. } = c.state {
+                    c.state = State::Reading;
+                    self.respond(now, *id, response, keep_alive && !self.stopping, false, log);
+                    // The client may have sent its next request meanwhile: no further edge tells of that.
+                    self.ready(now, *id, log);
+                }
+            }
+            Origin::Deferred(name) => {
+                let gone = self.results.finish(now, name, response);
+                if gone > 0 {
+                    log.line(now, format_args!("{gone} results that nobody collected made room for others"));
+                }
+            }
+        }
+    }
+
+    fn respond(
+        &mut self,
+        now: Micros,
+        id: ConnId,
+        response: Response,
+        keep_alive: bool,
+        head_only: bool,
+        log: &mut Log,
+    ) {
+        if let Some(c) = self.conns.get_mut(&id).filter(|_| !keep_alive) {
+            c.state = State::Closing(Reason::Finished);
+        }
+        self.write(now, id, &response.encode(keep_alive, head_only), log);
+    }
+
+    fn write(&mut self, now: Micros, id: ConnId, bytes: &[u8], log: &mut Log) {
+        let Some(c) = self.conns.get_mut(&id) else { return };
+        if !c.conn.outbox.push(bytes) {
+            return self.end(now, id, Reason::SlowReader, log);
+        }
+        match c.conn.flush() {
+            Err(reason) => self.end(now, id, reason, log),
+            Ok(_) => {
+                c.active = now;
+                c.linger_if_done(now);
+            }
+        }
+    }
+
+    /// Ends a connection. Who waited on it for a call has left; a deferred call lives on.
+    fn end(&mut self, now: Micros, id: ConnId, reason: Reason, log: &mut Log) {
+        let Some(c) = self.conns.remove(&id) else { return };
+        log.ended(now, format_args!("http {}", c.peer), reason, format_args!("calls={}", c.taken));
+        if let State::Waiting { ticket: Some(ticket), .. } = c.state {
+            self.notices.push(Notice::Left { ticket });
+        }
+        c.conn.close(&self.handle);
+    }
+
+    /// Gives up old results, and closes connections that are idle or too slow.
+    pub fn tick(&mut self, now: Micros, log: &mut Log) {
+        self.results.tick(now);
+        let over = |c: &HttpConn| match &c.state {
+            _ if !c.conn.outbox.is_empty() => (now - c.active >= STALLED).then_some(Reason::SlowReader),
+            State::Lingering(reason, since) if now - since >= LINGER => Some(*reason),
+            State::Reading if c.begun.is_some_and(|b| now - b >= SLOW_REQUEST) => Some(Reason::Protocol),
+            State::Reading if c.begun.is_none() && now - c.active >= self.conn_idle => Some(Reason::Idle),
+            _ => None,
+        };
+        let mut over: Vec<_> = self.conns.iter().filter_map(|(id, c)| Some((*id, over(c)?))).collect();
+        over.sort_by_key(|(id, _)| *id);
+        for (id, reason) in over {
+            self.end(now, id, reason, log);
+        }
+    }
+
+    pub fn shut_down(&mut self, now: Micros, log: &mut Log) {
+        let mut ids: Vec<_> = self.conns.keys().copied().collect();
+        ids.sort();
+        for id in ids {
+            self.end(now, id, Reason::Shutdown, log);
+        }
+    }
+}
--- a/node/src/front/platform.rs
+++ b/node/src/front/platform.rs
@@ -9,6 +9,7 @@
 use wheellink::{Micros, Ticket};
 
 use crate::conn::{Conn, ConnId};
+use crate::front::Reply;
 use crate::log::{Log, Reason};
 use crate::node::Node;
 use frames::{Code, Frame, Head, Request};
@@ -24,6 +25,9 @@
 /// A client that takes nothing for so long while answers wait has stopped reading.
 const STALLED: Micros = 10_000_000;
 
+/// How long a client that is being closed is given to see that.
+const LINGER: Micros = 1_000_000;
+
 /// Where an answer goes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Origin {
@@ -45,8 +49,10 @@
     used: Streams,
     /// Bytes of a frame too long to be taken that are still to be passed over.
     skip: usize,
-    /// Framing is lost: nothing more is read, and it closes once all is answered.
+    /// Framing is lost: what comes is passed over, and it closes once all is answered.
     broken: bool,
+    /// Its side of the connection was ended then, and the client is given time to see that.
+    lingers: Option<Micros>,
     active: Micros,
     taken: u64,
 }
@@ -110,6 +116,7 @@
                     used: Streams::default(),
                     skip: 0,
                     broken: false,
+                    lingers: None,
                     active: now,
                     taken: 0,
                 };
@@ -157,13 +164,13 @@
                 c.active = now;
             }
             // Backpressure: who does not read its answers is not read from. A later flush comes back here.
-            if c.conn.outbox.len() > BACKED_UP || c.broken {
-                return self.end_if_done(id);
+            if c.conn.outbox.len() > BACKED_UP {
+                return Ok(());
             }
             let filled = c.conn.fill();
             while self.take(now, id, log)? {}
             if !filled? {
-                return self.end_if_done(id);
+                return self.end_if_done(now, id);
             }
             let Some(c) = self.conns.get_mut(&id) else { return Ok(()) };
             if c.conn.inbox.room() == 0 {
@@ -173,21 +180,34 @@
         }
     }
 
-    /// A client that has ended its side may still wait for answers; it is closed when it has them.
-    fn end_if_done(&mut self, id: ConnId) -> Result<(), Reason> {
-        let Some(c) = self.conns.get(&id) else { return Ok(()) };
-        let done = c.open.is_empty() && c.conn.outbox.is_empty();
-        match (done, c.broken, c.conn.eof) {
-            (true, true, _) => Err(Reason::Protocol),
-            (true, false, true) => Err(Reason::PeerClosed),
-            _ => Ok(()),
+    /// A client that has ended its side may still wait for answers; it is closed when it has them. One whose
+    /// framing was lost must see its answers before a reset can overtake them.
+    fn end_if_done(&mut self, now: Micros, id: ConnId) -> Result<(), Reason> {
+        let Some(c) = self.conns.get_mut(&id) else { return Ok(()) };
+        if !c.open.is_empty() || !c.conn.outbox.is_empty() {
+            return Ok(());
+        }
+        match (c.broken, c.conn.eof, c.lingers) {
+            (true, false, None) => {
+                c.lingers = Some(now);
+                c.conn.half_close();
+                Ok(())
+            }
+            (true, false, Some(since)) if now - since < LINGER => Ok(()),
+            (true, ..) => Err(Reason::Protocol),
+            (false, true, _) => Err(Reason::PeerClosed),
+            (false, false, _) => Ok(()),
         }
     }
 
     /// Takes one frame; false when none is whole.
     fn take(&mut self, now: Micros, id: ConnId, log: &mut Log) -> Result<bool, Reason> {
         let Some(c) = self.conns.get_mut(&id) else { return Ok(false) };
-        if c.broken || c.conn.outbox.len() > BACKED_UP {
+        if c.broken {
+            c.conn.inbox.consume(usize::MAX);
+            return Ok(false);
+        }
+        if c.conn.outbox.len() > BACKED_UP {
             return Ok(false);
         }
         if c.skip > 0 {
@@ -267,7 +287,21 @@
         self.answer(now, origin, Code::Failed, &[], problem.as_bytes(), log);
     }
 
-    pub fn answer(
+    /// The final answer to a request.
+    pub fn reply(&mut self, now: Micros, origin: Origin, reply: Reply, log: &mut Log) {
+        match reply {
+            Reply::Served(body) => self.answer(now, origin, Code::Served, &[], &body, log),
+            Reply::Refused(wait) => {
+                let wait = (wait / 1000).to_string();
+                let fields = [("holdoff", wait.as_str())];
+                let fields = if wait == "0" { &[] } else { &fields[..] };
+                self.answer(now, origin, Code::Refused, fields, &[], log)
+            }
+            Reply::Failed | Reply::TimedOut => self.answer(now, origin, Code::Failed, &[], &[], log),
+        }
+    }
+
+    fn answer(
         &mut self,
         now: Micros,
         origin: Origin,
@@ -317,7 +351,7 @@
                 self.end(now, id, Reason::SlowReader, log);
             } else if c.open.is_empty() && c.conn.outbox.is_empty() && quiet >= self.conn_idle {
                 self.end(now, id, Reason::Idle, log);
-            } else if let Err(reason) = self.end_if_done(id) {
+            } else if let Err(reason) = self.end_if_done(now, id) {
                 self.end(now, id, reason, log);
             }
         }
--- a/node/src/log.rs
+++ b/node/src/log.rs
@@ -31,6 +31,8 @@
     HostGone,
     /// Nothing was heard for too long.
     Silent,
+    /// Its last answer has been given.
+    Finished,
     /// The program ends.
     Shutdown,
 }
@@ -49,6 +51,7 @@
             Self::SlowReader => "slow_reader",
             Self::HostGone => "host_gone",
             Self::Silent => "silent",
+            Self::Finished => "finished",
             Self::Shutdown => "shutdown",
         }
     }
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -5,6 +5,7 @@
 mod clock;
 mod config;
 mod conn;
+mod dnssd;
 mod front;
 mod hosts;
 mod log;
@@ -31,10 +32,21 @@
 }
 
 fn run() -> Result<(), String> {
-    let path = std::env::var("EDGE_CONFIG").map_err(|_| "EDGE_CONFIG names no configuration")?;
+    let mut arguments = std::env::args().skip(1);
+    let (path, operator) = match (arguments.next(), arguments.next()) {
+        (Some(path), None) => (path, true),
+        (None, None) => {
+            (std::env::var("EDGE_CONFIG").map_err(|_| "give an operator's file, or set EDGE_CONFIG")?, false)
+        }
+        _ => return Err("one operator's file at most".into()),
+    };
     let text = std::fs::read_to_string(&path).map_err(|e| format!("{path} cannot be read: {e}"))?;
-    let listen = std::env::var("EDGE_LISTEN").ok();
-    let config = config::parse(&text, listen.as_deref()).map_err(|e| format!("{path}: {e}"))?;
+    let config = if operator {
+        config::operator(&text)
+    } else {
+        config::platform(&text, std::env::var("EDGE_LISTEN").ok().as_deref())
+    };
+    let config = config.map_err(|e| format!("{path}: {e}"))?;
     let address = config.listen;
 
     let failed = |what: &'static str| move |e: calloop::Error| format!("{what}: {e}");
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -9,15 +9,18 @@
 
 use calloop::LoopHandle;
 use wheellink::engine::{AttemptId, Command, NewRequest, Verdict};
-use wheellink::{Engine, ListKind, Micros, Outcome, Ticket};
+use wheellink::{Effect, Engine, ListKind, Micros, Outcome, Ticket};
 use wheellink_settings::Deployment;
 
 use crate::bus::{self, Bus, Frame, Step};
 use crate::clock::Clock;
-use crate::config::Config;
+use crate::config::{self, Config};
 use crate::conn::{Conn, ConnId};
-use crate::front::platform::frames::{Code, Request};
-use crate::front::platform::{self, Origin, Platform};
+use crate::dnssd::{Browser, DnsSd};
+use crate::front::invoke::{self, Invoke};
+use crate::front::platform::frames::Request;
+use crate::front::platform::{self, Platform};
+use crate::front::Reply;
 use crate::hosts::{self, Call, Hosts};
 use crate::log::{Log, Reason};
 
@@ -29,6 +32,8 @@
 const BODIES: usize = 48 << 20;
 /// After SIGTERM requests keep coming for this long.
 const STILL_COMING: Micros = 800_000;
+/// What the bus may have on its way: the longest frame and more.
+const BUS_RING: usize = 256 << 10;
 /// Between looks at connections that are idle or do not come up.
 const HOUSEKEEPING: Micros = 50_000;
 
@@ -49,6 +54,31 @@
     answer: Option<(AttemptId, Vec<u8>)>,
 }
 
+/// Who is owed it.
+enum Origin {
+    Platform(platform::Origin),
+    Invoke(invoke::Origin),
+}
+
+/// A request in no front's words.
+struct Incoming {
+    id: String,
+    class: usize,
+    tenant: Option<usize>,
+    function: String,
+    timeout: Micros,
+    lanes: u32,
+    repeat: bool,
+    key: Option<String>,
+    body: Vec<u8>,
+}
+
+/// Who speaks with clients, and who tells of hosts.
+enum Side {
+    Platform(Box<Platform>, Bus),
+    Operator { front: Box<Invoke>, hosts: Box<DnsSd>, classes: Vec<(Micros, u32)>, ids: fastrand::Rng },
+}
+
 pub struct Node {
     handle: LoopHandle<'static, Node>,
     clock: Clock,
@@ -59,28 +89,44 @@
     scratch: Vec<Command>,
     pending: HashMap<Ticket, Pending>,
     bodies: usize,
-    platform: Platform,
+    side: Side,
     hosts: Hosts,
-    bus: Bus,
     stopping: Option<Micros>,
     kept_house: Micros,
 }
 
 impl Node {
     pub fn new(handle: LoopHandle<'static, Node>, config: Config) -> Result<Self, String> {
-        let router = config.deployment.router(config.seed).map_err(|e| e.to_string())?;
         let transport = config.deployment.transport.clone();
-        let clients = config.sockets / 3;
+        let clients = (config.sockets / 3).max(1);
         let most = config.sockets.saturating_sub(clients + OWN_SOCKETS).max(1);
+        let router = config.deployment.router(config.seed).map_err(|e| e.to_string())?;
+        let mut known = Vec::new();
+        let side = match config.side {
+            config::Side::Platform { bus, offset, known: events } => {
+                known = events;
+                let front = Box::new(Platform::new(handle.clone(), clients, transport.conn_idle));
+                Side::Platform(front, Bus::new(bus, offset))
+            }
+            config::Side::Operator { resolver, service, bounds, classes } => {
+                let d = &config.deployment;
+                let names = (d.classes.clone(), d.tenants.clone());
+                let front =
+                    Box::new(Invoke::new(handle.clone(), clients, transport.conn_idle, bounds, names));
+                let browser = Browser::new(service, d.zones.clone(), config.seed);
+                let hosts = DnsSd::new(&handle, resolver, browser);
+                let hosts = Box::new(hosts.map_err(|e| format!("no socket for queries to {resolver}: {e}"))?);
+                Side::Operator { front, hosts, classes, ids: fastrand::Rng::with_seed(config.seed) }
+            }
+        };
         let mut node = Self {
             engine: Engine::new(router, transport.order_timeout),
             commands: VecDeque::new(),
             scratch: Vec::new(),
             pending: HashMap::new(),
             bodies: 0,
-            platform: Platform::new(handle.clone(), clients.max(1), transport.conn_idle),
+            side,
             hosts: Hosts::new(handle.clone(), transport, most),
-            bus: Bus::new(config.bus, config.offset),
             deployment: config.deployment,
             clock: Clock::default(),
             log: Log::new(),
@@ -88,7 +134,7 @@
             kept_house: 0,
             handle,
         };
-        for (i, event) in config.known.into_iter().enumerate() {
+        for (i, event) in known.into_iter().enumerate() {
             let kind = if i == 0 { ListKind::Cached } else { event.kind };
             node.list(kind, event.hosts);
         }
@@ -101,7 +147,10 @@
         loop {
             let now = self.clock.now();
             match listener.accept() {
-                Ok((stream, peer)) => self.platform.accept(now, stream, peer, &mut self.log),
+                Ok((stream, peer)) => match &mut self.side {
+                    Side::Platform(front, _) => front.accept(now, stream, peer, &mut self.log),
+                    Side::Operator { front, .. } => front.accept(now, stream, peer, &mut self.log),
+                },
                 Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => break,
                 // A connection that ended while it waited, or no descriptor left: the next turn tries again.
                 Err(_) => break,
@@ -111,7 +160,11 @@
     }
 
     pub fn client_ready(&mut self, id: ConnId) {
-        self.platform.ready(self.clock.now(), id, &mut self.log);
+        let now = self.clock.now();
+        match &mut self.side {
+            Side::Platform(front, _) => front.ready(now, id, &mut self.log),
+            Side::Operator { front, .. } => front.ready(now, id, &mut self.log),
+        }
         self.settle();
     }
 
@@ -128,13 +181,25 @@
         self.settle();
     }
 
+    pub fn dns_ready(&mut self) {
+        let now = self.clock.now();
+        if let Side::Operator { hosts, .. } = &mut self.side {
+            let news = hosts.ready(now);
+            self.list(ListKind::Delta, news);
+            self.settle();
+        }
+    }
+
     /// SIGTERM: ask clients to open nothing new, answer what still comes, end when nothing is open.
     pub fn stop(&mut self) {
         if self.stopping.is_none() {
             let now = self.clock.now();
             self.log.line(now, format_args!("told to stop with {} requests open", self.engine.open()));
             self.stopping = Some(now);
-            self.platform.stop(now, &mut self.log);
+            match &mut self.side {
+                Side::Platform(front, _) => front.stop(now, &mut self.log),
+                Side::Operator { front, .. } => front.stop(),
+            }
             self.settle();
         }
     }
@@ -142,90 +207,87 @@
     /// Whether it has been told to stop and owes nothing any more.
     pub fn is_done(&mut self) -> bool {
         let now = self.clock.now();
-        self.stopping.is_some_and(|since| now - since >= STILL_COMING)
-            && self.pending.is_empty()
-            && self.platform.is_quiet()
+        let quiet = match &self.side {
+            Side::Platform(front, _) => front.is_quiet(),
+            Side::Operator { front, .. } => front.is_quiet(),
+        };
+        self.stopping.is_some_and(|since| now - since >= STILL_COMING) && self.pending.is_empty() && quiet
     }
 
     pub fn shut_down(&mut self) {
         let now = self.clock.now();
-        self.platform.shut_down(now, &mut self.log);
+        match &mut self.side {
+            Side::Platform(front, _) => front.shut_down(now, &mut self.log),
+            Side::Operator { front, hosts, .. } => {
+                front.shut_down(now, &mut self.log);
+                hosts.close(&self.handle);
+            }
+        }
         self.hosts.shut_down(now, &mut self.log);
         self.end_bus(now, Reason::Shutdown);
     }
 
+    fn next_tick(&self) -> Micros {
+        let news = match &self.side {
+            Side::Platform(_, bus) => bus.next_tick(),
+            Side::Operator { hosts, .. } => hosts.browser.next_tick(),
+        };
+        let engine = self.engine.next_tick().unwrap_or(Micros::MAX);
+        let hosts = self.hosts.next_tick().unwrap_or(Micros::MAX);
+        engine.min(hosts).min(news).min(self.kept_house + HOUSEKEEPING)
+    }
+
     /// What is due by now; how long nothing else will be.
     pub fn turn(&mut self) -> Duration {
         let now = self.clock.now();
-        let next = |node: &Self| {
-            let engine = node.engine.next_tick().unwrap_or(Micros::MAX);
-            let hosts = node.hosts.next_tick().unwrap_or(Micros::MAX);
-            engine.min(hosts).min(node.bus.next_tick()).min(node.kept_house + HOUSEKEEPING)
-        };
-        if next(self) <= now {
+        if self.next_tick() <= now {
             self.run_engine(|engine, out| engine.tick(now, out));
             self.hosts.tick(now, &mut self.log);
-            if self.kept_house + HOUSEKEEPING <= now {
+            let keep_house = self.kept_house + HOUSEKEEPING <= now;
+            if keep_house {
                 self.kept_house = now;
-                self.platform.tick(now, &mut self.log);
-            }
-            if self.bus.is_silent(now) {
-                self.end_bus(now, Bus::SILENCE);
             }
-            if self.bus.wants_connection(now) {
-                let id = fresh_id();
-                let conn =
-                    Conn::connect(&self.handle, id, self.bus.address, (256 << 10, 64), |n, i| n.bus_ready(i));
-                self.bus.begun(now, conn.ok());
+            match &mut self.side {
+                Side::Platform(front, bus) => {
+                    if keep_house {
+                        front.tick(now, &mut self.log);
+                    }
+                    if bus.wants_connection(now) {
+                        let id = fresh_id();
+                        let bounds = (BUS_RING, 64);
+                        let conn =
+                            Conn::connect(&self.handle, id, bus.address, bounds, |n, i| n.bus_ready(i));
+                        bus.begun(now, conn.ok());
+                    } else if bus.is_silent(now) {
+                        self.end_bus(now, Reason::Silent);
+                    }
+                }
+                Side::Operator { front, hosts, .. } => {
+                    if keep_house {
+                        front.tick(now, &mut self.log);
+                    }
+                    let news = hosts.tick(now);
+                    front.ready = hosts.browser.any_up();
+                    self.list(ListKind::Delta, news);
+                }
             }
             self.settle();
         }
-        let wait = (next(self) - self.clock.now()).clamp(0, HOUSEKEEPING);
+        let wait = (self.next_tick() - self.clock.now()).clamp(0, HOUSEKEEPING);
         Duration::from_micros(wait as u64)
     }
 
     fn read_bus(&mut self, now: Micros) -> Result<(), Reason> {
         loop {
-            let Some(conn) = &mut self.bus.conn else { return Ok(()) };
-            if !self.bus.standing {
-                match conn.connected() {
-                    Ok(true) => {
-                        let greeting = self.bus.greeting();
-                        let Some(conn) = &mut self.bus.conn else { return Ok(()) };
-                        conn.outbox.push(&greeting);
-                    }
-                    Ok(false) => return Ok(()),
-                    Err(_) => return Err(Reason::ConnectRefused),
-                }
-            }
-            let Some(conn) = &mut self.bus.conn else { return Ok(()) };
+            let Side::Platform(_, bus) = &mut self.side else { return Ok(()) };
+            bus.greet()?;
+            let Some(conn) = bus.conn.as_mut().filter(|_| bus.standing) else { return Ok(()) };
             conn.flush()?;
             let filled = conn.fill();
-            loop {
-                let Some(conn) = &mut self.bus.conn else { return Ok(()) };
-                match bus::next_frame(&mut conn.inbox, &self.deployment.zones) {
-                    Ok(None) => break,
-                    Ok(Some(frame)) => {
-                        self.bus.heard(now);
-                        let Frame::Event(event) = frame else { continue };
-                        match self.bus.step(event.number, event.kind) {
-                            Step::Apply => self.list(event.kind, event.hosts),
-                            Step::Skip => {}
-                            Step::Gap => {
-                                self.log
-                                    .line(now, format_args!("the bus left a gap before {}", event.number));
-                                return Err(Reason::Protocol);
-                            }
-                        }
-                    }
-                    Err(problem) => {
-                        self.log.line(now, format_args!("the bus sent {problem}"));
-                        return Err(Reason::Protocol);
-                    }
-                }
-            }
+            while self.take_bus_frame(now)? {}
             let more = filled?;
-            if self.bus.conn.as_ref().is_some_and(|c| c.eof) {
+            let Side::Platform(_, bus) = &self.side else { return Ok(()) };
+            if bus.conn.as_ref().is_some_and(|c| c.eof) {
                 return Err(Reason::PeerClosed);
             }
             if !more {
@@ -234,8 +296,34 @@
         }
     }
 
+    /// Takes one frame; false when none is whole.
+    fn take_bus_frame(&mut self, now: Micros) -> Result<bool, Reason> {
+        let Side::Platform(_, bus) = &mut self.side else { return Ok(false) };
+        let Some(conn) = &mut bus.conn else { return Ok(false) };
+        let frame = match bus::next_frame(&mut conn.inbox, &self.deployment.zones) {
+            Ok(None) => return Ok(false),
+            Ok(Some(frame)) => frame,
+            Err(problem) => {
+                self.log.line(now, format_args!("the bus sent {problem}"));
+                return Err(Reason::Protocol);
+            }
+        };
+        bus.heard(now);
+        let Frame::Event(event) = frame else { return Ok(true) };
+        match bus.step(event.number, event.kind) {
+            Step::Apply => self.list(event.kind, event.hosts),
+            Step::Skip => {}
+            Step::Gap => {
+                self.log.line(now, format_args!("the bus left a gap before {}", event.number));
+                return Err(Reason::Protocol);
+            }
+        }
+        Ok(true)
+    }
+
     fn end_bus(&mut self, now: Micros, reason: Reason) {
-        if let Some(conn) = self.bus.ended(now) {
+        let Side::Platform(_, bus) = &mut self.side else { return };
+        if let Some(conn) = bus.ended(now) {
             self.log.ended(now, "bus", reason, "");
             conn.close(&self.handle);
         }
@@ -243,6 +331,9 @@
 
     /// News of the host list. The pool is told first: the engine may send at once.
     fn list(&mut self, kind: ListKind, hosts: Vec<bus::Host>) {
+        if kind == ListKind::Delta && hosts.is_empty() {
+            return;
+        }
         let now = self.clock.now();
         self.hosts.list(now, kind, &hosts, &mut self.log);
         let entries = hosts.into_iter().map(|h| h.entry).collect();
@@ -264,16 +355,42 @@
                 self.carry_out(command);
             } else if let Some(notice) = self.hosts.notices.pop_front() {
                 self.host_notice(notice);
-            } else if !self.platform.notices.is_empty() {
-                for notice in std::mem::take(&mut self.platform.notices) {
-                    self.front_notice(notice);
-                }
-            } else {
+            } else if !self.hear_front() {
                 return;
             }
         }
     }
 
+    /// Hands on what the front has learnt; false if that is nothing.
+    fn hear_front(&mut self) -> bool {
+        match &mut self.side {
+            Side::Platform(front, _) => {
+                let notices = std::mem::take(&mut front.notices);
+                let any = !notices.is_empty();
+                for notice in notices {
+                    match notice {
+                        platform::Notice::Request { origin, request } => {
+                            self.platform_request(origin, *request)
+                        }
+                        platform::Notice::Left { ticket } => self.client_left(ticket),
+                    }
+                }
+                any
+            }
+            Side::Operator { front, .. } => {
+                let notices = std::mem::take(&mut front.notices);
+                let any = !notices.is_empty();
+                for notice in notices {
+                    match notice {
+                        invoke::Notice::Call { origin, call } => self.invoke_call(origin, *call),
+                        invoke::Notice::Left { ticket } => self.client_left(ticket),
+                    }
+                }
+                any
+            }
+        }
+    }
+
     fn carry_out(&mut self, command: Command) {
         let now = self.clock.now();
         match command {
@@ -307,67 +424,114 @@
         }
     }
 
-    fn front_notice(&mut self, notice: platform::Notice) {
-        match notice {
-            platform::Notice::Request { origin, request } => self.request(origin, *request),
-            platform::Notice::Left { ticket } => self.client_left(ticket),
-        }
-    }
-
-    fn client_left(&mut self, ticket: Ticket) {
-        let now = self.clock.now();
-        if let Some(pending) = self.pending.remove(&ticket) {
-            self.bodies -= pending.call.body.len();
-        }
-        self.run_engine(|engine, out| engine.client_left(now, ticket, out));
-    }
-
-    fn request(&mut self, origin: Origin, request: Request) {
+    fn platform_request(&mut self, origin: platform::Origin, request: Request) {
         let now = self.clock.now();
         let Some(class) = self.deployment.class(&request.class) else {
-            return self.platform.error(now, origin, "a class that is not known", &mut self.log);
+            let Side::Platform(front, _) = &mut self.side else { return };
+            return front.error(now, origin, "a class that is not known", &mut self.log);
         };
-        if self.bodies + request.body.len() > BODIES {
-            return self.platform.answer(now, origin, Code::Refused, &[], b"too much is open", &mut self.log);
-        }
-        let new = NewRequest {
+        let incoming = Incoming {
+            id: request.id,
             class,
             tenant: request.tenant.as_deref().and_then(|t| self.deployment.tenant(t)),
-            function: request.function.as_str().into(),
-            due: now + (request.timeout * 1000 - DUE_MARGIN).max(0),
+            function: request.function,
+            timeout: request.timeout * 1000,
             lanes: request.lanes,
             repeat: request.repeat,
+            key: request.key,
+            body: request.body,
+        };
+        self.request(now, Origin::Platform(origin), incoming);
+    }
+
+    fn invoke_call(&mut self, origin: invoke::Origin, call: invoke::Call) {
+        let now = self.clock.now();
+        let Side::Operator { classes, ids, .. } = &mut self.side else { return };
+        let Some(settings) = self.deployment.settings.classes.get(call.class) else { return };
+        let (deferred, lanes) = classes[call.class];
+        let usual = match origin {
+            invoke::Origin::Waiting(_) => settings.give_up,
+            invoke::Origin::Deferred(_) => deferred,
+        };
+        let id = format!("{:016x}", ids.u64(..));
+        // Without a key of the client's, hosts can still drop the repeats of this activator.
+        let keyed = matches!(settings.effect, Effect::Keyed { .. });
+        let incoming = Incoming {
+            class: call.class,
+            tenant: call.tenant,
+            function: call.function,
+            timeout: call.timeout.unwrap_or(usual).min(settings.give_up.max(deferred)),
+            lanes: call.lanes.unwrap_or(lanes),
+            repeat: call.repeat,
+            key: call.key.or_else(|| keyed.then(|| id.clone())),
+            body: call.body,
+            id,
         };
-        self.bodies += request.body.len();
+        self.request(now, Origin::Invoke(origin), incoming);
+    }
+
+    fn request(&mut self, now: Micros, origin: Origin, incoming: Incoming) {
+        let size = incoming.body.len();
+        if self.bodies + size > BODIES {
+            return self.reply(now, &origin, Reply::Refused(self.deployment.settings.max_retry_after));
+        }
+        let new = NewRequest {
+            class: incoming.class,
+            tenant: incoming.tenant,
+            function: incoming.function.as_str().into(),
+            due: now + (incoming.timeout - DUE_MARGIN).max(0),
+            lanes: incoming.lanes,
+            repeat: incoming.repeat,
+        };
+        self.bodies += size;
         let call = Call {
-            id: request.id.into(),
-            class: request.class,
+            id: incoming.id.into(),
+            class: self.deployment.classes[incoming.class].clone(),
             function: new.function.clone(),
-            key: request.key,
-            body: Rc::from(request.body),
+            key: incoming.key,
+            body: Rc::from(incoming.body),
         };
         let ticket = self.run_engine(|engine, out| engine.request(now, new, out));
+        let waits = match (&mut self.side, &origin) {
+            (Side::Platform(front, _), Origin::Platform(origin)) => front.taken(*origin, ticket),
+            (Side::Operator { front, .. }, Origin::Invoke(origin)) => front.taken(origin, ticket),
+            _ => false,
+        };
         self.pending.insert(ticket, Pending { call, origin, answer: None });
-        if !self.platform.taken(origin, ticket) {
+        if !waits {
             self.client_left(ticket);
         }
     }
 
+    fn client_left(&mut self, ticket: Ticket) {
+        let now = self.clock.now();
+        if let Some(pending) = self.pending.remove(&ticket) {
+            self.bodies -= pending.call.body.len();
+        }
+        self.run_engine(|engine, out| engine.client_left(now, ticket, out));
+    }
+
     fn answer(&mut self, now: Micros, ticket: Ticket, verdict: Verdict) {
         let Some(pending) = self.pending.remove(&ticket) else { return };
         self.bodies -= pending.call.body.len();
-        let (origin, log) = (pending.origin, &mut self.log);
-        match (verdict, pending.answer) {
-            (Verdict::Served(by), Some((attempt, body))) if by == attempt => {
-                self.platform.answer(now, origin, Code::Served, &[], &body, log)
+        let reply = match (verdict, pending.answer) {
+            (Verdict::Served(by), Some((attempt, body))) if by == attempt => Reply::Served(body),
+            (Verdict::Refused { retry_after }, _) => Reply::Refused(retry_after),
+            (Verdict::TimedOut, _) => Reply::TimedOut,
+            _ => Reply::Failed,
+        };
+        self.reply(now, &pending.origin, reply);
+    }
+
+    fn reply(&mut self, now: Micros, origin: &Origin, reply: Reply) {
+        match (&mut self.side, origin) {
+            (Side::Platform(front, _), Origin::Platform(origin)) => {
+                front.reply(now, *origin, reply, &mut self.log)
             }
-            (Verdict::Refused { retry_after }, _) => {
-                let wait = (retry_after / 1000).to_string();
-                let fields = [("holdoff", wait.as_str())];
-                let fields = if retry_after > 0 { &fields[..] } else { &[] };
-                self.platform.answer(now, origin, Code::Refused, fields, &[], log)
+            (Side::Operator { front, .. }, Origin::Invoke(origin)) => {
+                front.reply(now, origin, reply, &mut self.log)
             }
-            _ => self.platform.answer(now, origin, Code::Failed, &[], &[], log),
+            _ => {}
         }
     }
 }
