Tests that start the program, before stand-in hosts, resolver, bus and clients

Seen: a first run of them found one defect. Two clients that use the same request id at once were put on one host connection while it was still connecting; the second took the first's place there and the first got no answer until its deadline. Wrong lines: HostConn::knows in node/src/hosts/pool.rs looked at what was out and not at what was queued. lost_framing_ends_the_connection_after_its_open_requests fails without the change. Ruled out: that the failure came from the lost framing itself; the other client alone was hurt.

--- a/node/src/hosts/pool.rs
+++ b/node/src/hosts/pool.rs
@@ -86,8 +86,12 @@
         self.queue.is_empty() && self.writing.is_none() && self.calls.is_empty() && self.orders.is_empty()
     }
 
+    /// Whether an answer under this id could be meant for another attempt: of this request or, as clients
+    /// choose the ids, of another.
     fn knows(&self, id: &Rc<str>) -> bool {
-        self.calls.contains_key(id) || self.killed.contains(id)
+        let is_it = |i: &Item| matches!(i, Item::Call { id: other, .. } if other == id);
+        let waiting = self.queue.iter().chain(self.writing.iter().map(|(item, _)| item)).any(is_it);
+        waiting || self.calls.contains_key(id) || self.killed.contains(id)
     }
 }
 
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -57,6 +57,9 @@
 
     let mut node = Node::new(handle.clone(), config)?;
     let listener = TcpListener::bind(address).map_err(|e| format!("cannot listen on {address}: {e}"))?;
+    // With port 0 in the configuration this is how the port becomes known.
+    let bound = listener.local_addr().map_err(|e| format!("cannot listen on {address}: {e}"))?;
+    eprintln!("listening on {bound}");
     listener.set_nonblocking(true).map_err(|e| format!("cannot listen on {address}: {e}"))?;
     // Level-triggered: what could not be accepted for want of a descriptor comes up again.
     let source = Generic::new(listener, Interest::READ, Mode::Level);
--- /dev/null
+++ b/node/tests/platform.rs
@@ -0,0 +1,309 @@
+//! The platform's front, its bus and its hosts on real sockets, one test a rule.
+
+mod common;
+
+use std::io::Write;
+use std::net::Shutdown;
+use std::thread::sleep;
+
+use common::*;
+use rstest::rstest;
+
+const SERVED: u8 = 79;
+const REFUSED: u8 = 66;
+const FAILED: u8 = 69;
+
+#[test]
+fn requests_come_in_any_split_and_go_on_unchanged() {
+    let host = Host::warm();
+    let p = platform(&[&host]);
+    let mut client = p.program.connect();
+    let body = b"\x00\r\n\xff any";
+    for piece in call_frame(1, "save-answers", 4000, body).chunks(7) {
+        client.write_all(piece).unwrap();
+        sleep(ms(1));
+    }
+    let answer = read_frame(&mut client).unwrap();
+    assert_eq!((answer.kind, answer.stream, answer.code), (2, 1, SERVED));
+    assert_eq!(answer.body, [b"did ", &body[..]].concat());
+    let seen = host.seen.lock().unwrap();
+    let (line, sent) = &seen.calls[0];
+    assert!(line.starts_with("FN 0000000000000001 cls=save-answers,item=7f3a9c21e0b4d655,limit="), "{line}");
+    assert!(line.ends_with(",nonce=5c0f6e1a 8"), "{line}");
+    assert_eq!(sent, body);
+}
+
+#[test]
+fn answers_come_in_any_order_and_readiness_is_told() {
+    let host = Host::start(Ways { does: Does::Answer("200"), work: ms(300), load: None });
+    let p = platform(&[&host]);
+    let mut client = p.program.connect();
+    client.write_all(&call_frame(1, "send-mail", 4000, b"slow")).unwrap();
+    wait_for("the call", || host.calls() == 1);
+    host.ways.lock().unwrap().work = ms(1);
+    client
+        .write_all(&[call_frame(2, "send-mail", 4000, b"fast"), client_frame(4, 9, &[0])].concat())
+        .unwrap();
+    let mut frames: Vec<_> = (0..3).map(|_| read_frame(&mut client).unwrap()).collect();
+    assert_eq!(frames.pop().unwrap().stream, 1, "the slow one is last");
+    frames.sort_by_key(|f| f.kind);
+    assert_eq!((frames[0].kind, frames[0].stream, frames[0].code), (2, 2, SERVED));
+    assert_eq!((frames[1].kind, frames[1].code), (5, SERVED));
+}
+
+fn without_fields(stream: u32) -> Vec<u8> {
+    client_frame(1, stream, &[0])
+}
+
+#[rstest]
+#[case::unknown_class(call_frame(2, "zap", 4000, b""), 2)]
+#[case::no_fields(without_fields(2), 2)]
+#[case::cut_fields(client_frame(1, 2, &[3, 1, b'x']), 2)]
+#[case::reused_stream(call_frame(1, "send-mail", 4000, b""), 0)]
+#[case::stream_zero(call_frame(0, "send-mail", 4000, b""), 0)]
+#[case::unknown_type(client_frame(7, 2, &[]), 0)]
+#[case::long_body(call_frame(2, "send-mail", 4000, &[7; 17_000]), 2)]
+#[case::very_long_body(call_frame(2, "send-mail", 4000, &[7; 200_000]), 2)]
+fn bad_input_gets_an_error_and_hurts_no_other_request(#[case] bad: Vec<u8>, #[case] stream: u32) {
+    let host = Host::start(Ways { does: Does::Answer("200"), work: ms(100), load: None });
+    let p = platform(&[&host]);
+    let mut client = p.program.connect();
+    client
+        .write_all(
+            &[call_frame(1, "send-mail", 4000, b"a"), bad, call_frame(3, "send-mail", 4000, b"b")].concat(),
+        )
+        .unwrap();
+    let error = read_frame(&mut client).unwrap();
+    assert_eq!((error.kind, error.stream, error.code), (2, stream, FAILED));
+    let mut served: Vec<_> =
+        (0..2).map(|_| read_frame(&mut client).map(|f| (f.stream, f.code)).unwrap()).collect();
+    served.sort();
+    assert_eq!(served, [(1, SERVED), (3, SERVED)]);
+}
+
+#[rstest]
+#[case::too_short(4)]
+#[case::too_long(262_145)]
+fn lost_framing_ends_the_connection_after_its_open_requests(#[case] length: u32) {
+    let host = Host::start(Ways { does: Does::Answer("200"), work: ms(100), load: None });
+    let p = platform(&[&host]);
+    let (mut other, mut client) = (p.program.connect(), p.program.connect());
+    other.write_all(&call_frame(1, "send-mail", 4000, b"o")).unwrap();
+    client
+        .write_all(&[&call_frame(1, "send-mail", 4000, b"a")[..], &length.to_le_bytes(), &[1; 90]].concat())
+        .unwrap();
+    let error = read_frame(&mut client).unwrap();
+    assert_eq!((error.stream, error.code), (0, FAILED));
+    let answer = read_frame(&mut client).unwrap();
+    assert_eq!((answer.stream, answer.code), (1, SERVED), "{answer:?}");
+    assert_eq!(read_frame(&mut client), None);
+    drop(client);
+    assert_eq!(read_frame(&mut other).unwrap().code, SERVED);
+    wait_for("one line in the log", || p.program.logged("ended reason=protocol requests=1 open=0") == 1);
+}
+
+#[test]
+fn the_33rd_open_request_is_refused_and_the_others_are_served() {
+    let host = Host::start(Ways { does: Does::Answer("200"), work: ms(300), load: None });
+    let p = platform(&[&host]);
+    let mut client = p.program.connect();
+    let frames: Vec<u8> = (1..=33).flat_map(|stream| call_frame(stream, "check-score", 4000, b"")).collect();
+    client.write_all(&frames).unwrap();
+    let first = read_frame(&mut client).unwrap();
+    assert_eq!((first.stream, first.code), (33, REFUSED));
+    let mut streams: Vec<_> = (0..32).map(|_| read_frame(&mut client).unwrap().stream).collect();
+    streams.sort();
+    assert_eq!(streams, (1..=32).collect::<Vec<u32>>());
+}
+
+#[test]
+fn who_stops_waiting_gets_no_answer_and_the_host_is_told() {
+    let host = Host::start(Ways { does: Does::Answer("200"), work: ms(200), load: None });
+    let p = platform(&[&host]);
+    let mut client = p.program.connect();
+    client.write_all(&call_frame(1, "check-score", 4000, b"")).unwrap();
+    wait_for("the call", || host.calls() == 1);
+    client.write_all(&client_frame(3, 1, &[])).unwrap();
+    wait_for("the KILL", || host.kills() == 1);
+    client.write_all(&call_frame(2, "check-score", 4000, b"")).unwrap();
+    // The host's answer to the first is on its way all the same; it must reach nobody.
+    assert_eq!(read_frame(&mut client).unwrap().stream, 2);
+}
+
+#[test]
+fn a_client_that_has_ended_its_side_still_gets_its_answer() {
+    let host = Host::start(Ways { does: Does::Answer("200"), work: ms(100), load: None });
+    let p = platform(&[&host]);
+    let mut client = p.program.connect();
+    client.write_all(&call_frame(1, "send-mail", 4000, b"")).unwrap();
+    client.shutdown(Shutdown::Write).unwrap();
+    assert_eq!(read_frame(&mut client).unwrap().code, SERVED);
+    assert_eq!(read_frame(&mut client), None);
+}
+
+#[test]
+fn a_failed_answer_comes_before_the_client_gives_up() {
+    let host = Host::warm();
+    host.ways.lock().unwrap().does = Does::Nothing;
+    let p = platform(&[&host]);
+    let mut client = p.program.connect();
+    let begun = std::time::Instant::now();
+    client.write_all(&call_frame(1, "send-mail", 300, b"")).unwrap();
+    assert_eq!(read_frame(&mut client).unwrap().code, FAILED);
+    assert!(begun.elapsed() > ms(250) && begun.elapsed() < ms(2_000), "{:?}", begun.elapsed());
+    wait_for("the KILL", || host.kills() == 1);
+}
+
+#[test]
+fn given_up_requests_are_answered_at_once_with_advice() {
+    let p = platform(&[]);
+    let mut client = p.program.connect();
+    let begun = std::time::Instant::now();
+    client.write_all(&call_frame(1, "send-mail", 4000, b"")).unwrap();
+    let answer = read_frame(&mut client).unwrap();
+    assert_eq!((answer.code, answer.fields), (REFUSED, vec![("holdoff".to_string(), "1000".to_string())]));
+    assert!(begun.elapsed() < ms(2_000), "before half of its time: {:?}", begun.elapsed());
+}
+
+#[rstest]
+#[case::mail("send-mail", 1..=1, FAILED)]
+#[case::read("check-score", 2..=5, REFUSED)]
+fn a_connection_that_breaks_proves_nothing(
+    #[case] class: &str,
+    #[case] attempts: std::ops::RangeInclusive<usize>,
+    #[case] code: u8,
+) {
+    let (a, b) = (Host::warm(), Host::warm());
+    for host in [&a, &b] {
+        host.ways.lock().unwrap().does = Does::HangUp;
+    }
+    let p = platform(&[&a, &b]);
+    let mut client = p.program.connect();
+    client.write_all(&call_frame(1, class, 4000, b"")).unwrap();
+    let answer = read_frame(&mut client).unwrap();
+    let calls = a.calls() + b.calls();
+    assert!(answer.code == code && attempts.contains(&calls), "{answer:?} after {calls} attempts");
+}
+
+#[test]
+fn a_refused_connection_proves_that_nothing_ran() {
+    let host = Host::warm();
+    let dead = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let mut p = platform(&[&host]);
+    p.feed.write_all(&event(2, false, &[(1, dead, 0), (2, dead, 0), (3, dead, 0)])).unwrap();
+    sleep(ms(100));
+    let mut client = p.program.connect();
+    for stream in 1..=12 {
+        client.write_all(&call_frame(stream, "send-mail", 4000, b"")).unwrap();
+        assert_eq!(read_frame(&mut client).unwrap().code, SERVED);
+    }
+}
+
+/// Attempts that are still connecting when their host drains never ran: they go elsewhere, and nothing is
+/// sent once the connection stands.
+#[test]
+fn what_waits_for_a_draining_host_is_withdrawn() {
+    let (host, stuck) = (Host::warm(), Stuck::start());
+    let mut p = platform(&[]);
+    p.feed.write_all(&event(2, false, &[(7, stuck.address, 0)])).unwrap();
+    sleep(ms(100));
+    let mut client = p.program.connect();
+    client.write_all(&call_frame(1, "send-mail", 4000, b"")).unwrap();
+    sleep(ms(50));
+    p.feed.write_all(&event(3, false, &[(7, stuck.address, 1), (8, host.address, 0)])).unwrap();
+    assert_eq!(read_frame(&mut client).unwrap().code, SERVED);
+    assert_eq!(host.calls(), 1);
+    assert_eq!(stuck.heard(), 0);
+}
+
+#[test]
+fn the_bus_is_resumed_from_the_last_event_and_a_gap_is_asked_for() {
+    let (a, b) = (Host::warm(), Host::warm());
+    let mut p = platform(&[&a]);
+    // Events may come in any split too.
+    for piece in event(2, false, &[(1, b.address, 0)]).chunks(5) {
+        p.feed.write_all(piece).unwrap();
+        sleep(ms(1));
+    }
+    drop(p.feed);
+    let (last, mut feed) = p.bus.greeted();
+    assert_eq!(last, 2);
+    feed.write_all(&event(4, false, &[(0, a.address, 1)])).unwrap();
+    let (last, mut feed) = p.bus.greeted();
+    assert_eq!(last, 0, "event 3 is missing: only the start can tell");
+    feed.write_all(&[event(1, true, &[(0, a.address, 0)]), event(2, false, &[(1, b.address, 0)])].concat())
+        .unwrap();
+    feed.write_all(&[event(3, false, &[(0, a.address, 1)]), event(4, false, &[(0, a.address, 2)])].concat())
+        .unwrap();
+    sleep(ms(100));
+    let mut client = p.program.connect();
+    for stream in 1..=6 {
+        client.write_all(&call_frame(stream, "send-mail", 4000, b"")).unwrap();
+        assert_eq!(read_frame(&mut client).unwrap().code, SERVED);
+    }
+    assert_eq!((a.calls(), b.calls()), (0, 6));
+}
+
+#[test]
+fn a_new_process_at_an_address_gets_connections_of_its_own() {
+    let host = Host::warm();
+    let mut p = platform(&[&host]);
+    let mut client = p.program.connect();
+    client.write_all(&call_frame(1, "check-score", 4000, b"")).unwrap();
+    assert_eq!(read_frame(&mut client).unwrap().code, SERVED);
+    p.feed.write_all(&event(2, false, &[(0, host.address, 2), (5, host.address, 0)])).unwrap();
+    wait_for("the old connection's end", || p.program.logged("host s-00000000 ended reason=host_gone") == 1);
+    client.write_all(&call_frame(2, "check-score", 4000, b"")).unwrap();
+    assert_eq!(read_frame(&mut client).unwrap().code, SERVED);
+}
+
+#[test]
+fn idle_connections_are_closed_with_one_line_each() {
+    let host = Host::warm();
+    let p = platform(&[&host]);
+    let mut client = p.program.connect();
+    client.write_all(&call_frame(1, "check-score", 4000, b"")).unwrap();
+    assert_eq!(read_frame(&mut client).unwrap().code, SERVED);
+    assert_eq!(read_frame(&mut client), None, "the settings say 1 s");
+    wait_for("both lines", || p.program.logged("ended reason=idle") == 2);
+}
+
+#[test]
+fn after_sigterm_clients_are_told_and_everything_is_answered() {
+    let host = Host::start(Ways { does: Does::Answer("200"), work: ms(300), load: None });
+    let mut p = platform(&[&host]);
+    let mut open = p.program.connect();
+    open.write_all(&call_frame(1, "send-mail", 4000, b"")).unwrap();
+    wait_for("the call", || host.calls() == 1);
+    p.program.terminate();
+    assert_eq!(read_frame(&mut open).unwrap().kind, 6);
+    let mut late = p.program.connect();
+    late.write_all(&[client_frame(4, 1, &[0]), call_frame(2, "send-mail", 4000, b"")].concat()).unwrap();
+    assert_eq!(read_frame(&mut late).unwrap().kind, 6);
+    let readiness = read_frame(&mut late).unwrap();
+    assert_eq!((readiness.kind, readiness.code), (5, REFUSED));
+    assert_eq!(read_frame(&mut late).unwrap().code, SERVED);
+    assert_eq!(read_frame(&mut open).unwrap().code, SERVED);
+    assert!(p.program.ended().success());
+}
+
+#[rstest]
+#[case::no_json("{", "EOF")]
+#[case::nothing("{}", "listen")]
+#[case::address("\"listen\":\"nowhere\"", "listen is no address")]
+#[case::bus("\"bus\":\"nowhere\"", "bus is no address")]
+#[case::effect("\"Effect\":\"maybe\"", "unknown Effect")]
+#[case::state("\"phase\":\"lost\"", "in no known phase")]
+fn a_bad_configuration_ends_the_program_with_one_plain_line(#[case] wrong: &str, #[case] part: &str) {
+    let good = config("127.0.0.1:9".parse().unwrap(), &[&Host::warm()]);
+    let text = match wrong.split_once(':') {
+        None => wrong.to_string(),
+        Some((key, _)) => {
+            let at = good.find(&format!("{key}:")).unwrap();
+            let end = at + good[at..].find([',', '}']).unwrap();
+            format!("{}{wrong}{}", &good[..at], &good[end..])
+        }
+    };
+    let (status, said) = turned_down(&text, false);
+    assert!(!status.success() && said.lines().count() == 1 && said.contains(part), "{said}");
+}
