--- /dev/null
+++ b/Makefile
@@ -0,0 +1,27 @@
+# What a developer does here, each in one word.
+
+.PHONY: build test lint doc run run-invoke check
+
+build:
+	cargo build --locked --release
+
+test:
+	cargo test --locked --workspace
+
+lint:
+	cargo fmt --all --check
+	cargo clippy --locked --workspace --all-targets -- -D warnings
+
+doc:
+	RUSTDOCFLAGS="-D warnings" cargo doc --locked --workspace --no-deps
+
+# A platform activator: EDGE_CONFIG must name its configuration.
+run: build
+	exec target/release/wheellink-node
+
+# The invoke front, by the operator's file.
+run-invoke: build
+	exec target/release/wheellink-node deploy/invoke.toml
+
+check:
+	bash .ci/run
--- a/node/src/bus.rs
+++ b/node/src/bus.rs
@@ -1,9 +1,10 @@
 //! The event bus: the host list as numbered events, over TCP and in the configuration.
 
+use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr};
 
 use serde_json::Value;
-use wheellink::{Condition, ListEntry, ListKind, Micros};
+use wheellink::{Condition, ListEntry, ListKind, Micros, WorkerId};
 use wheellink_settings::Deployment;
 
 use crate::conn::Conn;
@@ -36,8 +37,11 @@
 const RECORD: usize = 27;
 /// A longer frame is not one of a host list.
 const LONGEST: usize = 200_000;
-/// An empty frame comes each second: after so long without one the connection is dead.
-const SILENT: Micros = 3_500_000;
+/// An empty frame comes each second: after so long without one the connection is dead. What the bus has to
+/// tell counts as told whether it arrives or not, so there is no time to be lost.
+const SILENT: Micros = 2_500_000;
+/// A connection that is not up by then is begun anew.
+const CONNECT: Micros = 1_000_000;
 /// Between attempts to connect: the bus may be gone for seconds, and its news count as told all the same.
 const FIRST_PAUSE: Micros = 50_000;
 const LONGEST_PAUSE: Micros = 400_000;
@@ -119,17 +123,6 @@
     Ok(Host { entry, address: address.ok_or_else(|| format!("member {id} has no address"))? })
 }
 
-/// What the node is to do about an event.
-#[derive(Debug, PartialEq)]
-pub enum Step {
-    /// It is the next one: apply it.
-    Apply,
-    /// It is known already.
-    Skip,
-    /// Some before it are missing: ask again.
-    Gap,
-}
-
 /// How far the bus has been read, and the connection that reads it.
 pub struct Bus {
     pub address: SocketAddr,
@@ -139,10 +132,15 @@
     retry_at: Micros,
     pause: Micros,
     last: u64,
-    /// The last connection began with a gap: only the whole list can help.
-    from_start: bool,
+    /// After a gap: the event before which some were missing, and the list as told from the start on. It is
+    /// handed on once it is no older than what is known, lest a host that drains be taken back into service.
+    catching_up: Option<(u64, BTreeMap<WorkerId, Host>)>,
 }
 
+/// Some events are missing: the connection is to be made anew.
+#[derive(Debug, PartialEq)]
+pub struct Gap;
+
 impl Bus {
     pub fn new(address: SocketAddr, last: u64) -> Self {
         Self {
@@ -153,16 +151,16 @@
             retry_at: 0,
             pause: FIRST_PAUSE,
             last,
-            from_start: false,
+            catching_up: None,
         }
     }
 
     /// When something must be looked at next.
     pub fn next_tick(&self) -> Micros {
-        if self.conn.is_some() {
-            self.heard + SILENT
-        } else {
-            self.retry_at
+        match (&self.conn, self.standing) {
+            (Some(_), true) => self.heard + SILENT,
+            (Some(_), false) => self.heard + CONNECT,
+            (None, _) => self.retry_at,
         }
     }
 
@@ -172,7 +170,7 @@
     }
 
     pub fn is_silent(&self, now: Micros) -> bool {
-        self.conn.is_some() && self.heard + SILENT <= now
+        self.conn.is_some() && self.next_tick() <= now
     }
 
     /// A connection has been begun, or could not be.
@@ -189,7 +187,8 @@
         let Some(conn) = self.conn.as_mut().filter(|_| !self.standing) else { return Ok(()) };
         self.standing = conn.connected().map_err(|_| Reason::ConnectRefused)?;
         if self.standing {
-            let last = if self.from_start { 0 } else { self.last };
+            // From the start there is the whole list first, then all that has changed since.
+            let last = if self.catching_up.is_some() { 0 } else { self.last };
             conn.outbox.push(&last.to_be_bytes());
         }
         Ok(())
@@ -212,21 +211,123 @@
         (self.heard, self.pause) = (now, FIRST_PAUSE);
     }
 
-    /// Places an event in the sequence. A whole list may come with any number; changes must follow on.
-    pub fn step(&mut self, number: u64, kind: ListKind) -> Step {
-        if kind == ListKind::Full && (number > self.last || self.from_start) {
-            (self.last, self.from_start) = (number, false);
-            return Step::Apply;
+    /// Places an event in the sequence: the list news to tell for it, if any.
+    pub fn take(&mut self, event: Event) -> Result<Option<(ListKind, Vec<Host>)>, Gap> {
+        let Event { number, kind, hosts } = event;
+        let whole = kind == ListKind::Full;
+        if let Some((until, list)) = &mut self.catching_up {
+            if whole {
+                list.clear();
+            } else if list.is_empty() || number != self.last + 1 {
+                return if number <= self.last { Ok(None) } else { Err(Gap) };
+            }
+            self.last = number;
+            list.extend(hosts.into_iter().map(|h| (h.entry.worker.clone(), h)));
+            if number < *until {
+                return Ok(None);
+            }
+            let list = std::mem::take(list).into_values().filter(|h| h.entry.condition != Condition::Gone);
+            let list = list.collect();
+            self.catching_up = None;
+            return Ok(Some((ListKind::Full, list)));
         }
         if number <= self.last {
-            return Step::Skip;
+            return Ok(None);
         }
-        if number != self.last + 1 {
-            // Once is asked for from the last event; where that leaves the gap, from the start.
-            self.from_start = true;
-            return Step::Gap;
+        if !whole && number != self.last + 1 {
+            self.catching_up = Some((number, BTreeMap::new()));
+            return Err(Gap);
         }
         self.last = number;
-        Step::Apply
+        Ok(Some((kind, hosts)))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rstest::rstest;
+
+    fn host(id: &str, condition: Condition) -> Host {
+        let worker: WorkerId = id.into();
+        let entry = ListEntry { worker, zone: 0, cell: 0, condition, size: 1.0, ready_at: 0 };
+        Host { entry, address: ([127, 0, 0, 1], 9).into() }
+    }
+
+    fn event(number: u64, kind: ListKind, hosts: &[(&str, Condition)]) -> Event {
+        Event { number, kind, hosts: hosts.iter().map(|(id, c)| host(id, *c)).collect() }
+    }
+
+    #[test]
+    fn events_are_told_once_and_in_order() {
+        let mut bus = Bus::new(([127, 0, 0, 1], 9).into(), 4);
+        let up = [("a", Condition::Up)];
+        assert_eq!(bus.take(event(4, ListKind::Delta, &up)), Ok(None));
+        let told = Some((ListKind::Delta, vec![host("a", Condition::Up)]));
+        assert_eq!(bus.take(event(5, ListKind::Delta, &up)), Ok(told));
+        let told = Some((ListKind::Full, vec![host("a", Condition::Up)]));
+        assert_eq!(bus.take(event(9, ListKind::Full, &up)), Ok(told), "a whole list closes any gap");
+        assert_eq!(bus.take(event(9, ListKind::Full, &up)), Ok(None));
+    }
+
+    #[test]
+    fn after_a_gap_nothing_older_than_what_is_known_is_told() {
+        let mut bus = Bus::new(([127, 0, 0, 1], 9).into(), 3);
+        assert_eq!(bus.take(event(6, ListKind::Delta, &[])), Err(Gap));
+        let all = [("a", Condition::Up), ("b", Condition::Up), ("c", Condition::Up)];
+        assert_eq!(bus.take(event(1, ListKind::Full, &all)), Ok(None));
+        assert_eq!(bus.take(event(2, ListKind::Delta, &[("a", Condition::Draining)])), Ok(None));
+        assert_eq!(bus.take(event(4, ListKind::Delta, &[])), Err(Gap), "and again");
+        assert_eq!(bus.take(event(1, ListKind::Full, &all)), Ok(None));
+        for number in 2..6 {
+            assert_eq!(bus.take(event(number, ListKind::Delta, &[("a", Condition::Draining)])), Ok(None));
+        }
+        let told = vec![host("a", Condition::Draining), host("b", Condition::Up)];
+        let last = event(6, ListKind::Delta, &[("c", Condition::Gone)]);
+        assert_eq!(bus.take(last), Ok(Some((ListKind::Full, told))));
+        assert!(matches!(bus.take(event(7, ListKind::Delta, &[])), Ok(Some((ListKind::Delta, _)))));
+    }
+
+    fn bytes(kind: u8, payload: &[u8]) -> Vec<u8> {
+        let length = (9 + payload.len()) as u32;
+        [&length.to_be_bytes()[..], &7u64.to_be_bytes(), &[kind], payload].concat()
+    }
+
+    const RECORD_OF_A: [u8; RECORD] = [
+        0, 0xc4, 0x1f, 0x7a, 10, 1, 0, 9, 0x19, 0xa5, 1, 0, 1, 0, 2, 0, 0, 0x0f, 0xa0, 0, 0, 0, 0, 0, 0, 0, 5,
+    ];
+
+    #[test]
+    fn frames_are_read_at_any_split() {
+        let mut ring = Ring::new(1000);
+        let all = [bytes(0, &[]), bytes(2, &RECORD_OF_A)].concat();
+        let mut frames = Vec::new();
+        for byte in all {
+            ring.push(&[byte]);
+            frames.extend(next_frame(&mut ring, &["z".into()]).unwrap());
+        }
+        let entry = ListEntry {
+            worker: "s-00c41f7a".into(),
+            zone: 0,
+            cell: 2,
+            condition: Condition::Draining,
+            size: 4.0,
+            ready_at: 5000,
+        };
+        let hosts = vec![Host { entry, address: ([10, 1, 0, 9], 6565).into() }];
+        let event = Event { number: 7, kind: ListKind::Delta, hosts };
+        assert_eq!(frames, [Frame::Nothing, Frame::Event(event)]);
+    }
+
+    #[rstest]
+    #[case::too_short(vec![0, 0, 0, 8])]
+    #[case::too_long(vec![0, 255, 0, 0])]
+    #[case::unknown_kind(bytes(3, &[]))]
+    #[case::half_a_record(bytes(1, &RECORD_OF_A[..20]))]
+    #[case::unknown_state(bytes(1, &[&RECORD_OF_A[..10], &[3], &RECORD_OF_A[11..]].concat()))]
+    fn what_is_no_frame_is_told(#[case] bytes: Vec<u8>) {
+        let mut ring = Ring::new(1000);
+        ring.push(&bytes);
+        assert!(next_frame(&mut ring, &[]).is_err());
     }
 }
--- a/node/src/dnssd/records.rs
+++ b/node/src/dnssd/records.rs
@@ -58,6 +58,8 @@
     Nothing(Option<u32>),
     /// The resolver could not say.
     Unknown,
+    /// The answer did not fit: it is to be asked for over TCP (RFC 7766).
+    Truncated,
 }
 
 /// A name in lower case, with its root.
@@ -90,8 +92,10 @@
     let code = message.metadata.response_code;
     let known = code == ResponseCode::NoError || code == ResponseCode::NXDomain;
     let records: Vec<_> = message.answers.iter().chain(&message.additionals).filter_map(record).collect();
-    let result = if !known || message.metadata.truncation {
+    let result = if message.metadata.truncation {
         // With records cut off, what is missing would look removed.
+        Err(Failure::Truncated)
+    } else if !known {
         Err(Failure::Unknown)
     } else if records.iter().any(|(q, ..)| *q == question) {
         Ok(records)
@@ -133,3 +137,31 @@
     let (key, value) = text.split_once('=').unwrap_or((text, ""));
     (!key.is_empty()).then(|| (key.to_ascii_lowercase(), value.to_string()))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rstest::rstest;
+
+    #[rstest]
+    #[case::pair("Cell=3", Some(("cell", "3")))]
+    #[case::empty_value("cell=", Some(("cell", "")))]
+    #[case::no_value("draining", Some(("draining", "")))]
+    #[case::value_with_sign("a=b=c", Some(("a", "b=c")))]
+    #[case::no_key("=x", None)]
+    #[case::nothing("", None)]
+    fn attributes_are_read_as_the_standard_says(#[case] text: &str, #[case] wanted: Option<(&str, &str)>) {
+        let wanted = wanted.map(|(k, v)| (k.to_string(), v.to_string()));
+        assert_eq!(pair(text.as_bytes()), wanted);
+    }
+
+    #[test]
+    fn what_is_no_answer_is_passed_over() {
+        let question = Question { name: parse_name("A.Test").unwrap(), kind: Kind::A };
+        let query = encode(7, &question);
+        assert_eq!(decode(&query), None, "a query is no answer");
+        for n in 0..query.len() {
+            assert_eq!(decode(&query[..n]), None);
+        }
+    }
+}
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -12,12 +12,16 @@
 mod node;
 mod ring;
 
+use std::cell::Cell;
 use std::net::TcpListener;
 use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::Duration;
 
 use calloop::generic::Generic;
 use calloop::signals::{Signal, Signals};
-use calloop::{EventLoop, Interest, Mode, PostAction};
+use calloop::timer::{TimeoutAction, Timer};
+use calloop::{EventLoop, Interest, LoopHandle, Mode, PostAction, RegistrationToken};
 
 use crate::node::Node;
 
@@ -61,13 +65,7 @@
     let bound = listener.local_addr().map_err(|e| format!("cannot listen on {address}: {e}"))?;
     eprintln!("listening on {bound}");
     listener.set_nonblocking(true).map_err(|e| format!("cannot listen on {address}: {e}"))?;
-    // Level-triggered: what could not be accepted for want of a descriptor comes up again.
-    let source = Generic::new(listener, Interest::READ, Mode::Level);
-    let accept = |_, listener: &mut calloop::generic::NoIoDrop<TcpListener>, node: &mut Node| {
-        node.accept(listener);
-        Ok(PostAction::Continue)
-    };
-    handle.insert_source(source, accept).map_err(|e| format!("cannot listen on {address}: {e}"))?;
+    listen(&handle, listener).map_err(|e| format!("cannot listen on {address}: {e}"))?;
 
     while !node.is_done() {
         let wait = node.turn();
@@ -76,3 +74,28 @@
     node.shut_down();
     Ok(())
 }
+
+/// For so long nothing is accepted when there was no descriptor for a connection.
+const PAUSE: Duration = Duration::from_millis(100);
+
+/// Has the node accept what comes. Level-triggered, so that what could not be accepted comes up again.
+fn listen(handle: &LoopHandle<'static, Node>, listener: TcpListener) -> calloop::Result<()> {
+    let source = Generic::new(listener, Interest::READ, Mode::Level);
+    let (token, resume) = (Rc::new(Cell::new(None::<RegistrationToken>)), handle.clone());
+    let own = token.clone();
+    let inserted = handle.insert_source(source, move |_, listener, node: &mut Node| {
+        if node.accept(listener) {
+            return Ok(PostAction::Continue);
+        }
+        let (own, handle) = (own.get(), resume.clone());
+        let again = move |_, _: &mut (), _: &mut Node| {
+            own.iter().for_each(|token| drop(handle.enable(token)));
+            TimeoutAction::Drop
+        };
+        // Without the timer nothing would wake it again: then it stays as it is.
+        let timer = resume.insert_source(Timer::from_duration(PAUSE), again);
+        Ok(if timer.is_ok() { PostAction::Disable } else { PostAction::Continue })
+    });
+    token.set(Some(inserted.map_err(|e| e.error)?));
+    Ok(())
+}
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -3,6 +3,7 @@
 
 use std::cell::Cell;
 use std::collections::{HashMap, VecDeque};
+use std::io::ErrorKind;
 use std::net::TcpListener;
 use std::rc::Rc;
 use std::time::Duration;
@@ -12,7 +13,7 @@
 use wheellink::{Effect, Engine, ListKind, Micros, Outcome, Ticket};
 use wheellink_settings::Deployment;
 
-use crate::bus::{self, Bus, Frame, Step};
+use crate::bus::{self, Bus, Frame, Gap};
 use crate::clock::Clock;
 use crate::config::{self, Config};
 use crate::conn::{Conn, ConnId};
@@ -142,21 +143,28 @@
         Ok(node)
     }
 
-    /// Connections are waiting to be accepted.
-    pub fn accept(&mut self, listener: &TcpListener) {
-        loop {
+    /// Connections are waiting to be accepted. False where none can be for now: there is no descriptor left,
+    /// and as the listener stays ready, trying again at once would keep the loop busy for nothing.
+    pub fn accept(&mut self, listener: &TcpListener) -> bool {
+        let able = loop {
             let now = self.clock.now();
             match listener.accept() {
                 Ok((stream, peer)) => match &mut self.side {
                     Side::Platform(front, _) => front.accept(now, stream, peer, &mut self.log),
                     Side::Operator { front, .. } => front.accept(now, stream, peer, &mut self.log),
                 },
-                Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => break,
-                // A connection that ended while it waited, or no descriptor left: the next turn tries again.
-                Err(_) => break,
+                Err(e) => match e.kind() {
+                    ErrorKind::WouldBlock => break true,
+                    ErrorKind::Interrupted | ErrorKind::ConnectionAborted => {}
+                    _ => {
+                        self.log.line(now, format_args!("no connection can be accepted: {e}"));
+                        break false;
+                    }
+                },
             }
-        }
+        };
         self.settle();
+        able
     }
 
     pub fn client_ready(&mut self, id: ConnId) {
@@ -184,7 +192,16 @@
     pub fn dns_ready(&mut self) {
         let now = self.clock.now();
         if let Side::Operator { hosts, .. } = &mut self.side {
-            let news = hosts.ready(now);
+            let news = hosts.ready(now, &mut self.log);
+            self.list(ListKind::Delta, news);
+            self.settle();
+        }
+    }
+
+    pub fn dns_tcp_ready(&mut self, id: ConnId) {
+        let now = self.clock.now();
+        if let Side::Operator { hosts, .. } = &mut self.side {
+            let news = hosts.tcp_ready(now, id, &mut self.log);
             self.list(ListKind::Delta, news);
             self.settle();
         }
@@ -220,7 +237,7 @@
             Side::Platform(front, _) => front.shut_down(now, &mut self.log),
             Side::Operator { front, hosts, .. } => {
                 front.shut_down(now, &mut self.log);
-                hosts.close(&self.handle);
+                hosts.close(now, &mut self.log);
             }
         }
         self.hosts.shut_down(now, &mut self.log);
@@ -266,7 +283,7 @@
                     if keep_house {
                         front.tick(now, &mut self.log);
                     }
-                    let news = hosts.tick(now);
+                    let news = hosts.tick(now, &mut self.log);
                     front.ready = hosts.browser.any_up();
                     self.list(ListKind::Delta, news);
                 }
@@ -310,11 +327,12 @@
         };
         bus.heard(now);
         let Frame::Event(event) = frame else { return Ok(true) };
-        match bus.step(event.number, event.kind) {
-            Step::Apply => self.list(event.kind, event.hosts),
-            Step::Skip => {}
-            Step::Gap => {
-                self.log.line(now, format_args!("the bus left a gap before {}", event.number));
+        let number = event.number;
+        match bus.take(event) {
+            Ok(None) => {}
+            Ok(Some((kind, hosts))) => self.list(kind, hosts),
+            Err(Gap) => {
+                self.log.line(now, format_args!("the bus left a gap before {number}"));
                 return Err(Reason::Protocol);
             }
         }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -76,6 +76,8 @@
 const PRESSURE: f64 = 0.3;
 /// When the fleet's answers take more than this share of their aim, a part of the requests is refused.
 const SHED: f64 = 0.6;
+/// Part of the window of keyed repeats that is left unused: a repeat may have to wait for a connection.
+const REPEAT_MARGIN: Micros = 16;
 /// A request that finds no room is held for this share of its aim, then refused while that is early.
 const HOLD_SHARE: f64 = 0.3;
 
@@ -769,7 +771,7 @@
                 (Scope::Cell, Some(first)) => first.cell == w.cell,
                 _ => false,
             };
-            same && self.now - t.sent < window
+            same && self.now - t.sent < window - window / REPEAT_MARGIN
         })
     }
 
