--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -63,7 +63,10 @@
     let address = |what: &str, text: &str| {
         text.parse::<SocketAddr>().map_err(|_| format!("{what} is no address with a port: {text:?}"))
     };
-    let deployment = Deployment::try_from(file.settings).map_err(|e| format!("settings: {e}"))?;
+    let mut deployment = Deployment::try_from(file.settings).map_err(|e| format!("settings: {e}"))?;
+    // Refused clients are told when to come back even where the settings say that they do not heed it: the
+    // wire has a field for it, and it costs nothing.
+    deployment.settings.max_retry_after = deployment.transport.retry_after;
     deployment.settings.check().map_err(|e| e.to_string())?;
     let known: Result<_, _> = file
         .known
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -64,8 +64,19 @@
 
 impl Program {
     pub fn start(text: &str, operator: bool) -> Self {
+        Self::run(binary(), text, operator)
+    }
+
+    /// With so many descriptors, whatever its configuration says.
+    pub fn start_with_descriptors(most: u32, text: &str, operator: bool) -> Self {
+        let mut shell = Command::new("/bin/sh");
+        let script = format!("ulimit -n {most}; exec \"$0\" \"$@\"");
+        shell.args(["-c", &script, env!("CARGO_BIN_EXE_wheellink-node")]).env_clear().stderr(Stdio::piped());
+        Self::run(shell, text, operator)
+    }
+
+    fn run(mut command: Command, text: &str, operator: bool) -> Self {
         let file = write_file(text);
-        let mut command = binary();
         if operator {
             command.arg(&file)
         } else {
@@ -337,6 +348,8 @@
     pub instances: Vec<(String, u16, Vec<String>)>,
     pub ttl: u32,
     pub fails: bool,
+    /// Answers do not fit into a datagram.
+    pub cuts: bool,
     pub queries: u32,
 }
 
@@ -355,12 +368,27 @@
         let instances = hosts.iter().enumerate().map(named).collect();
         let zone = Arc::new(Mutex::new(Zone { instances, ttl: 1, ..Zone::default() }));
         let shared = zone.clone();
+        // Over TCP it listens at the same port.
+        let listener = TcpListener::bind(address).unwrap();
+        let whole = zone.clone();
+        spawn(move || {
+            for mut stream in listener.incoming().map_while(Result::ok) {
+                let mut length = [0; 2];
+                stream.read_exact(&mut length).unwrap();
+                let mut query = vec![0; u16::from_be_bytes(length).into()];
+                stream.read_exact(&mut query).unwrap();
+                let answer = whole.lock().unwrap().answer(&query, false);
+                let length = (answer.len() as u16).to_be_bytes();
+                stream.write_all(&[&length[..], &answer].concat()).unwrap();
+            }
+        });
         spawn(move || {
             let mut buf = [0; 2048];
             while let Ok((n, from)) = socket.recv_from(&mut buf) {
                 let mut zone = shared.lock().unwrap();
                 zone.queries += 1;
-                let _ = socket.send_to(&zone.answer(&buf[..n]), from);
+                let cut = zone.cuts;
+                let _ = socket.send_to(&zone.answer(&buf[..n], cut), from);
             }
         });
         Self { address, zone }
@@ -368,8 +396,12 @@
 }
 
 impl Zone {
-    fn answer(&self, bytes: &[u8]) -> Vec<u8> {
+    fn answer(&self, bytes: &[u8], cut: bool) -> Vec<u8> {
         let mut message = Message::from_vec(bytes).unwrap().into_response();
+        if cut {
+            message.metadata.truncation = true;
+            return message.to_vec().unwrap();
+        }
         if self.fails {
             message.metadata.response_code = ResponseCode::ServFail;
             return message.to_vec().unwrap();
@@ -479,7 +511,7 @@
         "settings": {"Discovery": "automatic", "GroupSize": 1, "Zone": "z", "Zones": ["z"],
             "FamilyInfo": {"IfCold": "miss", "KeepUs": 9500000, "PlacementCalls": true, "SaysWarm": true,
                 "CountsAlike": true, "FreeLoads": 2.0, "LoadShare": 0.2, "LoadPeriodUs": 10000000},
-            "Limits": {"Cancel": true, "MaxAttempts": 5, "MaxRetryAfterUs": 1000000, "RetryAfter": true,
+            "Limits": {"Cancel": true, "MaxAttempts": 5, "MaxRetryAfterUs": 1000000, "RetryAfter": false,
                 "ConnIdleUs": 1000000, "ConnectTimeoutUs": 250000, "StreamsPerConn": 32},
             "Profiles": [profile("check-score", "safe"), profile("save-answers", "keyed"), profile("send-mail", "unsafe")],
             "Rules": {"ColdFrom": 0.17, "ColdUs": 18000000, "FallMultiple": 4.0, "FallUs": 3000000}}})
--- a/node/tests/invoke.rs
+++ b/node/tests/invoke.rs
@@ -284,6 +284,36 @@
     assert_eq!(program.http(&request("GET", "/healthz", &[], "")).status, 200);
 }
 
+#[test]
+fn answers_that_do_not_fit_are_asked_for_over_tcp() {
+    let (a, b) = (Host::warm(), Host::warm());
+    let (program, dns) = operator(&[&a], same);
+    {
+        let mut zone = dns.zone.lock().unwrap();
+        zone.cuts = true;
+        zone.instances = vec![("new".into(), b.address.port(), vec!["started=1".into()])];
+    }
+    wait_for("the new host", || {
+        program.http(&call("f", "check-score", &[], "y")).status == 200 && b.calls() > 0
+    });
+    wait_for("the line of its connection", || program.logged("conn resolver ended reason=finished") > 0);
+}
+
+/// The listener stays ready while nothing can be accepted: that must not keep the loop busy.
+#[test]
+fn without_descriptors_the_program_waits_and_goes_on() {
+    let text = operator_file("127.0.0.1:9".parse().unwrap());
+    let program = Program::start_with_descriptors(24, &text, true);
+    let mut clients: Vec<_> = (0..40).map(|_| program.connect()).collect();
+    wait_for("the end of its descriptors", || program.logged("no connection can be accepted") > 0);
+    let before = program.logged("no connection can be accepted");
+    sleep(ms(500));
+    let tries = program.logged("no connection can be accepted") - before;
+    assert!((1..=7).contains(&tries), "one try in 100 ms, not {tries} in 500");
+    clients.truncate(2);
+    assert_eq!(program.http(&request("GET", "/healthz", &[], "")).status, 503);
+}
+
 #[test]
 fn after_sigterm_what_is_open_and_what_still_comes_is_answered() {
     let host = Host::start(Ways { does: Does::Answer("200"), work: ms(300), load: None });
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -97,8 +97,8 @@
     pub says_warm: bool,
     /// Answers tell how many requests for the function the host held.
     pub counts_alike: bool,
-    /// Clients are told how long to stay away, and the longest time that they heed.
-    pub retry_after: (bool, Micros),
+    /// The longest time that refused clients would stay away, whether they are told on this wire or not.
+    pub retry_after: Micros,
 }
 
 /// The settings in the library's terms, with the names that the wires use for its indexes.
@@ -188,7 +188,7 @@
             order_timeout: o.family_info.order_timeout_us.unwrap_or(10_000_000),
             says_warm: o.family_info.says_warm,
             counts_alike: o.family_info.counts_alike,
-            retry_after: (o.limits.retry_after, o.limits.max_retry_after_us),
+            retry_after: o.limits.max_retry_after_us,
         };
         Ok(Self {
             settings,
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -51,6 +51,18 @@
     assert_eq!((sent(&out), refused(&out), failed(&out)), (None, 0, 1));
 }
 
+/// A repeat decided in the last moment would leave after the window, having waited for a connection.
+#[test]
+fn keyed_is_not_repeated_in_the_last_moment_of_its_window() {
+    for (at, repeated) in [(930 * MS, true), (990 * MS, false)] {
+        let mut bed = Bed::new(settings(), 2);
+        let (r, out) = bed.call(KEYED, "f");
+        let first = sent(&out).unwrap();
+        bed.now += at;
+        assert_eq!(sent(&bed.answer(&r, 0, &first, Outcome::Error)).is_some(), repeated, "after {at}");
+    }
+}
+
 #[test]
 fn keyed_that_may_have_run_is_sent_again_within_its_zone() {
     let mut bed = Bed::new(settings(), 2);
