The stand-in resolver takes one free port for both UDP and TCP

Seen: two to five invoke tests failed in three of six runs side by side. Wrong lines: Resolver::start in node/tests/common/mod.rs bound TCP to whatever port UDP had been given, which another test's socket could hold.

--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -362,14 +362,18 @@
 
 impl Resolver {
     pub fn start(hosts: &[&Host]) -> Self {
-        let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+        // One port for both: a free one of one kind may be taken for the other.
+        let both = || {
+            let socket = UdpSocket::bind("127.0.0.1:0").ok()?;
+            let listener = TcpListener::bind(socket.local_addr().ok()?).ok()?;
+            Some((socket, listener))
+        };
+        let (socket, listener) = (0..100).find_map(|_| both()).expect("a port for both");
         let address = socket.local_addr().unwrap();
         let named = |(i, h): (usize, &&Host)| (format!("h{i}"), h.address.port(), vec!["cell=0".to_string()]);
         let instances = hosts.iter().enumerate().map(named).collect();
         let zone = Arc::new(Mutex::new(Zone { instances, ttl: 1, ..Zone::default() }));
         let shared = zone.clone();
-        // Over TCP it listens at the same port.
-        let listener = TcpListener::bind(address).unwrap();
         let whole = zone.clone();
         spawn(move || {
             for mut stream in listener.incoming().map_while(Result::ok) {
