An attempt taken back for a client that left is no longer held against its host

Seen by reading: a client that leaves while its attempt waits for a connection had the attempt end as a failed connection, so the module let a healthy host rest for a second and took it for cold. Wrong lines: Hosts::cancel in node/src/hosts/pool.rs, which reported ConnectFailed for what it had taken back itself; now NotSent, and the engine turns that into the reason of the cancel where the request is still to be sent elsewhere.

--- a/node/src/hosts/pool.rs
+++ b/node/src/hosts/pool.rs
@@ -247,11 +247,11 @@
         let is_it = |i: &Item| matches!(i, Item::Call { attempt: a, .. } if *a == attempt);
         if let Some(at) = c.queue.iter().position(is_it) {
             c.queue.remove(at);
-            return self.end_attempt(attempt, Outcome::ConnectFailed.into());
+            return self.end_attempt(attempt, Outcome::NotSent.into());
         }
         if c.writing.take_if(|(i, begun)| !*begun && is_it(i)).is_some() {
             c.conn.outbox.consume(usize::MAX);
-            self.end_attempt(attempt, Outcome::ConnectFailed.into());
+            self.end_attempt(attempt, Outcome::NotSent.into());
             return self.pump(now, id, log);
         }
         let written = c.calls.iter().find(|(_, a)| **a == attempt).map(|(id, _)| id.clone());
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -230,9 +230,12 @@
         let Some(attempt) = open.attempts.get_mut(id.number as usize).filter(|a| !a.ended) else { return };
         attempt.ended = true;
         let mut outcome = end.outcome;
-        if let (Outcome::Cancelled, Some(reason)) = (outcome, attempt.called_off) {
-            outcome = reason;
-        }
+        outcome = match (outcome, attempt.called_off) {
+            (Outcome::Cancelled, Some(reason)) => reason,
+            // Taken back before it left, at the module's own wish: it means to send the request elsewhere.
+            (Outcome::NotSent, Some(reason)) if !open.answered => reason,
+            _ => outcome,
+        };
         let served = outcome == Outcome::Done && !open.answered;
         open.answered |= served;
         let event = Event::Answer {
--- a/tests/engine.rs
+++ b/tests/engine.rs
@@ -172,3 +172,15 @@
     rig.engine.order_ended(rig.now, second, Outcome::Done, 1, &mut rig.out);
     assert_eq!(rig.sends().len(), 2);
 }
+
+/// A client that leaves while its attempt waits for a connection says nothing of the host: it must not rest.
+#[test]
+fn an_attempt_taken_back_for_its_client_is_not_held_against_the_host() {
+    let mut rig = Rig::new(WhenCold::Loads, 1);
+    let ticket = rig.request(SAFE, S);
+    rig.engine.client_left(rig.now, ticket, &mut rig.out);
+    let attempt = rig.sends()[0];
+    rig.end(attempt, Outcome::NotSent);
+    rig.request(SAFE, S);
+    assert_eq!(rig.sends().len(), 2);
+}
