A test that what leaves a silent host has been killed there first

Seen: the rule of one attempt at a time had a test in the engine and none on sockets. Three reads that grow old at a silent host go to the other one, and each has its KILL.

--- a/node/tests/platform.rs
+++ b/node/tests/platform.rs
@@ -185,6 +185,31 @@
     assert!(answer.code == code && attempts.contains(&calls), "{answer:?} after {calls} attempts");
 }
 
+/// One attempt out at most: what a silent host is left with is given up there before it goes elsewhere.
+#[test]
+fn what_leaves_a_silent_host_has_been_killed_there() {
+    let (a, b) = (Host::warm(), Host::warm());
+    let p = platform(&[&a, &b]);
+    let mut client = p.program.connect();
+    client.write_all(&call_frame(1, "check-score", 4000, b"")).unwrap();
+    assert_eq!(read_frame(&mut client).unwrap().code, SERVED);
+    let (silent, other) = if a.calls() == 1 { (&a, &b) } else { (&b, &a) };
+    silent.ways.lock().unwrap().does = Does::Nothing;
+    // Three that grow old there without a word tell that the host is silent.
+    for stream in 2..=4 {
+        client.write_all(&call_frame(stream, "check-score", 4000, b"")).unwrap();
+    }
+    for _ in 2..=4 {
+        assert_eq!(read_frame(&mut client).unwrap().code, SERVED);
+    }
+    let went: Vec<String> =
+        other.seen.lock().unwrap().calls.iter().map(|(l, _)| l[3..19].to_string()).collect();
+    let stayed: Vec<String> =
+        silent.seen.lock().unwrap().calls[1..].iter().map(|(l, _)| l[3..19].to_string()).collect();
+    assert!(!stayed.is_empty() && stayed.iter().all(|id| went.contains(id)), "{stayed:?} {went:?}");
+    wait_for("the KILLs", || silent.kills() == stayed.len());
+}
+
 #[test]
 fn a_refused_connection_proves_that_nothing_ran() {
     let host = Host::warm();
