SIGHUP moves the bus, a broken connection is no ill host, the ration counts known calls

Causes, each read off a trace or the logs: - src/rules.rs count(): every arrival widened the ration. Now a call counts once a host is known to know its function, and not when it is taken back. - src/rules.rs failed(): 27 unreadable answers led to 27 rests of healthy hosts, each of them then taken for cold, until the cold budget (which follows what is served) starved the fleet. A Reset is one failure a connection now; only a host that takes no connection is rested. An order whose connection ends stands, as the protocol says. - node/src/main.rs: SIGHUP had no handler. The file is read again; the bus address (invoke: the resolver) is taken up, numbers carry on, a bad file is logged and the old one kept. - node/src/node.rs: unknown tenants and ids of open requests went on to hosts. Ruled out: orders for made-up functions (the trace has none; hosts answer them with 500).

--- a/node/src/bus.rs
+++ b/node/src/bus.rs
@@ -39,7 +39,7 @@
 const LONGEST: usize = 200_000;
 /// An empty frame comes each second: after so long without one the connection is dead. What the bus has to
 /// tell counts as told whether it arrives or not, so there is no time to be lost.
-const SILENT: Micros = 2_500_000;
+const SILENT: Micros = 2_000_000;
 /// A connection that is not up by then is begun anew.
 const CONNECT: Micros = 1_000_000;
 /// Between attempts to connect: the bus may be gone for seconds, and its news count as told all the same.
@@ -173,6 +173,11 @@
         self.conn.is_some() && self.next_tick() <= now
     }
 
+    /// The bus is found elsewhere from now on, with the same events: asked there at once for what is new.
+    pub fn moved(&mut self, address: SocketAddr) {
+        (self.address, self.retry_at, self.pause) = (address, 0, FIRST_PAUSE);
+    }
+
     /// A connection has been begun, or could not be.
     pub fn begun(&mut self, now: Micros, conn: Option<Conn>) {
         (self.standing, self.heard) = (false, now);
--- a/node/src/dnssd.rs
+++ b/node/src/dnssd.rs
@@ -51,12 +51,31 @@
 }
 
 impl DnsSd {
-    /// A socket that hears the resolver and nobody else.
     pub fn new(
         handle: &LoopHandle<'static, Node>,
         resolver: SocketAddr,
         browser: Browser,
     ) -> io::Result<Self> {
+        let (socket, token) = Self::socket(handle, resolver)?;
+        let (handle, asking) = (handle.clone(), BTreeMap::new());
+        Ok(Self { handle, resolver, socket, token, asking, browser })
+    }
+
+    /// Another resolver is asked from now on; what is known stays known as long as its records say.
+    pub fn moved(&mut self, resolver: SocketAddr) -> io::Result<()> {
+        if resolver != self.resolver {
+            let (socket, token) = Self::socket(&self.handle, resolver)?;
+            self.handle.remove(std::mem::replace(&mut self.token, token));
+            (self.socket, self.resolver) = (socket, resolver);
+        }
+        Ok(())
+    }
+
+    /// A socket that hears the resolver and nobody else.
+    fn socket(
+        handle: &LoopHandle<'static, Node>,
+        resolver: SocketAddr,
+    ) -> io::Result<(Rc<UdpSocket>, RegistrationToken)> {
         let any = if resolver.is_ipv4() { Ipv4Addr::LOCALHOST.into() } else { Ipv6Addr::LOCALHOST.into() };
         let socket = UdpSocket::bind(SocketAddr::new(any, 0))?;
         socket.connect(resolver)?;
@@ -69,8 +88,7 @@
             Ok(PostAction::Continue)
         });
         let token = token.map_err(|e| io::Error::other(e.error.to_string()))?;
-        let (handle, asking) = (handle.clone(), BTreeMap::new());
-        Ok(Self { handle, resolver, socket, token, asking, browser })
+        Ok((socket, token))
     }
 
     /// Answers have come. What is new of the host list.
--- a/node/src/front/platform.rs
+++ b/node/src/front/platform.rs
@@ -276,6 +276,11 @@
         }
     }
 
+    /// Whether somebody still waits for the answer.
+    pub fn waits(&self, origin: Origin) -> bool {
+        self.conns.get(&origin.conn).is_some_and(|c| c.open.contains_key(&origin.stream))
+    }
+
     /// The node has taken the request under this ticket. False if its client has left since.
     pub fn taken(&mut self, origin: Origin, ticket: Ticket) -> bool {
         let slot = self.conns.get_mut(&origin.conn).and_then(|c| c.open.get_mut(&origin.stream));
--- a/node/src/log.rs
+++ b/node/src/log.rs
@@ -29,6 +29,8 @@
     SlowReader,
     /// The host list says that its host has gone, or that another process holds the place.
     HostGone,
+    /// The configuration names another address.
+    Moved,
     /// Nothing was heard for too long.
     Silent,
     /// Its last answer has been given.
@@ -50,6 +52,7 @@
             Self::Protocol => "protocol",
             Self::SlowReader => "slow_reader",
             Self::HostGone => "host_gone",
+            Self::Moved => "moved",
             Self::Silent => "silent",
             Self::Finished => "finished",
             Self::Shutdown => "shutdown",
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -44,20 +44,28 @@
         }
         _ => return Err("one operator's file at most".into()),
     };
-    let text = std::fs::read_to_string(&path).map_err(|e| format!("{path} cannot be read: {e}"))?;
-    let config = if operator {
-        config::operator(&text)
-    } else {
-        config::platform(&text, std::env::var("EDGE_LISTEN").ok().as_deref())
+    let read = move || {
+        let text = std::fs::read_to_string(&path).map_err(|e| format!("{path} cannot be read: {e}"))?;
+        let config = if operator {
+            config::operator(&text)
+        } else {
+            config::platform(&text, std::env::var("EDGE_LISTEN").ok().as_deref())
+        };
+        config.map_err(|e| format!("{path}: {e}"))
     };
-    let config = config.map_err(|e| format!("{path}: {e}"))?;
+    let config = read()?;
     let address = config.listen;
 
     let failed = |what: &'static str| move |e: calloop::Error| format!("{what}: {e}");
     let mut events = EventLoop::<Node>::try_new().map_err(failed("no event loop"))?;
     let handle = events.handle();
-    let signals = Signals::new(&[Signal::SIGTERM]).map_err(|e| format!("no signals: {e}"))?;
-    handle.insert_source(signals, |_, _, node| node.stop()).map_err(|e| format!("no signals: {e}"))?;
+    // Signals not named here would end the process: SIGHUP says that the file has been replaced.
+    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGHUP]).map_err(|e| format!("no signals: {e}"))?;
+    let told = move |event: calloop::signals::Event, _: &mut (), node: &mut Node| match event.signal() {
+        Signal::SIGHUP => node.reload(read()),
+        _ => node.stop(),
+    };
+    handle.insert_source(signals, told).map_err(|e| format!("no signals: {e}"))?;
 
     let mut node = Node::new(handle.clone(), config)?;
     let listener = TcpListener::bind(address).map_err(|e| format!("cannot listen on {address}: {e}"))?;
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -2,9 +2,9 @@
 //! each of them has learnt to the engine and carries out what the engine commands.
 
 use std::cell::Cell;
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::io::ErrorKind;
-use std::net::TcpListener;
+use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -89,6 +89,8 @@
     commands: VecDeque<Command>,
     scratch: Vec<Command>,
     pending: HashMap<Ticket, Pending>,
+    /// Ids of the pending requests, as clients chose them.
+    ids: HashSet<Rc<str>>,
     bodies: usize,
     side: Side,
     hosts: Hosts,
@@ -125,6 +127,7 @@
             commands: VecDeque::new(),
             scratch: Vec::new(),
             pending: HashMap::new(),
+            ids: HashSet::new(),
             bodies: 0,
             side,
             hosts: Hosts::new(handle.clone(), transport, most),
@@ -221,6 +224,38 @@
         }
     }
 
+    /// SIGHUP: the file has been replaced. Where hosts are learnt from is taken up anew; requests, hosts and
+    /// connections live on. A file that makes no sense is told of, and all stays as it is.
+    pub fn reload(&mut self, config: Result<Config, String>) {
+        let now = self.clock.now();
+        let source = match config.map(|c| c.side) {
+            Ok(config::Side::Platform { bus, .. }) => self.move_bus(now, bus),
+            Ok(config::Side::Operator { resolver, .. }) => self.move_resolver(resolver),
+            Err(problem) => Err(problem),
+        };
+        match source {
+            Ok(what) => self.log.line(now, format_args!("configuration read again: {what}")),
+            Err(problem) => self.log.line(now, format_args!("the old configuration is kept: {problem}")),
+        }
+        self.settle();
+    }
+
+    fn move_bus(&mut self, now: Micros, address: SocketAddr) -> Result<String, String> {
+        let Side::Platform(_, bus) = &self.side else { return Err("no operator's file".into()) };
+        if bus.address != address {
+            self.end_bus(now, Reason::Moved);
+            let Side::Platform(_, bus) = &mut self.side else { return Err("no operator's file".into()) };
+            bus.moved(address);
+        }
+        Ok(format!("bus {address}"))
+    }
+
+    fn move_resolver(&mut self, resolver: SocketAddr) -> Result<String, String> {
+        let Side::Operator { hosts, .. } = &mut self.side else { return Err("an operator's file".into()) };
+        hosts.moved(resolver).map_err(|e| format!("no socket for queries to {resolver}: {e}"))?;
+        Ok(format!("resolver {resolver}"))
+    }
+
     /// Whether it has been told to stop and owes nothing any more.
     pub fn is_done(&mut self) -> bool {
         let now = self.clock.now();
@@ -444,14 +479,28 @@
 
     fn platform_request(&mut self, origin: platform::Origin, request: Request) {
         let now = self.clock.now();
-        let Some(class) = self.deployment.class(&request.class) else {
-            let Side::Platform(front, _) = &mut self.side else { return };
-            return front.error(now, origin, "a class that is not known", &mut self.log);
+        let Side::Platform(front, _) = &mut self.side else { return };
+        // Taken back in the same breath: nothing need hear of it.
+        if !front.waits(origin) {
+            return;
+        }
+        let class = self.deployment.class(&request.class);
+        let tenant = request.tenant.as_deref().and_then(|t| self.deployment.tenant(t));
+        let shared = !self.deployment.tenants.is_empty();
+        let wrong = match class {
+            None => Some("a class that is not known"),
+            _ if shared && tenant.is_none() => Some("a tenant that is not known"),
+            // Hosts tell answers apart by it.
+            _ if self.ids.contains(request.id.as_str()) => Some("the id of a request that is open"),
+            _ => None,
+        };
+        let (Some(class), None) = (class, wrong) else {
+            return front.error(now, origin, wrong.unwrap_or_default(), &mut self.log);
         };
         let incoming = Incoming {
             id: request.id,
             class,
-            tenant: request.tenant.as_deref().and_then(|t| self.deployment.tenant(t)),
+            tenant,
             function: request.function,
             timeout: request.timeout * 1000,
             lanes: request.lanes,
@@ -515,6 +564,7 @@
             (Side::Operator { front, .. }, Origin::Invoke(origin)) => front.taken(origin, ticket),
             _ => false,
         };
+        self.ids.insert(call.id.clone());
         self.pending.insert(ticket, Pending { call, origin, answer: None });
         if !waits {
             self.client_left(ticket);
@@ -525,6 +575,7 @@
         let now = self.clock.now();
         if let Some(pending) = self.pending.remove(&ticket) {
             self.bodies -= pending.call.body.len();
+            self.ids.remove(&pending.call.id);
         }
         self.run_engine(|engine, out| engine.client_left(now, ticket, out));
     }
@@ -532,6 +583,7 @@
     fn answer(&mut self, now: Micros, ticket: Ticket, verdict: Verdict) {
         let Some(pending) = self.pending.remove(&ticket) else { return };
         self.bodies -= pending.call.body.len();
+        self.ids.remove(&pending.call.id);
         let reply = match (verdict, pending.answer) {
             (Verdict::Served(by), Some((attempt, body))) if by == attempt => Reply::Served(body),
             (Verdict::Refused { retry_after }, _) => Reply::Refused(retry_after),
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -105,8 +105,18 @@
     }
 
     pub fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    /// Replaces its file and tells it so.
+    pub fn reload(&self, text: &str) {
+        std::fs::write(&self.file, text).unwrap();
+        self.signal("-HUP");
+    }
+
+    fn signal(&self, signal: &str) {
         let id = self.child.id().to_string();
-        assert!(Command::new("kill").args(["-TERM", &id]).status().unwrap().success());
+        assert!(Command::new("kill").args([signal, &id]).status().unwrap().success());
     }
 
     /// Waits for its end after [`Program::terminate`].
--- a/node/tests/invoke.rs
+++ b/node/tests/invoke.rs
@@ -344,3 +344,19 @@
     let (status, said) = turned_down(&text.join("\n"), true);
     assert!(!status.success() && said.lines().count() == 1 && said.contains(part), "{said}");
 }
+
+#[test]
+fn a_new_operators_file_moves_the_resolver() {
+    let (a, b) = (Host::warm(), Host::warm());
+    let (program, _old) = operator(&[&a], |text| text);
+    let other = Resolver::start(&[&b]);
+    // Its instance goes by another name: the old one's record goes with the old resolver.
+    other.zone.lock().unwrap().instances[0].0 = "other".into();
+    program.reload("listen = 7");
+    wait_for("word of the bad file", || program.logged("the old configuration is kept") == 1);
+    program.reload(&operator_file(other.address));
+    wait_for("a call at the new host", || {
+        program.http(&call("7f3a", "check-score", &[], "x"));
+        b.calls() > 0
+    });
+}
--- a/node/tests/platform.rs
+++ b/node/tests/platform.rs
@@ -88,7 +88,7 @@
     let host = Host::start(Ways { does: Does::Answer("200"), work: ms(100), load: None });
     let p = platform(&[&host]);
     let (mut other, mut client) = (p.program.connect(), p.program.connect());
-    other.write_all(&call_frame(1, "send-mail", 4000, b"o")).unwrap();
+    other.write_all(&call_frame(2, "send-mail", 4000, b"o")).unwrap();
     client
         .write_all(&[&call_frame(1, "send-mail", 4000, b"a")[..], &length.to_le_bytes(), &[1; 90]].concat())
         .unwrap();
@@ -332,3 +332,41 @@
     let (status, said) = turned_down(&text, false);
     assert!(!status.success() && said.lines().count() == 1 && said.contains(part), "{said}");
 }
+
+/// SIGHUP ended the process before; now the bus is found where the new file says, and all else lives on.
+#[test]
+fn a_new_configuration_moves_the_bus_and_nothing_else() {
+    let (a, b) = (Host::start(Ways { does: Does::Answer("200"), work: ms(400), load: None }), Host::warm());
+    let mut p = platform(&[&a]);
+    p.feed.write_all(&event(2, false, &[(1, b.address, 2)])).unwrap();
+    let mut client = p.program.connect();
+    client.write_all(&call_frame(1, "send-mail", 4000, b"")).unwrap();
+    wait_for("the call", || a.calls() == 1);
+    p.program.reload("{");
+    wait_for("word of the bad file", || p.program.logged("the old configuration is kept") == 1);
+    let moved = Bus::start();
+    p.program.reload(&config(moved.address, &[]));
+    let (last, mut feed) = moved.greeted();
+    assert_eq!(last, 2, "the numbers carry on");
+    wait_for("the old connection's end", || p.program.logged("conn bus ended reason=moved") == 1);
+    assert_eq!(read_frame(&mut client).unwrap().code, SERVED, "what was open lives on");
+    feed.write_all(&event(3, false, &[(0, a.address, 2), (1, b.address, 0)])).unwrap();
+    wait_for("the end of a host's connections", || p.program.logged("reason=host_gone") == 1);
+    client.write_all(&call_frame(2, "send-mail", 4000, b"")).unwrap();
+    assert_eq!((read_frame(&mut client).unwrap().code, b.calls()), (SERVED, 1));
+}
+
+/// Hosts tell answers apart by the id: a second request under one that is open is turned away alone.
+#[test]
+fn the_id_of_an_open_request_is_taken_once() {
+    let host = Host::start(Ways { does: Does::Answer("200"), work: ms(200), load: None });
+    let p = platform(&[&host]);
+    let (mut client, mut other) = (p.program.connect(), p.program.connect());
+    client.write_all(&call_frame(1, "check-score", 4000, b"a")).unwrap();
+    wait_for("the call", || host.calls() == 1);
+    other.write_all(&call_frame(1, "check-score", 4000, b"b")).unwrap();
+    assert_eq!(read_frame(&mut other).unwrap().code, FAILED);
+    assert_eq!(read_frame(&mut client).unwrap().body, b"did a");
+    other.write_all(&call_frame(2, "check-score", 4000, b"b")).unwrap();
+    assert_eq!((read_frame(&mut other).unwrap().code, host.calls()), (SERVED, 2));
+}
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -119,7 +119,7 @@
                 if class >= self.settings.classes.len() || self.requests.contains_key(&request) {
                     return;
                 }
-                self.count(&function, tenant, lanes);
+                let counted = self.count(&function, tenant, lanes);
                 let fresh = Request {
                     class,
                     tenant,
@@ -130,6 +130,7 @@
                     tries: Vec::new(),
                     answered: false,
                     held: false,
+                    counted,
                     streaming: false,
                     lot: 1.0 - self.rng.f64(),
                 };
@@ -147,6 +148,11 @@
             Event::ClientLeft { request } => {
                 if let Some(r) = self.requests.get_mut(&request) {
                     (r.answered, r.held) = (true, false);
+                    // What is taken back at once may count as never taken: no order rests on it.
+                    if std::mem::take(&mut r.counted) {
+                        let at = self.arrivals.partition_point(|t| *t < r.arrived);
+                        self.arrivals.remove(at);
+                    }
                     // Who leaves mostly tries again at once, and must not take room twice.
                     for (k, _) in r.tries.iter().enumerate().filter(|(_, t)| t.ended.is_none()) {
                         if self.settings.cancel && !r.streaming {
@@ -459,11 +465,10 @@
 
 impl Core {
     /// Accessed_Num and hit_candidate_path of the paper's Algorithm 2, on order-one paths.
-    fn count(&mut self, id: &FunctionId, tenant: Option<usize>, lanes: u32) {
+    /// Whether the call counts for the ration of orders: a function that no worker is known to know may be
+    /// a client's invention, of which there may be hundreds at once.
+    fn count(&mut self, id: &FunctionId, tenant: Option<usize>, lanes: u32) -> bool {
         let now = self.now;
-        self.arrivals.push_back(now);
-        let window = self.settings.load_budget.map_or(0, |b| b.period);
-        self.arrivals.retain(|t| *t > now - window);
         if let Some(rate) = tenant.and_then(|t| self.tenant_rates.get_mut(t)) {
             *rate += SMOOTHING * 1e6 / TICK as f64;
         }
@@ -480,6 +485,21 @@
         f.calls += 1.0;
         self.calls += 1.0;
         (f.last_call, f.lanes, f.seen) = (now, lanes, f.seen + 1);
+        let known = f.known;
+        if known {
+            self.grant(now);
+        }
+        known
+    }
+
+    /// A call that came then counts for the ration of orders.
+    fn grant(&mut self, arrived: Micros) {
+        let window = self.settings.load_budget.map_or(0, |b| b.period);
+        while self.arrivals.front().is_some_and(|t| *t <= self.now - window) {
+            self.arrivals.pop_front();
+        }
+        let at = self.arrivals.partition_point(|t| *t < arrived);
+        self.arrivals.insert(at, arrived);
     }
 
     /// Algorithm 2: the likeliest successor not believed warm, if its ratio beats the threshold.
@@ -527,7 +547,8 @@
         }
         if let Some(b) = self.settings.load_budget {
             self.orders.retain(|t| *t >= now - b.period);
-            let taken = self.arrivals.iter().filter(|t| **t > now - b.period).count() as f64;
+            let gone = self.arrivals.partition_point(|t| *t <= now - b.period);
+            let taken = (self.arrivals.len() - gone) as f64;
             let spare = b.free + b.share * taken - self.orders.len() as f64;
             if spare < if ahead { 1.0 + RESERVED_ORDERS } else { 1.0 } {
                 return;
@@ -551,8 +572,11 @@
         let Some(p) = self.functions.get_mut(id).and_then(|f| f.places.get_mut(n)) else { return };
         (p.ordered, p.loading, p.copies) = (false, None, copies);
         p.warm_until = if copies > 0 { now + keep } else { 0 };
-        if matches!(end, Outcome::Reset | Outcome::ConnectFailed) {
-            self.failed(n, end, out);
+        match end {
+            // An order that has come whole stands, also when its connection ends: calls wait for its load.
+            Outcome::Reset => (p.warm_until, p.copies) = (now + keep / 2, 1),
+            Outcome::ConnectFailed => self.failed(n, end, out),
+            _ => {}
         }
         let held = self.requests.iter().filter(|(_, r)| r.held && r.function == *id).map(|(q, _)| q.clone());
         for q in held.collect::<Vec<_>>() {
@@ -646,6 +670,17 @@
         t.ended = Some(outcome);
         let (warm, function, sent, arrived) = (t.warm, r.function.clone(), t.sent, r.arrived);
         let (class, tenant, aim) = (r.class, r.tenant, self.settings.classes[r.class].aim);
+        let errors = r.tries.iter().filter(|t| t.ended == Some(Outcome::Error)).count();
+        let knows = matches!(outcome, Outcome::Done | Outcome::Miss);
+        let counts = knows && !r.counted;
+        r.counted |= knows;
+        let known = self.functions.get_mut(&function).is_some_and(|f| {
+            f.known |= knows;
+            f.known
+        });
+        if counts {
+            self.grant(arrived);
+        }
         if let Some(w) = self.workers.get_mut(n) {
             w.in_flight = w.in_flight.saturating_sub(1);
             if let Some(h) = holding {
@@ -668,7 +703,7 @@
                     (p.warm_until, p.copies, p.missed_until) = (0, 0, now + keep / 4);
                     p.loading = p.loading.filter(|_| p.ordered);
                 }
-                Outcome::Reset | Outcome::ConnectFailed => (p.warm_until, p.copies, p.loading) = (0, 0, None),
+                Outcome::ConnectFailed => (p.warm_until, p.copies, p.loading) = (0, 0, None),
                 _ => p.loading = p.loading.filter(|since| *since > sent),
             }
         }
@@ -703,6 +738,10 @@
             // One copy there for the next call; this one may find another meanwhile.
             Outcome::Miss => self.order(n, &function, 1, true, out),
             Outcome::NotSent | Outcome::Cancelled => {}
+            // Two that do not know the function: no worker does, and a client made it up.
+            Outcome::Error if !known && errors > 1 => return self.give_up(id, out),
+            // Nor does it say anything of the worker, where others are seen often enough to tell.
+            Outcome::Error if !known && self.trust() > 0.5 => {}
             // A time-out speaks against the worker only when it has been silent since.
             Outcome::TimedOut if !warm || self.workers.get(n).is_none_or(|w| w.heard > sent) => {}
             _ => self.failed(n, outcome, out),
@@ -777,14 +816,15 @@
 
     /// Whether the worker may be sent this request now.
     fn usable(&self, name: &str, w: &Worker, r: &Request, panic: bool) -> bool {
-        let failed_here = |t: &Try| {
-            t.ended.is_some_and(|e| !matches!(e, Outcome::Miss | Outcome::Full))
-                && self.workers.get(&t.worker).is_some_and(|x| std::ptr::eq(x, w))
-        };
+        let here = |t: &&Try| self.workers.get(&t.worker).is_some_and(|x| std::ptr::eq(x, w));
+        let ended = |t: &Try| t.ended.filter(|e| !matches!(e, Outcome::Miss | Outcome::Full));
+        // A connection that broke does not speak against its worker; two do.
+        let fails = |t: &Try| ended(t).map_or(0, |e| if e == Outcome::Reset { 1 } else { 2 });
+        let failed_here = r.tries.iter().filter(here).map(fails).sum::<u32>() >= 2;
         let safe = self.settings.classes[r.class].effect == Effect::Safe;
         let well = panic || (w.ill_until <= self.now && (!w.on_trial || (safe && w.in_flight == 0)));
         let shut = w.shut.iter().any(|s| (s.0, s.1) == (r.class, r.tenant) && s.2 > self.now);
-        w.up && well && !shut && self.cold_room(name, w) && !r.tries.iter().any(failed_here)
+        w.up && well && !shut && self.cold_room(name, w) && !failed_here
     }
 
     /// A starting worker is sent no more than its share of what a warm one is seen to serve.
@@ -811,13 +851,18 @@
         self.totals.ill * 2.0 > self.totals.up
     }
 
-    /// A failure of a worker: broken connections at once, errors and time-outs by their share.
+    /// A failure of a worker: one that takes no connection at once, all else by its share. A connection that
+    /// breaks, or whose answers cannot be read, ends many attempts and is one failure: any may break, and
+    /// resting healthy workers for it starves the fleet.
     fn failed(&mut self, n: &WorkerId, outcome: Outcome, out: &mut Vec<Action>) {
         // A router that sees a worker seldom cannot wait for a second failure.
         let trust = self.trust();
         let Some(w) = self.workers.get_mut(n) else { return };
+        let broken = outcome == Outcome::ConnectFailed;
+        if outcome == Outcome::Reset && self.now - std::mem::replace(&mut w.broken_at, self.now) < TICK {
+            return;
+        }
         w.failed += 1.0;
-        let broken = matches!(outcome, Outcome::ConnectFailed | Outcome::Reset);
         if broken {
             // It may be starting anew, long before the list tells: cold until it has had the time to warm up.
             w.cold_since = self.now;
--- a/src/state.rs
+++ b/src/state.rs
@@ -37,6 +37,8 @@
     pub(crate) calls: f64,
     pub(crate) last_call: Micros,
     pub(crate) seen: u64,
+    /// Some worker knows it: it was served or missed there, not answered with an error.
+    pub(crate) known: bool,
     pub(crate) successors: BTreeMap<FunctionId, f64>,
     pub(crate) lanes: u32,
     pub(crate) places: BTreeMap<WorkerId, Place>,
@@ -60,6 +62,8 @@
     pub(crate) heard: Micros,
     pub(crate) tried: f64,
     pub(crate) failed: f64,
+    /// When a connection to it broke last: what ends with one connection is one failure.
+    pub(crate) broken_at: Micros,
     pub(crate) rest: Micros,
     pub(crate) ill_until: Micros,
     pub(crate) on_trial: bool,
@@ -90,6 +94,8 @@
     pub(crate) tries: Vec<Try>,
     pub(crate) answered: bool,
     pub(crate) held: bool,
+    /// Counts for the ration of load orders.
+    pub(crate) counted: bool,
     pub(crate) streaming: bool,
     /// Drawn in (0, 1]; where only a part is admitted, those above it wait.
     pub(crate) lot: f64,
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -454,3 +454,48 @@
     let out = bed.event(Event::ClientLeft { request: r });
     assert!(!out.iter().any(|a| matches!(a, Action::Cancel { .. })));
 }
+
+fn rationed() -> Settings {
+    let load_budget = Some(LoadBudget { free: 2.0, share: 0.5, period: 10 * S });
+    Settings { when_cold: WhenCold::Misses, load_budget, ..settings() }
+}
+
+/// Found on a day of bad clients: hundreds of calls of made-up functions, many taken back at once, widened
+/// the ration of orders, which counts only what was truly taken.
+#[test]
+fn calls_that_no_worker_knows_do_not_widen_the_ration_of_orders() {
+    for leaves in [true, false] {
+        let mut bed = Bed::new(rationed(), 3);
+        for i in 0..100 {
+            let (request, out) = bed.call(UNSAFE, &format!("made-up{i}"));
+            if leaves {
+                bed.event(Event::ClientLeft { request });
+            } else {
+                bed.answer(&request, 0, &sent(&out).unwrap(), Outcome::Error);
+            }
+        }
+        let mut orders = 0;
+        for i in 0..20 {
+            let (request, out) = bed.call(UNSAFE, &format!("f{i}"));
+            orders += loads(&bed.answer(&request, 0, &sent(&out).unwrap(), Outcome::Miss)).len();
+        }
+        // Twenty calls that workers know of, and the two that need none.
+        assert!((1..=12).contains(&orders), "{orders} orders, leaving: {leaves}");
+    }
+}
+
+/// Found on a day of bad peers: every connection broken off, or with an answer that could not be read, had
+/// its worker rested and thought cold, until a healthy fleet refused four requests of five.
+#[test]
+fn a_connection_that_breaks_rests_no_worker_and_takes_no_copy() {
+    let mut bed = Bed::new(settings(), 1);
+    for _ in 0..5 {
+        bed.serve(SAFE, "f");
+    }
+    let calls: Vec<_> = (0..8).map(|_| bed.call(SAFE, "f").0).collect();
+    for request in &calls {
+        let out = bed.answer(request, 0, &"w0".into(), Outcome::Reset);
+        assert!(sent(&out).is_some(), "it goes on, to the same worker where there is no other");
+    }
+    assert!(sent(&bed.call(UNSAFE, "f").1).is_some());
+}
