Spoilt connections end alone, calls are spread over connections, newcomers are timed

The log's lines of ended connections told why: each unreadable answer ended a connection with 4 to 10 calls out, and mails among them may never be repeated.

- node/src/hosts/pool.rs pick(): filled one connection up to 32 calls before it made another.
Calls are spread over up to 8 connections a host, by the descriptors there are.
- pool.rs end(): what had not begun to leave was given back as a failed connect, which rests the host.
It goes on another connection, twice at most; no room of our own is no failed connect.
- pool.rs tick(): an answer that stops short, a connection on which nobody answers (asked by HELO after 500 ms), and a host that takes no bytes held their calls until the client's time was up.
- node/src/front/platform.rs: silent and half-sent newcomers stayed until idle; now 2 s.
A sender at full speed kept the loop; now 8 reads at one go.
Eviction takes the speechless first.
The linger after an error is 2 s.
Figures that are none are errors (frames.rs).
An empty ring gives back long storage (ring.rs).

--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -20,6 +20,8 @@
     pub seed: u64,
     /// Descriptors that the process may hold.
     pub sockets: usize,
+    /// Bytes of memory that it may take.
+    pub memory: usize,
     pub deployment: Deployment,
     pub side: Side,
 }
@@ -43,9 +45,10 @@
     settings: Options,
 }
 
-#[derive(Deserialize)]
+#[derive(Default, Deserialize)]
 struct Limits {
     sockets: Option<usize>,
+    memory_mb: Option<f64>,
 }
 
 #[derive(Deserialize)]
@@ -56,6 +59,8 @@
 
 /// Descriptors on a scored day, where the configuration tells none.
 const SOCKETS: usize = 1024;
+/// Megabytes there at most.
+const MEMORY: f64 = 192.0;
 
 /// Reads the platform's configuration, with `listen` from the environment where it is set there.
 pub fn platform(text: &str, listen: Option<&str>) -> Result<Config, String> {
@@ -74,10 +79,12 @@
         .iter()
         .map(|e| bus::known(e, &deployment).map_err(|e| format!("known: {e}")))
         .collect();
+    let limits = file.limits.unwrap_or_default();
     Ok(Config {
         listen: address("listen", listen.unwrap_or(&file.listen))?,
         seed: seed(&file.seed)?,
-        sockets: file.limits.and_then(|l| l.sockets).unwrap_or(SOCKETS),
+        sockets: limits.sockets.unwrap_or(SOCKETS),
+        memory: (limits.memory_mb.unwrap_or(MEMORY).max(16.0) * f64::from(1 << 20)) as usize,
         deployment,
         side: Side::Platform { bus: address("bus", &file.bus)?, offset: file.known.offset, known: known? },
     })
--- a/node/src/config/operator.rs
+++ b/node/src/config/operator.rs
@@ -16,6 +16,8 @@
     listen: SocketAddr,
     #[serde(default = "sockets")]
     sockets: usize,
+    #[serde(default = "memory")]
+    memory_mb: usize,
     hosts: Hosts,
     #[serde(default)]
     results: Results,
@@ -28,6 +30,9 @@
 fn sockets() -> usize {
     1024
 }
+fn memory() -> usize {
+    192
+}
 
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -148,6 +153,7 @@
     let wrong = |wrong: bool, what: &str| if wrong { Err(what.to_string()) } else { Ok(()) };
     wrong(!hosts.resolver.ip().is_loopback(), "hosts.resolver must be a loopback address")?;
     wrong(file.sockets < 64, "sockets must be 64 at least")?;
+    wrong(!(16..=1 << 20).contains(&file.memory_mb), "memory_mb must be 16 at least")?;
     wrong(hosts.streams == 0 || hosts.activators == 0, "hosts.streams and hosts.activators begin at 1")?;
     let times = [hosts.connect_timeout_ms, hosts.idle_ms, hosts.order_timeout_ms, file.results.keep_ms];
     wrong(times.iter().any(|t| *t <= 0), "a time that is not above 0")?;
@@ -194,6 +200,7 @@
         conn_idle: hosts.idle_ms * 1000,
         connect_timeout: hosts.connect_timeout_ms * 1000,
         streams: hosts.streams,
+        probes: true,
         order_timeout: hosts.order_timeout_ms * 1000,
         says_warm: true,
         counts_alike: true,
@@ -217,7 +224,14 @@
         zones: file.hosts.zones,
         transport,
     };
-    Ok(Config { listen: file.listen, seed, sockets: file.sockets, deployment, side })
+    Ok(Config {
+        listen: file.listen,
+        seed,
+        sockets: file.sockets,
+        memory: file.memory_mb << 20,
+        deployment,
+        side,
+    })
 }
 
 fn zone(hosts: &Hosts) -> u32 {
--- a/node/src/front/platform.rs
+++ b/node/src/front/platform.rs
@@ -25,8 +25,18 @@
 /// A client that takes nothing for so long while answers wait has stopped reading.
 const STALLED: Micros = 10_000_000;
 
-/// How long a client that is being closed is given to see that.
-const LINGER: Micros = 1_000_000;
+/// How long a client that is being closed is given to see that: what it still sends is passed over
+/// meanwhile, as a reset for unread bytes could overtake the error.
+const LINGER: Micros = 2_000_000;
+/// From its beginning a client's first whole frame must have come by then: those that say nothing, or half of
+/// something, hold places that others need.
+const NEWCOMER: Micros = 2_000_000;
+/// From its first byte any later frame must be whole by then.
+const HALTING: Micros = 5_000_000;
+/// A client that said nothing for so long after it came is one that may go when others need its place.
+const SPEECHLESS: Micros = 200_000;
+/// Reads of one connection at one go: who sends at full speed must not keep the loop from the others.
+const AT_ONCE: usize = 8;
 
 /// Where an answer goes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -53,10 +63,21 @@
     broken: bool,
     /// Its side of the connection was ended then, and the client is given time to see that.
     lingers: Option<Micros>,
+    begun: Micros,
+    /// It has sent a whole frame that could be read.
+    asked: bool,
+    /// A frame has begun then and is not whole.
+    partial: Option<Micros>,
     active: Micros,
     taken: u64,
 }
 
+impl ClientConn {
+    fn is_idle(&self) -> bool {
+        self.open.is_empty() && self.conn.outbox.is_empty() && self.partial.is_none()
+    }
+}
+
 /// Stream numbers that a connection has used.
 #[derive(Default)]
 struct Streams {
@@ -83,6 +104,10 @@
     conns: HashMap<ConnId, ClientConn>,
     most: usize,
     conn_idle: Micros,
+    /// Bytes that wait for clients, all together.
+    bytes: usize,
+    /// Connections that were left with more to read.
+    again: Vec<ConnId>,
     /// Told to stop: clients are asked to open nothing new.
     stopping: bool,
     pub notices: Vec<Notice>,
@@ -93,8 +118,9 @@
 }
 
 impl Platform {
-    pub fn new(handle: LoopHandle<'static, Node>, most: usize, conn_idle: Micros) -> Self {
-        Self { handle, conns: HashMap::new(), most, conn_idle, stopping: false, notices: Vec::new() }
+    pub fn new(handle: LoopHandle<'static, Node>, (most, bytes): (usize, usize), conn_idle: Micros) -> Self {
+        let (conns, again, notices) = (HashMap::new(), Vec::new(), Vec::new());
+        Self { handle, conns, most, conn_idle, bytes, again, stopping: false, notices }
     }
 
     /// Whether nothing is owed to anybody: all answers have left.
@@ -117,6 +143,9 @@
                     skip: 0,
                     broken: false,
                     lingers: None,
+                    begun: now,
+                    asked: false,
+                    partial: None,
                     active: now,
                     taken: 0,
                 };
@@ -124,15 +153,25 @@
                 if self.stopping {
                     self.write(now, id, &frames::no_more(), log);
                 }
+                // Most have their request with them, and then are no longer among the speechless.
+                self.ready(now, id, log);
             }
             Err(e) => log.line(now, format_args!("client {peer} cannot be taken in: {e}")),
         }
     }
 
-    /// Makes room by closing the connection without an open request that has been idle longest.
+    /// Makes room by closing a connection without an open request: first those that see their end already,
+    /// then those that never asked, then those that have been idle longest. Hundreds that say nothing must
+    /// not crowd out clients that asked once and keep their connection.
     fn evict(&mut self, now: Micros, log: &mut Log) -> bool {
-        let idle = self.conns.iter().filter(|(_, c)| c.open.is_empty() && c.conn.inbox.is_empty());
-        let oldest = idle.min_by_key(|(id, c)| (c.active, **id)).map(|(id, _)| *id);
+        let rank = |c: &ClientConn| match () {
+            _ if c.lingers.is_some() => Some((0, c.begun)),
+            _ if !c.open.is_empty() || c.broken => None,
+            _ if !c.asked => (now - c.begun >= SPEECHLESS).then_some((1, c.begun)),
+            _ => c.conn.inbox.is_empty().then_some((2, c.active)),
+        };
+        let ranked = self.conns.iter().filter_map(|(id, c)| Some((rank(c)?, *id)));
+        let oldest = ranked.min().map(|(_, id)| id);
         oldest.inspect(|id| self.end(now, *id, Reason::Evicted, log)).is_some()
     }
 
@@ -157,8 +196,20 @@
         }
     }
 
+    /// Connections that were left with more to read. Whether there are any.
+    pub fn has_more(&self) -> bool {
+        !self.again.is_empty()
+    }
+
+    /// Reads on where more was left.
+    pub fn go_on(&mut self, now: Micros, log: &mut Log) {
+        for id in std::mem::take(&mut self.again) {
+            self.ready(now, id, log);
+        }
+    }
+
     fn serve(&mut self, now: Micros, id: ConnId, log: &mut Log) -> Result<(), Reason> {
-        loop {
+        for _ in 0..AT_ONCE {
             let Some(c) = self.conns.get_mut(&id) else { return Ok(()) };
             if c.conn.flush()? > 0 {
                 c.active = now;
@@ -169,15 +220,18 @@
             }
             let filled = c.conn.fill();
             while self.take(now, id, log)? {}
+            let Some(c) = self.conns.get_mut(&id) else { return Ok(()) };
+            c.partial = if c.conn.inbox.is_empty() { None } else { c.partial.or(Some(now)) };
             if !filled? {
                 return self.end_if_done(now, id);
             }
-            let Some(c) = self.conns.get_mut(&id) else { return Ok(()) };
             if c.conn.inbox.room() == 0 {
                 // No frame that is taken in is longer than the ring: only backpressure leaves it full.
                 return Ok(());
             }
         }
+        self.again.push(id);
+        self.end_if_done(now, id)
     }
 
     /// A client that has ended its side may still wait for answers; it is closed when it has them. One whose
@@ -220,9 +274,7 @@
             Ok(Some(head)) => head,
             Ok(None) => return Ok(false),
             Err(problem) => {
-                c.broken = true;
-                log.line(now, format_args!("client {} sent {problem}", c.peer));
-                self.error(now, Origin { conn: id, stream: 0 }, &problem, log);
+                self.give_up(now, id, &problem, log);
                 return Ok(false);
             }
         };
@@ -241,8 +293,18 @@
         Ok(true)
     }
 
+    /// Nothing more is read from the client. It is told why, and closed once all is answered.
+    fn give_up(&mut self, now: Micros, id: ConnId, problem: &str, log: &mut Log) {
+        let Some(c) = self.conns.get_mut(&id) else { return };
+        c.broken = true;
+        c.conn.inbox.consume(usize::MAX);
+        log.line(now, format_args!("client {} sent {problem}", c.peer));
+        self.error(now, Origin { conn: id, stream: 0 }, problem, log);
+    }
+
     fn frame(&mut self, now: Micros, id: ConnId, head: Head, payload: &[u8], log: &mut Log) {
         let Some(c) = self.conns.get_mut(&id) else { return };
+        c.partial = None;
         let nowhere = Origin { conn: id, stream: 0 };
         let origin = Origin { conn: id, stream: head.stream };
         match frames::frame(&head, payload) {
@@ -257,6 +319,7 @@
                         self.answer(now, origin, Code::Refused, &[], b"over 32 requests are open", log)
                     }
                     Ok(request) => {
+                        c.asked = true;
                         c.taken += 1;
                         c.open.insert(head.stream, None);
                         self.notices.push(Notice::Request { origin, request });
@@ -269,6 +332,7 @@
                 }
             }
             Ok(Frame::IsReady) => {
+                c.asked = true;
                 let code = if self.stopping { Code::Refused } else { Code::Served };
                 self.write(now, id, &frames::readiness(head.stream, code), log);
             }
@@ -333,9 +397,14 @@
         if empty {
             match c.conn.flush() {
                 Ok(_) => c.active = now,
-                Err(reason) => self.end(now, id, reason, log),
+                Err(reason) => return self.end(now, id, reason, log),
             }
         }
+        // Clients that do not read share what memory there is: who waits with most of it goes.
+        let backed_up = self.conns.get(&id).is_some_and(|c| c.conn.outbox.len() > BACKED_UP);
+        if backed_up && self.conns.values().map(|c| c.conn.outbox.len()).sum::<usize>() > self.bytes {
+            self.end(now, id, Reason::SlowReader, log);
+        }
     }
 
     fn end(&mut self, now: Micros, id: ConnId, reason: Reason, log: &mut Log) {
@@ -355,9 +424,22 @@
         for id in self.ids() {
             let Some(c) = self.conns.get(&id) else { continue };
             let quiet = now - c.active;
-            if !c.conn.outbox.is_empty() && quiet >= STALLED {
+            let late = match c.partial {
+                _ if c.broken || !c.conn.outbox.is_empty() => false,
+                _ if !c.asked && c.open.is_empty() => now - c.begun >= NEWCOMER,
+                Some(since) => now - since >= HALTING,
+                None => false,
+            };
+            if late && c.conn.inbox.is_empty() && c.skip == 0 && c.taken == 0 {
+                self.end(now, id, Reason::Silent, log);
+            } else if late {
+                self.give_up(now, id, "a frame that does not end", log);
+                if let Err(reason) = self.end_if_done(now, id) {
+                    self.end(now, id, reason, log);
+                }
+            } else if !c.conn.outbox.is_empty() && quiet >= STALLED {
                 self.end(now, id, Reason::SlowReader, log);
-            } else if c.open.is_empty() && c.conn.outbox.is_empty() && quiet >= self.conn_idle {
+            } else if c.is_idle() && quiet >= self.conn_idle {
                 self.end(now, id, Reason::Idle, log);
             } else if let Err(reason) = self.end_if_done(now, id) {
                 self.end(now, id, reason, log);
--- a/node/src/front/platform/frames.rs
+++ b/node/src/front/platform/frames.rs
@@ -90,6 +90,7 @@
         return Err("a body of over 16 KiB".into());
     }
     let mut request = Request { lanes: 1, timeout: -1, body: rest.to_vec(), ..Request::default() };
+    let mut figures = true;
     for (name, value) in fields {
         match name {
             "req" => request.id = value.into(),
@@ -99,8 +100,13 @@
             "timeout" => request.timeout = value.parse().unwrap_or(-1),
             "resent" => request.repeat = value == "1",
             "opkey" => request.key = Some(value.into()),
-            "props" => request.lanes = lanes(value),
-            // `ms` is a hint that no decision uses; what is not known is skipped.
+            "props" => match lanes(value) {
+                Some(lanes) => request.lanes = lanes,
+                None => figures = false,
+            },
+            // A hint that no decision uses; but who sends nonsense is told so.
+            "ms" => figures &= figure(value).is_some(),
+            // What is not known is skipped.
             _ => {}
         }
     }
@@ -111,6 +117,7 @@
         (!(0..=86_400_000).contains(&request.timeout), "timeout is no time in milliseconds"),
         (!is_word(&request.class), "kind is no class"),
         (request.key.as_ref().is_some_and(|k| !is_word(k)), "opkey is no key"),
+        (!figures, "a figure is out of range or not a number"),
     ];
     match wrong.iter().find(|(wrong, _)| *wrong) {
         Some((_, what)) => Err(what.to_string()),
@@ -118,11 +125,22 @@
     }
 }
 
-/// The lanes in the further figures of a request; 1 where they are not told.
-fn lanes(props: &str) -> u32 {
-    let pairs = props.split(';').filter_map(|p| p.split_once(':'));
-    let lanes = pairs.filter(|(name, _)| *name == "lanes").find_map(|(_, n)| n.parse::<f64>().ok());
-    lanes.map_or(1, |n| n.clamp(1.0, 1e6) as u32)
+/// A figure of a request, where it is one.
+fn figure(text: &str) -> Option<f64> {
+    text.parse::<f64>().ok().filter(|n| (0.0..=1e9).contains(n))
+}
+
+/// The lanes in the further figures of a request; 1 where they are not told, `None` where one is no figure.
+fn lanes(props: &str) -> Option<u32> {
+    let mut lanes = 1.0;
+    for pair in props.split(';').filter(|p| !p.is_empty()) {
+        let (name, n) = pair.split_once(':')?;
+        let n = figure(n)?;
+        if name == "lanes" {
+            lanes = Some(n).filter(|n| (1.0..=1e6).contains(n))?;
+        }
+    }
+    Some(lanes as u32)
 }
 
 fn fields<'a>(rest: &mut &'a [u8]) -> Option<Vec<(&'a str, &'a str)>> {
@@ -230,6 +248,12 @@
     #[case::no_time("timeout", "soon")]
     #[case::negative_time("timeout", "-1")]
     #[case::endless_time("timeout", "99999999999999999999")]
+    #[case::no_lanes("props", "lanes:0")]
+    #[case::lanes_no_number("props", "lanes:x")]
+    #[case::endless_memory("props", "memory_mb:inf;lanes:2")]
+    #[case::negative_memory("props", "memory_mb:-1")]
+    #[case::hint_no_number("ms", "NaN")]
+    #[case::negative_hint("ms", "-3")]
     #[case::class_of_two_words("kind", "send mail")]
     #[case::key_that_would_add_a_field("opkey", "a,limit=9")]
     #[case::key_with_a_line_end("opkey", "a\r\nKILL 1")]
@@ -242,8 +266,6 @@
     #[case::other("memory_mb:512", 1)]
     #[case::whole("lanes:4", 4)]
     #[case::fraction("lanes:2.0", 2)]
-    #[case::zero("lanes:0", 1)]
-    #[case::no_number("lanes:x", 1)]
     fn lanes_are_read_or_taken_as_one(#[case] props: &str, #[case] wanted: u32) {
         assert_eq!(parse(&payload_with("props", props, b"")).unwrap().lanes, wanted);
     }
--- a/node/src/hosts/pool.rs
+++ b/node/src/hosts/pool.rs
@@ -4,6 +4,7 @@
 //! withdrawn, as never sent, up to its first byte.
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -44,6 +45,8 @@
         attempt: AttemptId,
         id: Rc<str>,
         bytes: Vec<u8>,
+        /// How often it has been on a connection that ended before it left.
+        moves: u32,
     },
     /// Ends the attempt once it has been written.
     Kill {
@@ -53,6 +56,7 @@
     Order {
         order: OrderId,
         bytes: Vec<u8>,
+        moves: u32,
     },
     Plain(Vec<u8>),
 }
@@ -63,6 +67,14 @@
     standing: bool,
     begun: Micros,
     used: Micros,
+    /// When something was last read, or the first of the calls that are out was written.
+    heard: Micros,
+    /// When bytes last left.
+    wrote: Micros,
+    /// An answer has begun then and is not whole.
+    partial: Option<Micros>,
+    /// Asked then whether anybody still answers.
+    asked: Option<Micros>,
     queue: VecDeque<Item>,
     /// The item whose bytes are in the ring, and whether any of them has left it.
     writing: Option<(Item, bool)>,
@@ -82,6 +94,18 @@
         queued + usize::from(writing) + self.calls.len()
     }
 
+    /// Whether answers are owed to what has left.
+    fn owes(&self) -> bool {
+        !self.calls.is_empty() || !self.orders.is_empty()
+    }
+
+    /// Something leaves that is to be answered.
+    fn owes_from(&mut self, now: Micros) {
+        if !self.owes() {
+            self.heard = now;
+        }
+    }
+
     fn is_idle(&self) -> bool {
         self.queue.is_empty() && self.writing.is_none() && self.calls.is_empty() && self.orders.is_empty()
     }
@@ -99,14 +123,31 @@
 const KILLED: usize = 256;
 /// Idle connections are closed a little early, so that no request meets a close by the host.
 const IDLE_SHARE: f64 = 0.8;
-/// Connections to one host.
+/// Connections to one host, as long as descriptors suffice.
 const PER_HOST: usize = 24;
+/// Connections to one host that calls are spread over, a part of all that may be open: one answer that cannot
+/// be read spoils whatever else is out on its connection, and mails are never repeated.
+const SPREAD: usize = 8;
+/// Moves of what has not begun to leave from a connection that ended to another one.
+const MOVES: u32 = 2;
+/// Calls are out and nothing has come for so long: whether anybody still answers is asked for.
+const QUIET: Micros = 500_000;
+/// ... and then given up after this. Hosts answer beside their queue.
+const UNHEARD: Micros = 400_000;
+/// From its first byte an answer must be whole within this time: hosts write it at one go.
+const HALTING: Micros = 500_000;
+/// A host that takes no bytes for so long while some wait has stopped reading.
+const STALLED: Micros = 3_000_000;
+/// An answer above this size is large: few may be on their way at once.
+const LARGE: usize = 32 << 10;
 
 pub struct Hosts {
     handle: LoopHandle<'static, Node>,
     transport: Transport,
     /// Connections to all hosts together.
     most: usize,
+    /// Bytes of answers that are not whole, all together.
+    bytes: usize,
     members: BTreeMap<WorkerId, Member>,
     conns: HashMap<ConnId, HostConn>,
     /// Where each attempt is that has not ended.
@@ -120,11 +161,16 @@
 }
 
 impl Hosts {
-    pub fn new(handle: LoopHandle<'static, Node>, transport: Transport, most: usize) -> Self {
+    pub fn new(
+        handle: LoopHandle<'static, Node>,
+        transport: Transport,
+        (most, bytes): (usize, usize),
+    ) -> Self {
         Self {
             handle,
             transport,
             most,
+            bytes,
             members: BTreeMap::new(),
             conns: HashMap::new(),
             attempts: HashMap::new(),
@@ -232,10 +278,21 @@
         match self.pick(now, host, fits, log) {
             Some(id) => {
                 self.attempts.insert(attempt, id);
-                let item = Item::Call { attempt, id: call.id.clone(), bytes };
+                let item = Item::Call { attempt, id: call.id.clone(), bytes, moves: 0 };
                 self.push(now, id, item, log);
             }
-            None => self.end_attempt(attempt, Outcome::ConnectFailed.into()),
+            None => self.end_attempt(attempt, self.nowhere(host).into()),
+        }
+    }
+
+    /// What it means that there is no connection for a command. The bounds of this process say nothing
+    /// against a host.
+    fn nowhere(&self, host: &WorkerId) -> Outcome {
+        let up = self.members.get(host).is_some_and(|m| m.condition == Condition::Up);
+        if up {
+            Outcome::Full
+        } else {
+            Outcome::ConnectFailed
         }
     }
 
@@ -276,10 +333,10 @@
         match self.pick(now, host, |_, _| true, log) {
             Some(id) => {
                 let bytes = lines::spawn(&order_tag(order), &function.0, copies);
-                self.push(now, id, Item::Order { order, bytes }, log);
+                self.push(now, id, Item::Order { order, bytes, moves: 0 }, log);
             }
             None => {
-                let outcome = Outcome::ConnectFailed;
+                let outcome = self.nowhere(host);
                 self.notices.push_back(Notice::Order { order, outcome, copies: 0 });
             }
         }
@@ -298,8 +355,8 @@
         }
     }
 
-    /// The connection for the next command: the least used that stands and fits, else one that is being
-    /// made, else a new one.
+    /// The connection for the next command: one that stands, fits and carries nothing; else a new one, as
+    /// long as the calls are to be spread; else the least used.
     fn pick(
         &mut self,
         now: Micros,
@@ -310,9 +367,12 @@
         let member = self.members.get(host).filter(|m| m.condition == Condition::Up)?;
         let fitting = member.conns.iter().filter_map(|id| self.conns.get(id).map(|c| (*id, c)));
         let fitting = fitting.filter(|(_, c)| fits(c, self.transport.streams));
-        let best = fitting.min_by_key(|(id, c)| (!c.standing, c.load(), *id)).map(|(id, _)| id);
-        if best.is_some() {
-            return best;
+        let best = fitting.map(|(id, c)| (c.load(), !c.standing, id)).min();
+        let spread = (self.most / 2 / self.members.len().max(1)).clamp(1, SPREAD);
+        if let Some((load, _, id)) = best {
+            if load == 0 || member.conns.len() >= spread || self.conns.len() >= self.most {
+                return Some(id);
+            }
         }
         if member.conns.len() >= PER_HOST || self.conns.len() >= self.most {
             log.line(now, format_args!("no connection left for host {}", host.0));
@@ -333,6 +393,10 @@
             standing: false,
             begun: now,
             used: now,
+            heard: now,
+            wrote: now,
+            partial: None,
+            asked: None,
             queue: VecDeque::new(),
             writing: None,
             calls: HashMap::new(),
@@ -357,8 +421,12 @@
         let Some(c) = self.conns.get_mut(&id) else { return };
         if !c.standing {
             match c.conn.connected() {
-                Ok(true) => c.standing = true,
+                Ok(true) => (c.standing, c.wrote) = (true, now),
                 Ok(false) => return,
+                // One that was taken and broke at once does not say that nobody listens.
+                Err(e) if e.kind() == ErrorKind::ConnectionReset => {
+                    return self.end(now, id, Reason::PeerReset, log)
+                }
                 Err(_) => return self.end(now, id, Reason::ConnectRefused, log),
             }
         }
@@ -372,7 +440,11 @@
         loop {
             let Some(c) = self.conns.get_mut(&id) else { return Ok(()) };
             // A reset must not swallow the answers that came before it.
+            let before = c.conn.inbox.len();
             let filled = c.conn.fill();
+            if c.conn.inbox.len() > before {
+                (c.heard, c.asked) = (now, None);
+            }
             loop {
                 let Some(c) = self.conns.get_mut(&id) else { return Ok(()) };
                 match lines::next_answer(&mut c.conn.inbox) {
@@ -385,6 +457,14 @@
                 }
             }
             let more = filled?;
+            let Some(c) = self.conns.get_mut(&id) else { return Ok(()) };
+            c.partial = if c.conn.inbox.is_empty() { None } else { c.partial.or(Some(now)) };
+            if c.conn.inbox.len() > LARGE {
+                let held: usize = self.conns.values().map(|c| c.conn.inbox.len()).sum();
+                if held > self.bytes {
+                    return Err(Reason::Protocol);
+                }
+            }
             let Some(c) = self.conns.get(&id) else { return Ok(()) };
             if c.conn.eof {
                 return Err(if c.is_idle() { Reason::PeerClosed } else { Reason::PeerReset });
@@ -397,7 +477,7 @@
 
     fn answered(&mut self, now: Micros, id: ConnId, answer: lines::Answer) {
         let Some(c) = self.conns.get_mut(&id) else { return };
-        c.used = now;
+        (c.used, c.partial) = (now, None);
         if let Some((order, _)) = c.orders.remove(&answer.id) {
             let (outcome, copies) = (answer.outcome(), answer.copies());
             return self.notices.push_back(Notice::Order { order, outcome, copies });
@@ -429,6 +509,9 @@
             match c.conn.flush() {
                 Err(reason) => break Some(reason),
                 Ok(written) => {
+                    if written > 0 {
+                        c.wrote = now;
+                    }
                     let whole = c.conn.outbox.is_empty();
                     if let Some((_, begun)) = &mut c.writing {
                         *begun |= written > 0;
@@ -439,8 +522,14 @@
                 }
             }
             match c.writing.take() {
-                Some((Item::Call { attempt, id, .. }, _)) => drop(c.calls.insert(id, attempt)),
-                Some((Item::Order { order, .. }, _)) => drop(c.orders.insert(order_tag(order), (order, now))),
+                Some((Item::Call { attempt, id, .. }, _)) => {
+                    c.owes_from(now);
+                    c.calls.insert(id, attempt);
+                }
+                Some((Item::Order { order, .. }, _)) => {
+                    c.owes_from(now);
+                    c.orders.insert(order_tag(order), (order, now));
+                }
                 Some((Item::Kill { attempt, id }, _)) => {
                     // An answer may have come just before: then it is the end of the attempt.
                     if c.calls.remove(&id).is_some() {
@@ -469,7 +558,9 @@
         self.notices.push_back(Notice::Attempt { attempt, end, body: Vec::new() });
     }
 
-    /// Ends a connection: what had left whole may have run, all else proves that it did not.
+    /// Ends a connection: what had left whole may have run, all else proves that it did not. What has not
+    /// begun to leave goes on another connection, unless the host takes none: a connection that breaks says
+    /// nothing against it, and giving the attempt back would.
     fn end(&mut self, now: Micros, id: ConnId, reason: Reason, log: &mut Log) {
         let Some(mut c) = self.conns.remove(&id) else { return };
         if let Some(m) = self.members.get_mut(&c.host) {
@@ -477,8 +568,13 @@
         }
         let detail = format!("calls={} orders={} queued={}", c.calls.len(), c.orders.len(), c.queue.len());
         log.ended(now, format_args!("host {}", c.host.0), reason, detail);
+        let begun = c.writing.as_ref().is_some_and(|(_, begun)| *begun);
         let unsent = c.writing.take().map(|(item, _)| item).into_iter().chain(c.queue.drain(..));
-        for item in unsent.collect::<Vec<_>>() {
+        let dead = matches!(reason, Reason::ConnectTimeout | Reason::HostGone | Reason::Shutdown);
+        for (i, item) in unsent.collect::<Vec<_>>().into_iter().enumerate() {
+            let stays = dead || (i == 0 && begun);
+            let item = if stays { Some(item) } else { self.go_on(now, &c.host, item, reason, log) };
+            let Some(item) = item else { continue };
             match item {
                 Item::Call { attempt, .. } => self.end_attempt(attempt, Outcome::ConnectFailed.into()),
                 Item::Order { order, .. } => {
@@ -507,13 +603,69 @@
         c.conn.close(&self.handle);
     }
 
-    /// Gives up connections that do not come up, and closes idle ones.
+    /// Has a command go on another connection to the host, if that may and can be; else gives it back.
+    fn go_on(
+        &mut self,
+        now: Micros,
+        host: &WorkerId,
+        mut item: Item,
+        reason: Reason,
+        log: &mut Log,
+    ) -> Option<Item> {
+        let known = match &mut item {
+            Item::Call { id, moves, .. } if *moves < MOVES => {
+                *moves += 1;
+                Some(id.clone())
+            }
+            Item::Order { moves, .. } if *moves < MOVES => {
+                *moves += 1;
+                None
+            }
+            _ => return Some(item),
+        };
+        // Where the host turns connections away, only one that stands will do.
+        let refused = reason == Reason::ConnectRefused;
+        let fits = |c: &HostConn, streams| {
+            (c.standing || !refused) && known.as_ref().is_none_or(|id| c.load() < streams && !c.knows(id))
+        };
+        let stands = |id: &ConnId| self.conns.get(id).is_some_and(|c| c.standing);
+        if refused && !self.members.get(host).is_some_and(|m| m.conns.iter().any(stands)) {
+            return Some(item);
+        }
+        let Some(id) = self.pick(now, host, fits, log) else { return Some(item) };
+        if let Item::Call { attempt, .. } = &item {
+            self.attempts.insert(*attempt, id);
+        }
+        self.push(now, id, item, log);
+        None
+    }
+
+    /// Gives up connections that do not come up, that nobody answers on any more, or that are stuck within an
+    /// answer or a command, and closes idle ones.
     pub fn tick(&mut self, now: Micros, log: &mut Log) {
         let idle = (self.transport.conn_idle as f64 * IDLE_SHARE) as Micros;
         let patience = self.transport.order_timeout;
         self.conns.values_mut().for_each(|c| c.orders.retain(|_, (_, at)| now - *at <= patience));
+        if self.transport.probes {
+            let silent = |c: &HostConn| c.standing && c.owes() && now - c.heard >= QUIET;
+            let silent = self.conns.iter().filter(|(_, c)| c.asked.is_none() && silent(c));
+            let mut silent: Vec<_> = silent.map(|(id, _)| *id).collect();
+            silent.sort();
+            for id in silent {
+                self.next_probe += 1;
+                let probe = Item::Plain(lines::helo(&format!("p{}", self.next_probe)));
+                if let Some(c) = self.conns.get_mut(&id) {
+                    c.asked = Some(now);
+                    c.queue.push_front(probe);
+                    self.pump(now, id, log);
+                }
+            }
+        }
         let over = |c: &HostConn| match c.standing {
             false if now - c.begun >= self.transport.connect_timeout => Some(Reason::ConnectTimeout),
+            true if c.partial.is_some_and(|since| now - since >= HALTING) => Some(Reason::Protocol),
+            true if c.asked.is_some_and(|since| now - since >= UNHEARD) => Some(Reason::Silent),
+            true if c.writing.is_some() && now - c.wrote >= STALLED => Some(Reason::SlowReader),
             true if c.is_idle() && now - c.used >= idle => Some(Reason::Idle),
             _ => None,
         };
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -29,8 +29,11 @@
 const DUE_MARGIN: Micros = 20_000;
 /// Descriptors that are neither clients' nor hosts': standard streams, the loop's own, listener, bus.
 const OWN_SOCKETS: usize = 24;
-/// Bodies of open requests, all together: beyond that requests are refused.
-const BODIES: usize = 48 << 20;
+/// Parts of the memory limit that bodies of open requests, bytes for clients that do not read, and answers
+/// that are not whole may take, each of them. The program itself needs a few megabytes.
+const MEMORY_SHARE: usize = 6;
+/// Connections taken in at one go: hundreds at once must not keep the loop from those that have asked.
+const ACCEPT_AT_ONCE: usize = 32;
 /// After SIGTERM requests keep coming for this long.
 const STILL_COMING: Micros = 800_000;
 /// What the bus may have on its way: the longest frame and more.
@@ -92,6 +95,8 @@
     /// Ids of the pending requests, as clients chose them.
     ids: HashSet<Rc<str>>,
     bodies: usize,
+    /// Bodies of open requests, all together: beyond that requests are refused.
+    most_bodies: usize,
     side: Side,
     hosts: Hosts,
     stopping: Option<Micros>,
@@ -102,13 +107,14 @@
     pub fn new(handle: LoopHandle<'static, Node>, config: Config) -> Result<Self, String> {
         let transport = config.deployment.transport.clone();
         let clients = (config.sockets / 3).max(1);
+        let share = config.memory / MEMORY_SHARE;
         let most = config.sockets.saturating_sub(clients + OWN_SOCKETS).max(1);
         let router = config.deployment.router(config.seed).map_err(|e| e.to_string())?;
         let mut known = Vec::new();
         let side = match config.side {
             config::Side::Platform { bus, offset, known: events } => {
                 known = events;
-                let front = Box::new(Platform::new(handle.clone(), clients, transport.conn_idle));
+                let front = Box::new(Platform::new(handle.clone(), (clients, share), transport.conn_idle));
                 Side::Platform(front, Bus::new(bus, offset))
             }
             config::Side::Operator { resolver, service, bounds, classes } => {
@@ -129,8 +135,9 @@
             pending: HashMap::new(),
             ids: HashSet::new(),
             bodies: 0,
+            most_bodies: share,
             side,
-            hosts: Hosts::new(handle.clone(), transport, most),
+            hosts: Hosts::new(handle.clone(), transport, (most, share)),
             deployment: config.deployment,
             clock: Clock::default(),
             log: Log::new(),
@@ -149,7 +156,8 @@
     /// Connections are waiting to be accepted. False where none can be for now: there is no descriptor left,
     /// and as the listener stays ready, trying again at once would keep the loop busy for nothing.
     pub fn accept(&mut self, listener: &TcpListener) -> bool {
-        let able = loop {
+        let mut able = true;
+        for _ in 0..ACCEPT_AT_ONCE {
             let now = self.clock.now();
             match listener.accept() {
                 Ok((stream, peer)) => match &mut self.side {
@@ -157,15 +165,16 @@
                     Side::Operator { front, .. } => front.accept(now, stream, peer, &mut self.log),
                 },
                 Err(e) => match e.kind() {
-                    ErrorKind::WouldBlock => break true,
+                    ErrorKind::WouldBlock => break,
                     ErrorKind::Interrupted | ErrorKind::ConnectionAborted => {}
                     _ => {
                         self.log.line(now, format_args!("no connection can be accepted: {e}"));
-                        break false;
+                        able = false;
+                        break;
                     }
                 },
             }
-        };
+        }
         self.settle();
         able
     }
@@ -292,6 +301,12 @@
     /// What is due by now; how long nothing else will be.
     pub fn turn(&mut self) -> Duration {
         let now = self.clock.now();
+        if let Side::Platform(front, _) = &mut self.side {
+            if front.has_more() {
+                front.go_on(now, &mut self.log);
+                self.settle();
+            }
+        }
         if self.next_tick() <= now {
             self.run_engine(|engine, out| engine.tick(now, out));
             self.hosts.tick(now, &mut self.log);
@@ -325,6 +340,9 @@
             }
             self.settle();
         }
+        if matches!(&self.side, Side::Platform(front, _) if front.has_more()) {
+            return Duration::ZERO;
+        }
         let wait = (self.next_tick() - self.clock.now()).clamp(0, HOUSEKEEPING);
         Duration::from_micros(wait as u64)
     }
@@ -539,7 +557,7 @@
 
     fn request(&mut self, now: Micros, origin: Origin, incoming: Incoming) {
         let size = incoming.body.len();
-        if self.bodies + size > BODIES {
+        if self.bodies + size > self.most_bodies {
             return self.reply(now, &origin, Reply::Refused(self.deployment.settings.max_retry_after));
         }
         let new = NewRequest {
--- a/node/src/ring.rs
+++ b/node/src/ring.rs
@@ -12,6 +12,8 @@
 
 /// Storage of a ring that has been used at all.
 const FIRST: usize = 4096;
+/// Storage that an empty ring keeps at most.
+const KEPT: usize = 16 << 10;
 
 impl Ring {
     pub fn new(bound: usize) -> Self {
@@ -50,6 +52,10 @@
         let n = n.min(self.len);
         self.len -= n;
         self.head = if self.len == 0 { 0 } else { (self.head + n) % self.buf.len() };
+        // What one long message took is not kept for as long as the connection lives.
+        if self.len == 0 && self.buf.len() > KEPT {
+            self.buf = Box::default();
+        }
     }
 
     /// A copy of `n` bytes that begin `at` bytes behind the front; `None` while they are not all there.
--- a/node/tests/platform.rs
+++ b/node/tests/platform.rs
@@ -370,3 +370,107 @@
     other.write_all(&call_frame(2, "check-score", 4000, b"b")).unwrap();
     assert_eq!((read_frame(&mut other).unwrap().code, host.calls()), (SERVED, 2));
 }
+
+/// An answer that cannot be read, or does not come whole, has its connection ended. Its call has run: a read
+/// goes on elsewhere and a mail fails, each once. Other connections to the host, and the host, are untouched.
+#[rstest]
+#[case::noise("\x01\x02\x03 noise\r\n", "protocol")]
+#[case::a_line_that_never_ends("x".repeat(5000).leak(), "protocol")]
+#[case::huge("ID 200 tell=warm 3000000000\r\n", "protocol")]
+#[case::longer_than_told("ID 200 tell=warm 3\r\nabcdef\r\n", "protocol")]
+#[case::stops_short("ID 200 tell=warm 900\r\nabc", "protocol")]
+#[case::not_at_all("", "silent")]
+fn a_spoilt_answer_ends_its_connection_alone(#[case] bytes: &'static str, #[case] reason: &str) {
+    let (host, other) =
+        (Host::start(Ways { does: Does::Answer("200"), work: ms(1500), load: None }), Host::warm());
+    let mut p = platform(&[&host]);
+    let mut client = p.program.connect();
+    client.write_all(&call_frame(1, "send-mail", 4000, b"slow")).unwrap();
+    wait_for("the call", || host.calls() == 1);
+    host.ways.lock().unwrap().does = Does::Spoils(bytes);
+    client.write_all(&call_frame(2, "send-mail", 4000, b"mail")).unwrap();
+    let answer = read_frame(&mut client).unwrap();
+    assert_eq!((answer.stream, answer.code), (2, FAILED), "it may have run");
+    p.feed.write_all(&event(2, false, &[(1, other.address, 0)])).unwrap();
+    client.write_all(&call_frame(3, "check-score", 4000, b"read")).unwrap();
+    let answer = read_frame(&mut client).unwrap();
+    assert_eq!((answer.stream, answer.code), (3, SERVED), "it may run again");
+    let answer = read_frame(&mut client).unwrap();
+    assert_eq!((answer.stream, answer.code), (1, SERVED), "on a connection of its own");
+    assert_eq!((host.runs("slow"), host.runs("mail") + other.runs("mail")), (1, 1));
+    let ended = p.program.logged(&format!("reason={reason}"));
+    assert!((1..=4).contains(&ended) && p.program.logged("rests") == 0, "{ended} connections");
+}
+
+/// What belongs to no call is dropped, and the connection is used on.
+#[test]
+fn an_answer_under_an_unknown_id_and_a_second_copy_are_dropped() {
+    let host = Host::warm();
+    host.ways.lock().unwrap().does =
+        Does::Spoils("zz 200 - 1\r\nx\r\nID 200 - 1\r\na\r\nID 200 - 1\r\nb\r\n");
+    let p = platform(&[&host]);
+    let mut client = p.program.connect();
+    client.write_all(&[call_frame(1, "send-mail", 4000, b""), client_frame(4, 9, &[0])].concat()).unwrap();
+    let mut frames = [read_frame(&mut client).unwrap(), read_frame(&mut client).unwrap()];
+    frames.sort_by_key(|f| f.kind);
+    assert_eq!((frames[0].body.as_slice(), frames[1].kind), (&b"a"[..], 5));
+    assert_eq!(p.program.logged("reason=protocol"), 0);
+}
+
+/// A newcomer that says nothing, or half of something, is turned away in good time, and a client that asked
+/// once stays.
+#[rstest]
+#[case::nothing(Vec::new(), 0)]
+#[case::half_a_request(call_frame(1, "send-mail", 4000, b"")[..40].to_vec(), 1)]
+#[case::half_a_length(vec![9, 0], 1)]
+fn newcomers_that_do_not_ask_are_turned_away_in_time(#[case] bytes: Vec<u8>, #[case] errors: usize) {
+    let host = Host::warm();
+    let p = platform(&[&host]);
+    let mut usual = p.program.connect();
+    usual.write_all(&call_frame(1, "send-mail", 4000, b"")).unwrap();
+    assert_eq!(read_frame(&mut usual).unwrap().code, SERVED);
+    let begun = std::time::Instant::now();
+    let mut client = p.program.connect();
+    client.write_all(&bytes).unwrap();
+    let frames: Vec<_> = std::iter::from_fn(|| read_frame(&mut client)).collect();
+    assert!(begun.elapsed() < ms(3_000), "{:?}", begun.elapsed());
+    assert!(frames.len() == errors && frames.iter().all(|f| (f.stream, f.code) == (0, FAILED)), "{frames:?}");
+}
+
+/// What is sent at full speed after an error is passed over, so that no reset overtakes the error, and costs
+/// others next to nothing.
+#[test]
+fn sixty_megabytes_are_refused_before_they_have_come() {
+    let host = Host::warm();
+    let p = platform(&[&host]);
+    let mut client = p.program.connect();
+    let mut frame = client_frame(1, 1, &[]);
+    frame[..4].copy_from_slice(&(60u32 << 20).to_le_bytes());
+    client.write_all(&frame).unwrap();
+    let mut sender = client.try_clone().unwrap();
+    let sending = std::thread::spawn(move || (0..60).all(|_| sender.write_all(&vec![7; 1 << 20]).is_ok()));
+    let mut usual = p.program.connect();
+    usual.write_all(&call_frame(1, "send-mail", 4000, b"")).unwrap();
+    assert_eq!(read_frame(&mut usual).unwrap().code, SERVED);
+    let error = read_frame(&mut client).unwrap();
+    assert_eq!((error.stream, error.code), (0, FAILED));
+    assert_eq!(read_frame(&mut client), None);
+    assert!(sending.join().unwrap(), "all of it could be sent");
+}
+
+/// A third of the descriptors is the clients': those that never asked go first.
+#[test]
+fn hundreds_that_say_nothing_do_not_crowd_out_a_client_that_asked() {
+    let host = Host::warm();
+    let p = platform(&[&host]);
+    let mut usual = p.program.connect();
+    usual.write_all(&call_frame(1, "send-mail", 4000, b"")).unwrap();
+    assert_eq!(read_frame(&mut usual).unwrap().code, SERVED);
+    let silent: Vec<_> = (0..80).map(|_| p.program.connect()).collect();
+    sleep(ms(300));
+    let more: Vec<_> = (0..60).map(|_| p.program.connect()).collect();
+    wait_for("places to be made", || p.program.logged("reason=evicted requests=0") >= 40);
+    usual.write_all(&call_frame(2, "send-mail", 4000, b"")).unwrap();
+    assert_eq!(read_frame(&mut usual).unwrap().code, SERVED);
+    drop((silent, more));
+}
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -56,6 +56,8 @@
     #[serde(default)]
     max_retry_after_us: i64,
     #[serde(default)]
+    probes: bool,
+    #[serde(default)]
     retry_after: bool,
     streams_per_conn: Option<usize>,
 }
@@ -91,6 +93,8 @@
     pub connect_timeout: Micros,
     /// Attempts that one connection carries at once.
     pub streams: usize,
+    /// Hosts may be asked whether they are well.
+    pub probes: bool,
     /// An order that was not answered by then has ended.
     pub order_timeout: Micros,
     /// Answers tell what they found.
@@ -185,6 +189,7 @@
             conn_idle: o.limits.conn_idle_us.unwrap_or(30_000_000),
             connect_timeout: o.limits.connect_timeout_us.unwrap_or(250_000),
             streams: o.limits.streams_per_conn.unwrap_or(32),
+            probes: o.limits.probes,
             order_timeout: o.family_info.order_timeout_us.unwrap_or(10_000_000),
             says_warm: o.family_info.says_warm,
             counts_alike: o.family_info.counts_alike,
