Workers that have all but stopped rest; a lone slow worker's functions go to the next

Checked with a trace by host: from 5.5 s on two of six hosts answered a tenth of what they had, 2 s late (s- 143 answers in 2 s, then 12). 129 reads stayed with them until their time was up; 486 calls were refused with nothing sent, all of functions that have one of the two first in their order. Orders all ended well, the other hosts answered as before, nothing was reset. - src/rules.rs route(): only the first usable worker was asked whether it has room. Now one that is alone in being slow (4 times the mean) is passed over. Workers of whose attempts most have grown old rest too, if they are a third of the fleet at most.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -52,6 +52,10 @@
 const SILENT_MULTIPLE: f64 = 5.0;
 /// ... and than this, since short calls scatter more.
 const SILENT_LEAST: Micros = 600_000;
+/// So many attempts that grew old, if they are most of what it holds, tell that a worker has all but stopped...
+const STUCK: u32 = 3;
+/// ... as long as it is no more than this share of the workers: else it is the load.
+const STUCK_SHARE: f64 = 0.34;
 /// First rest of a worker that looks ill; doubles up to the longest while trials fail.
 const FIRST_REST: Micros = 1_000_000;
 /// Longest rest.
@@ -76,6 +80,8 @@
 const PRESSURE: f64 = 0.3;
 /// When the fleet's answers take more than this share of their aim, a part of the requests is refused.
 const SHED: f64 = 0.6;
+/// A worker is alone in being slow above this multiple of the mean.
+const ALONE: f64 = 4.0;
 /// Part of the window of keyed repeats that is left unused: a repeat may have to wait for a connection.
 const REPEAT_MARGIN: Micros = 16;
 /// A request that finds no room is held for this share of its aim, then refused while that is early.
@@ -307,6 +313,7 @@
             size: up().map(|w| w.size).sum(),
             in_flight: up().map(|w| w.mean_in_flight).sum(),
             ill: up().filter(|w| w.ill_until > self.now || w.on_trial).count() as f64,
+            slow: up().map(|w| w.slow).sum::<f64>() / up().count().max(1) as f64,
             load: 0.0,
         };
         self.totals.load = self.workers.values().filter(|w| w.up).map(|w| self.load(w)).sum();
@@ -415,7 +422,11 @@
         if let Some((_, _, n)) = best {
             return Route::Send(n);
         }
-        let home = fit.first().filter(|(_, w)| self.admits(w)).map(|(n, _)| (*n).clone());
+        // A worker alone in being slow would have all refused that it is the first for: the next one serves.
+        // Where all are slow, ever more copies would only push out others.
+        let alone = |w: &Worker| w.slow > ALONE * self.totals.slow && !self.admits(w);
+        let home = fit.iter().find(|(_, w)| !alone(w)).filter(|(_, w)| self.admits(w));
+        let home = home.map(|(n, _)| (*n).clone());
         let lacks = |n| f.places.get(n).is_none_or(|p| p.warm_until <= self.now && p.loading.is_none());
         let free = |n, w: &Worker| lacks(n) && self.admits(w) && self.load(w) / w.size < limit;
         let spill = fit.iter().find(|(n, w)| free(*n, w)).map(|(n, _)| (*n).clone());
@@ -897,18 +908,32 @@
     /// Workers that take requests and answer none: attempts on loaded copies grow old and nothing is heard.
     fn find_silent(&mut self, out: &mut Vec<Action>) {
         let old = ((self.usual * SILENT_MULTIPLE) as Micros).max(SILENT_LEAST);
-        let mut waiting: BTreeMap<&WorkerId, u32> = BTreeMap::new();
+        let (mut waiting, mut aged): (BTreeMap<&WorkerId, u32>, BTreeMap<&WorkerId, u32>) =
+            Default::default();
         for r in self.requests.values() {
             for t in r.tries.iter().filter(|t| t.ended.is_none() && t.warm) {
                 let age = self.now - t.sent;
+                if age > old {
+                    *aged.entry(&t.worker).or_default() += 1;
+                }
                 if age > old && self.workers.get(&t.worker).is_some_and(|w| w.heard <= t.sent) {
                     *waiting.entry(&t.worker).or_default() += 1 + u32::from(age > 2 * old);
                 }
             }
         }
         let enough = if self.trust() > 0.5 { 2 } else { 1 };
-        let silent: Vec<_> =
+        let mut silent: BTreeSet<_> =
             waiting.into_iter().filter(|(_, k)| *k > enough).map(|(n, _)| n.clone()).collect();
+        // One that answers now and then while most of what it holds grows old, which others do not let happen,
+        // has all but stopped.
+        let stuck = aged.into_iter().filter(|(n, k)| {
+            let w = self.workers.get(*n).filter(|w| w.up && w.ill_until <= self.now);
+            w.is_some_and(|w| *k >= STUCK && *k * 2 > w.in_flight)
+        });
+        let stuck: Vec<_> = stuck.map(|(n, _)| n.clone()).collect();
+        if stuck.len() as f64 + self.totals.ill <= STUCK_SHARE * self.totals.up {
+            silent.extend(stuck);
+        }
         for n in silent {
             self.rest(&n, out);
             if !self.settings.cancel || self.panicking() {
--- a/src/state.rs
+++ b/src/state.rs
@@ -30,6 +30,8 @@
     pub(crate) in_flight: f64,
     pub(crate) load: f64,
     pub(crate) ill: f64,
+    /// Mean time of their answers, over their aim.
+    pub(crate) slow: f64,
 }
 
 #[derive(Default)]
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -533,3 +533,59 @@
     });
     assert_eq!(refused(&bed.pass(100 * MS)), 1);
 }
+
+/// Found on a recorded day: two workers answered now and then, a hundred times too late. They were neither
+/// silent nor failing, and reads stayed with them until their time was up.
+#[test]
+fn a_worker_that_has_all_but_stopped_loses_its_reads() {
+    let settings = Settings { when_cold: WhenCold::Misses, ..settings() };
+    let mut bed = Bed::new(settings, 3);
+    let homes: Vec<_> = (0..12).map(|i| (bed.serve(SAFE, &format!("f{i}")), format!("f{i}"))).collect();
+    let slow = homes[0].0.clone();
+    let (here, there): (Vec<_>, Vec<_>) = homes.into_iter().partition(|(w, _)| *w == slow);
+    let calls = here.iter().chain(&here).chain(&here).map(|(_, f)| bed.call(SAFE, f));
+    let held: Vec<_> = calls.filter(|(_, out)| sent(out).as_ref() == Some(&slow)).map(|(r, _)| r).collect();
+    bed.pass(100 * MS);
+    // One answer, after which it cannot be called silent.
+    bed.answer(&held[0], 0, &slow, Outcome::Done);
+    let mut cancelled = 0;
+    for _ in 0..20 {
+        for (worker, f) in &there {
+            let (request, out) = bed.call(SAFE, f);
+            if sent(&out).as_ref() == Some(worker) {
+                bed.answer(&request, 0, worker, Outcome::Done);
+            }
+        }
+        let out = bed.pass(60 * MS);
+        cancelled += out.iter().filter(|a| matches!(a, Action::Cancel { .. })).count();
+    }
+    assert!(held.len() > 3 && cancelled == held.len() - 1, "{cancelled} of {}", held.len());
+}
+
+/// Found on the same day: whatever had the slow worker first in its order was refused, though others had room.
+#[test]
+fn a_function_whose_first_worker_is_slow_goes_to_the_next() {
+    let mut bed = Bed::new(settings(), 6);
+    let slow = bed.serve(SAFE, "f");
+    for i in 0..60 {
+        let (request, out) = bed.call(SAFE, &format!("f{}", i % 20));
+        let worker = sent(&out).expect("an attempt");
+        let duration = if worker == slow { 900 * MS } else { 20 * MS };
+        bed.now += 20 * MS;
+        bed.event(Event::Answer {
+            request,
+            attempt: 0,
+            worker,
+            outcome: Outcome::Done,
+            finished: true,
+            duration,
+            found: Some(Found::Warm),
+            crowd: None,
+            holding: None,
+        });
+    }
+    // What it is first for is more than it is given now.
+    let sends: Vec<_> = (0..60).filter_map(|i| sent(&bed.call(SAFE, &format!("g{i}")).1)).collect();
+    assert_eq!(sends.len(), 60, "nothing waits");
+    assert!(sends.iter().filter(|w| **w == slow).count() < 8, "{sends:?}");
+}
