--- a/node/src/front/invoke.rs
+++ b/node/src/front/invoke.rs
@@ -30,6 +30,10 @@
 const LINGER: Micros = 1_000_000;
 /// A request must be whole within this time from its first byte.
 const SLOW_REQUEST: Micros = 10_000_000;
+/// One that has sent nothing, or half of a request, for so long may go when others need its place.
+const SPEECHLESS: Micros = 200_000;
+/// Reads of one connection at one go: who sends at full speed must not keep the loop from the others.
+const AT_ONCE: usize = 8;
 /// Advice to clients that ask again for a deferred result, or after a bound of this front, in seconds.
 const ASK_AGAIN: &str = "1";
 const RESULTS: &str = "/v1/results/";
@@ -101,6 +105,10 @@
     most: usize,
     conn_idle: Micros,
     results: Results,
+    /// Bytes that wait for clients, all together.
+    bytes: usize,
+    /// Connections that were left with more to read.
+    again: Vec<ConnId>,
     /// Of classes and tenants; calls go by their places.
     names: (Vec<String>, Vec<String>),
     stopping: bool,
@@ -116,7 +124,7 @@
 impl Invoke {
     pub fn new(
         handle: LoopHandle<'static, Node>,
-        most: usize,
+        (most, bytes): (usize, usize),
         conn_idle: Micros,
         bounds: Bounds,
         names: (Vec<String>, Vec<String>),
@@ -127,6 +135,8 @@
             most,
             conn_idle,
             results: Results::new(bounds),
+            bytes,
+            again: Vec::new(),
             names,
             stopping: false,
             ready: false,
@@ -154,14 +164,24 @@
                 let (told_to_continue, begun, taken) = (false, None, 0);
                 let fresh = HttpConn { conn, peer, state, told_to_continue, active: now, begun, taken };
                 self.conns.insert(id, fresh);
+                // Most have their request with them, and then are no longer among the speechless.
+                self.ready(now, id, log);
             }
             Err(e) => log.line(now, format_args!("http client {peer} cannot be taken in: {e}")),
         }
     }
 
+    /// Makes room by closing a connection that is owed nothing: first those that never asked anything
+    /// whole, then those that have had time to see their end, then those that have been idle longest.
     fn evict(&mut self, now: Micros, log: &mut Log) -> bool {
-        let idle = self.conns.iter().filter(|(_, c)| matches!(c.state, State::Reading) && c.begun.is_none());
-        let oldest = idle.min_by_key(|(id, c)| (c.active, **id)).map(|(id, _)| *id);
+        let rank = |c: &HttpConn| match &c.state {
+            State::Lingering(_, since) => (now - since >= SPEECHLESS).then_some((1, *since)),
+            State::Reading if c.taken == 0 => (now - c.active >= SPEECHLESS).then_some((0, c.active)),
+            State::Reading => c.begun.is_none().then_some((2, c.active)),
+            State::Waiting { .. } | State::Closing(_) => None,
+        };
+        let ranked = self.conns.iter().filter_map(|(id, c)| Some((rank(c)?, *id)));
+        let oldest = ranked.min().map(|(_, id)| id);
         oldest.inspect(|id| self.end(now, *id, Reason::Evicted, log)).is_some()
     }
 
@@ -172,8 +192,20 @@
         }
     }
 
+    /// Whether connections were left with more to read.
+    pub fn has_more(&self) -> bool {
+        !self.again.is_empty()
+    }
+
+    /// Reads on where more was left.
+    pub fn go_on(&mut self, now: Micros, log: &mut Log) {
+        for id in std::mem::take(&mut self.again) {
+            self.ready(now, id, log);
+        }
+    }
+
     fn serve(&mut self, now: Micros, id: ConnId, log: &mut Log) -> Result<(), Reason> {
-        loop {
+        for _ in 0..AT_ONCE {
             let Some(c) = self.conns.get_mut(&id) else { return Ok(()) };
             if c.conn.flush()? > 0 {
                 c.active = now;
@@ -202,6 +234,8 @@
                 return Ok(());
             }
         }
+        self.again.push(id);
+        Ok(())
     }
 
     /// Takes one request; false when none is whole, or the last one is not answered yet.
@@ -423,6 +457,11 @@
                 c.linger_if_done(now);
             }
         }
+        // Clients that do not read share what memory there is.
+        let backed_up = self.conns.get(&id).is_some_and(|c| !c.conn.outbox.is_empty());
+        if backed_up && self.conns.values().map(|c| c.conn.outbox.len()).sum::<usize>() > self.bytes {
+            self.end(now, id, Reason::SlowReader, log);
+        }
     }
 
     /// Ends a connection. Who waited on it for a call has left; a deferred call lives on.
@@ -441,7 +480,6 @@
         let over = |c: &HttpConn| match &c.state {
             _ if !c.conn.outbox.is_empty() => (now - c.active >= STALLED).then_some(Reason::SlowReader),
             State::Lingering(reason, since) if now - since >= LINGER => Some(*reason),
-            State::Reading if c.begun.is_some_and(|b| now - b >= SLOW_REQUEST) => Some(Reason::Protocol),
             State::Reading if c.begun.is_none() && now - c.active >= self.conn_idle => Some(Reason::Idle),
             _ => None,
         };
@@ -450,6 +488,15 @@
         for (id, reason) in over {
             self.end(now, id, reason, log);
         }
+        let slow = |c: &HttpConn| {
+            matches!(c.state, State::Reading) && c.begun.is_some_and(|b| now - b >= SLOW_REQUEST)
+        };
+        let mut slow: Vec<_> = self.conns.iter().filter(|(_, c)| slow(c)).map(|(id, _)| *id).collect();
+        slow.sort();
+        for id in slow {
+            let answer = Response::problem(408, "the request did not come whole in time");
+            self.respond(now, id, answer, false, false, log);
+        }
     }
 
     pub fn shut_down(&mut self, now: Micros, log: &mut Log) {
--- a/node/src/front/platform.rs
+++ b/node/src/front/platform.rs
@@ -160,14 +160,14 @@
         }
     }
 
-    /// Makes room by closing a connection without an open request: first those that see their end already,
-    /// then those that never asked, then those that have been idle longest. Hundreds that say nothing must
-    /// not crowd out clients that asked once and keep their connection.
+    /// Makes room by closing a connection without an open request: first those that never asked, then those
+    /// that have had time to see their end, then those that have been idle longest. Hundreds that say nothing
+    /// must not crowd out clients that asked once and keep their connection.
     fn evict(&mut self, now: Micros, log: &mut Log) -> bool {
         let rank = |c: &ClientConn| match () {
-            _ if c.lingers.is_some() => Some((0, c.begun)),
+            _ if c.lingers.is_some_and(|since| now - since >= SPEECHLESS) => Some((1, c.begun)),
             _ if !c.open.is_empty() || c.broken => None,
-            _ if !c.asked => (now - c.begun >= SPEECHLESS).then_some((1, c.begun)),
+            _ if !c.asked => (now - c.begun >= SPEECHLESS).then_some((0, c.begun)),
             _ => c.conn.inbox.is_empty().then_some((2, c.active)),
         };
         let ranked = self.conns.iter().filter_map(|(id, c)| Some((rank(c)?, *id)));
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -120,8 +120,13 @@
             config::Side::Operator { resolver, service, bounds, classes } => {
                 let d = &config.deployment;
                 let names = (d.classes.clone(), d.tenants.clone());
-                let front =
-                    Box::new(Invoke::new(handle.clone(), clients, transport.conn_idle, bounds, names));
+                let front = Box::new(Invoke::new(
+                    handle.clone(),
+                    (clients, share),
+                    transport.conn_idle,
+                    bounds,
+                    names,
+                ));
                 let browser = Browser::new(service, d.zones.clone(), config.seed);
                 let hosts = DnsSd::new(&handle, resolver, browser);
                 let hosts = Box::new(hosts.map_err(|e| format!("no socket for queries to {resolver}: {e}"))?);
@@ -298,14 +303,23 @@
         engine.min(hosts).min(news).min(self.kept_house + HOUSEKEEPING)
     }
 
+    /// Whether a client was left with more to read, so that others had their turn.
+    fn has_more(&self) -> bool {
+        match &self.side {
+            Side::Platform(front, _) => front.has_more(),
+            Side::Operator { front, .. } => front.has_more(),
+        }
+    }
+
     /// What is due by now; how long nothing else will be.
     pub fn turn(&mut self) -> Duration {
         let now = self.clock.now();
-        if let Side::Platform(front, _) = &mut self.side {
-            if front.has_more() {
-                front.go_on(now, &mut self.log);
-                self.settle();
+        if self.has_more() {
+            match &mut self.side {
+                Side::Platform(front, _) => front.go_on(now, &mut self.log),
+                Side::Operator { front, .. } => front.go_on(now, &mut self.log),
             }
+            self.settle();
         }
         if self.next_tick() <= now {
             self.run_engine(|engine, out| engine.tick(now, out));
@@ -340,7 +354,7 @@
             }
             self.settle();
         }
-        if matches!(&self.side, Side::Platform(front, _) if front.has_more()) {
+        if self.has_more() {
             return Duration::ZERO;
         }
         let wait = (self.next_tick() - self.clock.now()).clamp(0, HOUSEKEEPING);
@@ -520,7 +534,8 @@
             class,
             tenant,
             function: request.function,
-            timeout: request.timeout * 1000,
+            // No client waits longer than its class says; what is open for a day would pile up.
+            timeout: (request.timeout * 1000).min(2 * self.deployment.settings.classes[class].give_up),
             lanes: request.lanes,
             repeat: request.repeat,
             key: request.key,
--- a/node/tests/invoke.rs
+++ b/node/tests/invoke.rs
@@ -360,3 +360,30 @@
         b.calls() > 0
     });
 }
+
+/// Half requests, silence and a flood take no place from a client that asks, and a sender at full speed gets
+/// its error.
+#[test]
+fn hostile_clients_cost_a_usual_one_nothing() {
+    let host = Host::warm();
+    let (program, _resolver) = operator(&[&host], |text| text.replace("sockets = 1024", "sockets = 96"));
+    let silent: Vec<_> = (0..16).map(|_| program.connect()).collect();
+    let half = || {
+        let mut stream = program.connect();
+        stream.write_all(b"POST /v1/functions/7f3a/calls HTTP/1.1\r\nHost: x\r\n").unwrap();
+        stream
+    };
+    let halves: Vec<_> = (0..16).map(|_| half()).collect();
+    sleep(ms(300));
+    assert_eq!(program.http(&call("7f3a", "check-score", &[], "x")).status, 200);
+    let mut flood = program.connect();
+    flood
+        .write_all(b"POST /v1/functions/7f3a/calls HTTP/1.1\r\nHost: x\r\nContent-Length: 60000000\r\n\r\n")
+        .unwrap();
+    let mut sender = flood.try_clone().unwrap();
+    let sending = std::thread::spawn(move || (0..60).all(|_| sender.write_all(&vec![7; 1_000_000]).is_ok()));
+    assert_eq!(program.http(&call("7f3a", "check-score", &[], "x")).status, 200);
+    assert_eq!(read_reply(&mut flood).unwrap().status, 413);
+    assert!(sending.join().unwrap(), "all of it could be sent");
+    drop((silent, halves));
+}
