--- a/src/rules.rs
+++ b/src/rules.rs
@@ -930,8 +930,7 @@
         let enough = if self.trust() > 0.5 { 2 } else { 1 };
         let mut silent: BTreeSet<_> =
             waiting.into_iter().filter(|(_, k)| *k > enough).map(|(n, _)| n.clone()).collect();
-        // One that answers now and then while most of what it holds grows old, which others do not let happen,
-        // has all but stopped.
+        // One that answers now and then while most of what it holds grows old has all but stopped.
         let stuck = aged.into_iter().filter(|(n, k)| {
             let w = self.workers.get(*n).filter(|w| w.up && w.ill_until <= self.now);
             w.is_some_and(|w| *k >= STUCK && *k * 2 > w.in_flight)
