--- a/src/rules.rs
+++ b/src/rules.rs
@@ -82,8 +82,8 @@
 const PRESSURE: f64 = 0.3;
 /// When the fleet's answers take more than this share of their aim, a part of the requests is refused.
 const SHED: f64 = 0.6;
-/// A worker is alone in being slow above this multiple of the mean.
-const ALONE: f64 = 4.0;
+/// A worker is alone in being slow above this multiple of the others' mean.
+const ALONE: f64 = 3.0;
 /// Part of the window of keyed repeats that is left unused: a repeat may have to wait for a connection.
 const REPEAT_MARGIN: Micros = 16;
 /// A request that finds no room is held for this share of its aim, then refused while that is early.
@@ -312,9 +312,10 @@
             at: self.now,
             up: up().count() as f64,
             size: up().map(|w| w.size).sum(),
+            warm: up().map(|w| w.size * self.warmth(w)).sum(),
             in_flight: up().map(|w| w.mean_in_flight).sum(),
             ill: up().filter(|w| w.ill_until > self.now || w.on_trial).count() as f64,
-            slow: up().map(|w| w.slow).sum::<f64>() / up().count().max(1) as f64,
+            slow: up().map(|w| w.slow).sum(),
             load: 0.0,
         };
         self.totals.load = self.workers.values().filter(|w| w.up).map(|w| self.load(w)).sum();
@@ -424,7 +425,8 @@
             return Route::Send(n);
         }
         // One alone in being slow is passed over. Where all are, ever more copies only push out others.
-        let alone = |w: &Worker| w.slow > ALONE * self.totals.slow && !self.admits(w);
+        let rest = |w: &Worker| (self.totals.slow - w.slow).max(0.0) / (self.totals.up - 1.0).max(1.0);
+        let alone = |w: &Worker| !self.admits(w) && w.slow > ALONE * rest(w) && rest(w) < PRESSURE;
         let home = fit.iter().find(|(_, w)| !alone(w)).filter(|(_, w)| self.admits(w));
         let home = home.map(|(n, _)| (*n).clone());
         let lacks = |n| f.places.get(n).is_none_or(|p| p.warm_until <= self.now && p.loading.is_none());
@@ -853,14 +855,12 @@
 
     /// A starting worker is sent no more than its share of what a warm one is seen to serve.
     fn cold_room(&self, name: &str, w: &Worker) -> bool {
-        let s = &self.settings;
-        let age = self.now - w.cold_since;
-        if w.cold_since <= 0 || age >= s.cold_for + s.fall_window {
+        let (s, share) = (&self.settings, self.warmth(w));
+        if share >= 1.0 {
             return true;
         }
-        let grown = (age - s.fall_window).max(0) as f64 / s.cold_for.max(1) as f64;
-        let share = (s.cold_from + (1.0 - s.cold_from) * grown).min(1.0);
-        let warm_rate = self.done_rate * w.size / self.totals.size.max(1e-9);
+        // Cold ones serve their part of what is seen: counted as warm, they would starve each other.
+        let warm_rate = self.done_rate * w.size / self.totals.warm.max(1e-9);
         let budget = COLD_MARGIN * s.fall_multiple * share * warm_rate * s.fall_window as f64 / 1e6;
         // A part of a request is admitted by lot, drawn anew each half window, so that hundreds of routers
         // whose share is far below one keep the limit together and none is shut out for ever.
--- a/src/state.rs
+++ b/src/state.rs
@@ -26,11 +26,13 @@
     pub(crate) at: Micros,
     pub(crate) up: f64,
     pub(crate) size: f64,
+    /// Sizes by the share of their capacity that starting workers are sure to have.
+    pub(crate) warm: f64,
     /// Mean numbers of our own requests there.
     pub(crate) in_flight: f64,
     pub(crate) load: f64,
     pub(crate) ill: f64,
-    /// Mean time of their answers, over their aim.
+    /// Times of their answers, over their aim.
     pub(crate) slow: f64,
 }
 
@@ -149,6 +151,18 @@
     pub(crate) held_worth: f64,
 }
 
+impl Core {
+    /// The share of its capacity that a worker is sure to have: all of it, unless it started lately.
+    pub(crate) fn warmth(&self, w: &Worker) -> f64 {
+        let (s, age) = (&self.settings, self.now - w.cold_since);
+        if w.cold_since <= 0 || age >= s.cold_for + s.fall_window {
+            return 1.0;
+        }
+        let grown = (age - s.fall_window).max(0) as f64 / s.cold_for.max(1) as f64;
+        (s.cold_from + (1.0 - s.cold_from) * grown).min(1.0)
+    }
+}
+
 impl Function {
     /// Loaded, or being loaded, on some worker.
     pub(crate) fn anywhere(&self, now: Micros) -> bool {
