--- a/node/src/bus.rs
+++ b/node/src/bus.rs
@@ -40,6 +40,8 @@
 /// An empty frame comes each second: after so long without one the connection is dead. What the bus has to
 /// tell counts as told whether it arrives or not, so there is no time to be lost.
 const SILENT: Micros = 2_000_000;
+/// So long without news after asking for them, there are none.
+const QUIET: Micros = 100_000;
 /// A connection that is not up by then is begun anew.
 const CONNECT: Micros = 1_000_000;
 /// Between attempts to connect: the bus may be gone for seconds, and its news count as told all the same.
@@ -129,6 +131,9 @@
     pub conn: Option<Conn>,
     pub standing: bool,
     heard: Micros,
+    /// When the connection came to stand, and whether all was told on it: it says so once a second.
+    stood: Micros,
+    told: bool,
     retry_at: Micros,
     pause: Micros,
     last: u64,
@@ -148,6 +153,8 @@
             conn: None,
             standing: false,
             heard: 0,
+            stood: 0,
+            told: false,
             retry_at: 0,
             pause: FIRST_PAUSE,
             last,
@@ -173,6 +180,18 @@
         self.conn.is_some() && self.next_tick() <= now
     }
 
+    /// Whether the list is as new as the bus: it said so, or has had nothing new for a while. What there is
+    /// comes at once.
+    pub fn is_caught_up(&self, now: Micros) -> bool {
+        let quiet = self.standing && now - self.stood.max(self.heard) >= QUIET;
+        self.catching_up.is_none() && (self.told || quiet)
+    }
+
+    /// It has nothing new.
+    pub fn told_all(&mut self) {
+        self.told = true;
+    }
+
     /// The bus is found elsewhere from now on, with the same events: asked there at once for what is new.
     pub fn moved(&mut self, address: SocketAddr) {
         (self.address, self.retry_at, self.pause) = (address, 0, FIRST_PAUSE);
@@ -188,10 +207,11 @@
     }
 
     /// Once the connection stands, asks for what came after the last event known, by 8 bytes.
-    pub fn greet(&mut self) -> Result<(), Reason> {
+    pub fn greet(&mut self, now: Micros) -> Result<(), Reason> {
         let Some(conn) = self.conn.as_mut().filter(|_| !self.standing) else { return Ok(()) };
         self.standing = conn.connected().map_err(|_| Reason::ConnectRefused)?;
         if self.standing {
+            (self.stood, self.heard) = (now, now);
             // From the start there is the whole list first, then all that has changed since.
             let last = if self.catching_up.is_some() { 0 } else { self.last };
             conn.outbox.push(&last.to_be_bytes());
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -17,6 +17,8 @@
 /// What the program needs to know.
 pub struct Config {
     pub listen: SocketAddr,
+    /// Where operators call, if they do.
+    pub control: Option<SocketAddr>,
     pub seed: u64,
     /// Descriptors that the process may hold.
     pub sockets: usize,
@@ -38,6 +40,7 @@
 #[derive(Deserialize)]
 struct File {
     listen: String,
+    control: Option<String>,
     seed: Value,
     limits: Option<Limits>,
     bus: String,
@@ -62,8 +65,9 @@
 /// Megabytes there at most.
 const MEMORY: f64 = 192.0;
 
-/// Reads the platform's configuration, with `listen` from the environment where it is set there.
-pub fn platform(text: &str, listen: Option<&str>) -> Result<Config, String> {
+/// Reads the platform's configuration, with `listen` and `control` from the environment where they are set
+/// there.
+pub fn platform(text: &str, listen: Option<&str>, control: Option<&str>) -> Result<Config, String> {
     let file: File = serde_json::from_str(text).map_err(|e| e.to_string())?;
     let address = |what: &str, text: &str| {
         text.parse::<SocketAddr>().map_err(|_| format!("{what} is no address with a port: {text:?}"))
@@ -80,7 +84,9 @@
         .map(|e| bus::known(e, &deployment).map_err(|e| format!("known: {e}")))
         .collect();
     let limits = file.limits.unwrap_or_default();
+    let control = control.or(file.control.as_deref());
     Ok(Config {
+        control: control.map(|text| address("control", text)).transpose()?,
         listen: address("listen", listen.unwrap_or(&file.listen))?,
         seed: seed(&file.seed)?,
         sockets: limits.sockets.unwrap_or(SOCKETS),
--- a/node/src/config/operator.rs
+++ b/node/src/config/operator.rs
@@ -14,6 +14,7 @@
 #[serde(deny_unknown_fields)]
 struct File {
     listen: SocketAddr,
+    control: Option<SocketAddr>,
     #[serde(default = "sockets")]
     sockets: usize,
     #[serde(default = "memory")]
@@ -225,6 +226,7 @@
         transport,
     };
     Ok(Config {
+        control: file.control,
         listen: file.listen,
         seed,
         sockets: file.sockets,
--- /dev/null
+++ b/node/src/control.rs
@@ -0,0 +1,236 @@
+//! The operators' address: HTTP/1.1 with one call to a connection. It reads calls and writes answers; what
+//! they do is the node's affair.
+
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, TcpStream};
+
+use calloop::LoopHandle;
+use serde::Deserialize;
+use wheellink::Micros;
+
+use crate::conn::{Conn, ConnId};
+use crate::http::{self, Bad, Parsed, Request, Response};
+use crate::log::{Log, Reason};
+use crate::node::Node;
+
+/// Callers at once. Who is not done makes room for a new one, longest first: calls are answered in the turn
+/// in which they are whole, so nobody who has called waits among them.
+pub const MOST: usize = 12;
+const LONGEST_BODY: usize = 4 << 10;
+const INBOX: usize = LONGEST_BODY + http::LONGEST_HEAD;
+const OUTBOX: usize = 256 << 10;
+/// A call must be whole within this time.
+const PATIENCE: Micros = 5_000_000;
+/// How long a caller is given to take its answer and end the connection.
+const LINGER: Micros = 1_000_000;
+
+/// What an operator asks for.
+#[derive(Debug, PartialEq)]
+pub enum Call {
+    /// Whether this process is ready to serve.
+    Status,
+    /// Nothing new to this host; or it may be used again.
+    Host { id: String, out: bool },
+    /// No new clients; or they are welcome again.
+    Standby(bool),
+}
+
+#[derive(Deserialize)]
+struct Named {
+    host: String,
+}
+
+/// Reads a call; else the answer that says what is wrong with it.
+pub fn call(request: &Request) -> Result<Call, Response> {
+    let path = request.path.split('?').next().unwrap_or_default();
+    let wanted = if path == "/status" { "GET" } else { "POST" };
+    let call = match path {
+        "/status" => Call::Status,
+        "/maintenance/enter" | "/maintenance/exit" => {
+            Call::Host { id: String::new(), out: path.ends_with("enter") }
+        }
+        "/standby" | "/active" => Call::Standby(path == "/standby"),
+        _ => return Err(Response::problem(404, "no such call")),
+    };
+    if request.method != wanted && (wanted, request.method.as_str()) != ("GET", "HEAD") {
+        return Err(Response::problem(405, "this call is made another way").with("Allow", wanted));
+    }
+    match call {
+        Call::Host { out, .. } => match serde_json::from_slice::<Named>(&request.body) {
+            Ok(Named { host }) if !host.is_empty() => Ok(Call::Host { id: host, out }),
+            _ => Err(Response::problem(400, "the body must be {\"host\":\"ID\"}")),
+        },
+        call => Ok(call),
+    }
+}
+
+struct Caller {
+    conn: Conn,
+    peer: SocketAddr,
+    begun: Micros,
+    /// Its answer was given then.
+    answered: Option<Micros>,
+    head_only: bool,
+}
+
+pub struct Control {
+    handle: LoopHandle<'static, Node>,
+    callers: BTreeMap<ConnId, Caller>,
+    pub calls: Vec<(ConnId, Call)>,
+}
+
+fn ready(node: &mut Node, id: ConnId) {
+    node.caller_ready(id);
+}
+
+impl Control {
+    pub fn new(handle: LoopHandle<'static, Node>) -> Self {
+        Self { handle, callers: BTreeMap::new(), calls: Vec::new() }
+    }
+
+    pub fn accept(&mut self, now: Micros, stream: TcpStream, peer: SocketAddr, log: &mut Log) {
+        if self.callers.len() >= MOST {
+            // Those that have had their answer go first, then those that came first.
+            let first =
+                self.callers.iter().min_by_key(|(id, c)| (c.answered.is_none(), **id)).map(|(id, _)| *id);
+            first.into_iter().for_each(|id| self.end(now, id, Reason::Evicted, log));
+        }
+        let id = crate::node::fresh_id();
+        match Conn::accepted(&self.handle, id, stream, (INBOX, OUTBOX), ready) {
+            Ok(conn) => {
+                let caller = Caller { conn, peer, begun: now, answered: None, head_only: false };
+                self.callers.insert(id, caller);
+                self.ready(now, id, log);
+            }
+            Err(e) => log.line(now, format_args!("control caller {peer} cannot be taken in: {e}")),
+        }
+    }
+
+    /// The socket has something to say, or may take more.
+    pub fn ready(&mut self, now: Micros, id: ConnId, log: &mut Log) {
+        if let Err(reason) = self.serve(now, id, log) {
+            self.end(now, id, reason, log);
+        }
+    }
+
+    fn serve(&mut self, now: Micros, id: ConnId, log: &mut Log) -> Result<(), Reason> {
+        let Some(c) = self.callers.get_mut(&id) else { return Ok(()) };
+        c.conn.flush()?;
+        c.conn.fill()?;
+        if c.answered.is_some() {
+            c.conn.inbox.consume(usize::MAX);
+            return match (c.conn.outbox.is_empty(), c.conn.eof) {
+                (true, true) => Err(Reason::Finished),
+                (true, false) => {
+                    c.conn.half_close();
+                    Ok(())
+                }
+                _ => Ok(()),
+            };
+        }
+        match http::next_request(&mut c.conn.inbox, LONGEST_BODY) {
+            Ok(Parsed::Partial { .. }) if c.conn.eof => Err(Reason::PeerClosed),
+            Ok(Parsed::Partial { expects_continue }) => {
+                if expects_continue {
+                    c.conn.outbox.push(http::CONTINUE);
+                    c.conn.flush()?;
+                }
+                Ok(())
+            }
+            Ok(Parsed::Whole(request)) => {
+                c.head_only = request.method == "HEAD";
+                match call(&request) {
+                    Ok(call) => self.calls.push((id, call)),
+                    Err(problem) => self.answer(now, id, problem, log),
+                }
+                Ok(())
+            }
+            Err(Bad(status, what)) => {
+                self.answer(now, id, Response::problem(status, what), log);
+                Ok(())
+            }
+        }
+    }
+
+    /// Answers a call; its connection ends with that.
+    pub fn answer(&mut self, now: Micros, id: ConnId, response: Response, log: &mut Log) {
+        let Some(c) = self.callers.get_mut(&id).filter(|c| c.answered.is_none()) else { return };
+        c.answered = Some(now);
+        c.conn.outbox.push(&response.encode(false, c.head_only));
+        self.ready(now, id, log);
+    }
+
+    fn end(&mut self, now: Micros, id: ConnId, reason: Reason, log: &mut Log) {
+        if let Some(c) = self.callers.remove(&id) {
+            // Answered callers come many times a second and need no line.
+            if c.answered.is_none() {
+                log.ended(now, format_args!("control {}", c.peer), reason, "");
+            }
+            c.conn.close(&self.handle);
+        }
+    }
+
+    /// Gives up callers that do not come to an end.
+    pub fn tick(&mut self, now: Micros, log: &mut Log) {
+        let over = |c: &Caller| c.answered.is_some_and(|at| now - at >= LINGER);
+        let stuck = |c: &Caller| c.answered.is_none() && now - c.begun >= PATIENCE;
+        let over: Vec<_> = self.callers.iter().filter(|(_, c)| over(c)).map(|(id, _)| *id).collect();
+        over.into_iter().for_each(|id| self.end(now, id, Reason::Finished, log));
+        let stuck: Vec<_> = self.callers.iter().filter(|(_, c)| stuck(c)).map(|(id, _)| *id).collect();
+        for id in stuck {
+            self.answer(now, id, Response::problem(408, "the call did not come whole in time"), log);
+        }
+    }
+
+    pub fn shut_down(&mut self, now: Micros, log: &mut Log) {
+        let ids: Vec<_> = self.callers.keys().copied().collect();
+        ids.into_iter().for_each(|id| self.end(now, id, Reason::Shutdown, log));
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::ring::Ring;
+    use rstest::rstest;
+
+    fn read(method: &str, path: &str, body: &str) -> Result<Call, u16> {
+        let mut ring = Ring::new(INBOX);
+        let length = body.len();
+        ring.push(
+            format!("{method} {path} HTTP/1.1\r\nHost: x\r\nContent-Length: {length}\r\n\r\n{body}")
+                .as_bytes(),
+        );
+        match http::next_request(&mut ring, LONGEST_BODY) {
+            Ok(Parsed::Whole(request)) => call(&request).map_err(|r| r.status),
+            other => panic!("{other:?}"),
+        }
+    }
+
+    fn host(out: bool) -> Call {
+        Call::Host { id: "s-00c41f7a".into(), out }
+    }
+
+    #[rstest]
+    #[case::status("GET", "/status", "", Ok(Call::Status))]
+    #[case::enter("POST", "/maintenance/enter", r#"{"host":"s-00c41f7a"}"#, Ok(host(true)))]
+    #[case::exit("POST", "/maintenance/exit", r#"{"why":1, "host":"s-00c41f7a"}"#, Ok(host(false)))]
+    #[case::standby("POST", "/standby", "", Ok(Call::Standby(true)))]
+    #[case::active("POST", "/active", "{}", Ok(Call::Standby(false)))]
+    #[case::unknown("GET", "/", "", Err(404))]
+    #[case::method("GET", "/standby", "", Err(405))]
+    #[case::post_status("POST", "/status", "", Err(405))]
+    #[case::no_body("POST", "/maintenance/enter", "", Err(400))]
+    #[case::no_host("POST", "/maintenance/enter", r#"{"id":"x"}"#, Err(400))]
+    #[case::empty_host("POST", "/maintenance/exit", r#"{"host":""}"#, Err(400))]
+    #[case::no_text("POST", "/maintenance/exit", r#"{"host":7}"#, Err(400))]
+    #[case::cut("POST", "/maintenance/exit", r#"{"host":"a"#, Err(400))]
+    fn a_call_is_read_or_turned_down(
+        #[case] method: &str,
+        #[case] path: &str,
+        #[case] body: &str,
+        #[case] wanted: Result<Call, u16>,
+    ) {
+        assert_eq!(read(method, path, body), wanted);
+    }
+}
--- a/node/src/front/invoke.rs
+++ b/node/src/front/invoke.rs
@@ -3,7 +3,6 @@
 //! `POST /v1/functions/NAME/calls` with `Wheellink-Class` calls a function. It waits for the answer, or with
 //! `Prefer: respond-async` gets 202 and a Location, to be asked with GET and given up with DELETE.
 
-pub mod http;
 pub mod results;
 
 use std::collections::HashMap;
@@ -15,9 +14,9 @@
 use crate::conn::{Conn, ConnId};
 use crate::front::Reply;
 use crate::hosts::lines::is_word;
+use crate::http::{self, Bad, Parsed, Request, Response};
 use crate::log::{Log, Reason};
 use crate::node::Node;
-use http::{Bad, Parsed, Request, Response};
 use results::{Bounds, Job, Results};
 
 /// Longest body of a call.
@@ -32,6 +31,8 @@
 const SLOW_REQUEST: Micros = 10_000_000;
 /// One that has sent nothing, or half of a request, for so long may go when others need its place.
 const SPEECHLESS: Micros = 200_000;
+/// After this, idle connections of clients that are sent away are closed.
+const FAREWELL: Micros = 1_000_000;
 /// Reads of one connection at one go: who sends at full speed must not keep the loop from the others.
 const AT_ONCE: usize = 8;
 /// Advice to clients that ask again for a deferred result, or after a bound of this front, in seconds.
@@ -111,7 +112,8 @@
     again: Vec<ConnId>,
     /// Of classes and tenants; calls go by their places.
     names: (Vec<String>, Vec<String>),
-    stopping: bool,
+    /// Since when each answer is its connection's last.
+    parting: Option<Micros>,
     /// Whether hosts are known, for those that ask whether to send calls here.
     pub ready: bool,
     pub notices: Vec<Notice>,
@@ -138,7 +140,7 @@
             bytes,
             again: Vec::new(),
             names,
-            stopping: false,
+            parting: None,
             ready: false,
             notices: Vec::new(),
         }
@@ -148,9 +150,14 @@
         self.conns.values().all(|c| c.conn.outbox.is_empty() && !matches!(c.state, State::Waiting { .. }))
     }
 
-    /// From now on each answer is its connection's last.
-    pub fn stop(&mut self) {
-        self.stopping = true;
+    /// From now on each answer is its connection's last, or no longer so.
+    pub fn part(&mut self, now: Micros, parts: bool) {
+        self.parting = parts.then(|| self.parting.unwrap_or(now));
+    }
+
+    /// Connections that are held.
+    pub fn held(&self) -> usize {
+        self.conns.len()
     }
 
     pub fn accept(&mut self, now: Micros, stream: TcpStream, peer: SocketAddr, log: &mut Log) {
@@ -271,7 +278,7 @@
     }
 
     fn route(&mut self, now: Micros, id: ConnId, request: Request, log: &mut Log) {
-        let keep_alive = request.keep_alive && !self.stopping;
+        let keep_alive = request.keep_alive && self.parting.is_none();
         let head_only = request.method == "HEAD";
         let path = request.path.split('?').next().unwrap_or_default().to_string();
         let function = path.strip_prefix("/v1/functions/").and_then(|p| p.strip_suffix("/calls"));
@@ -302,9 +309,9 @@
                 Some(Job::Finished { .. }) => Response::new(204),
                 None => Response::problem(404, "no such result, or it was not collected in time"),
             },
-            ("GET" | "HEAD", .., "/healthz") if self.ready && !self.stopping => Response::new(200),
+            ("GET" | "HEAD", .., "/healthz") if self.ready && self.parting.is_none() => Response::new(200),
             ("GET" | "HEAD", .., "/healthz") => {
-                Response::problem(503, "no script host is known, or the program ends")
+                Response::problem(503, "no script host is known, or clients are sent away")
                     .with("Retry-After", ASK_AGAIN)
             }
             (_, Some(_), ..) => Response::problem(405, "calls are made with POST").with("Allow", "POST"),
@@ -416,7 +423,7 @@
                 let Some(c) = self.conns.get_mut(id) else { return };
                 if let State::Waiting { keep_alive, .. } = c.state {
                     c.state = State::Reading;
-                    self.respond(now, *id, response, keep_alive && !self.stopping, false, log);
+                    self.respond(now, *id, response, keep_alive && self.parting.is_none(), false, log);
                     // The client may have sent its next request meanwhile: no further edge tells of that.
                     self.ready(now, *id, log);
                 }
@@ -477,10 +484,15 @@
     /// Gives up old results, and closes connections that are idle or too slow.
     pub fn tick(&mut self, now: Micros, log: &mut Log) {
         self.results.tick(now);
+        // Clients that are sent away have a second to hear so with an answer.
+        let (idle, reason) = match self.parting {
+            Some(since) if now - since >= FAREWELL => (FAREWELL / 4, Reason::Drained),
+            _ => (self.conn_idle, Reason::Idle),
+        };
         let over = |c: &HttpConn| match &c.state {
             _ if !c.conn.outbox.is_empty() => (now - c.active >= STALLED).then_some(Reason::SlowReader),
             State::Lingering(reason, since) if now - since >= LINGER => Some(*reason),
-            State::Reading if c.begun.is_none() && now - c.active >= self.conn_idle => Some(Reason::Idle),
+            State::Reading if c.begun.is_none() && now - c.active >= idle => Some(reason),
             _ => None,
         };
         let mut over: Vec<_> = self.conns.iter().filter_map(|(id, c)| Some((*id, over(c)?))).collect();
--- a/node/src/front/invoke/results.rs
+++ b/node/src/front/invoke/results.rs
@@ -5,7 +5,7 @@
 
 use wheellink::{Micros, Ticket};
 
-use super::http::Response;
+use crate::http::Response;
 
 /// What is known of a deferred call.
 #[derive(Debug)]
--- a/node/src/front/platform.rs
+++ b/node/src/front/platform.rs
@@ -35,6 +35,8 @@
 const HALTING: Micros = 5_000_000;
 /// A client that said nothing for so long after it came is one that may go when others need its place.
 const SPEECHLESS: Micros = 200_000;
+/// After this, connections of clients that were asked to leave are closed as they come to rest.
+const FAREWELL: Micros = 1_000_000;
 /// Reads of one connection at one go: who sends at full speed must not keep the loop from the others.
 const AT_ONCE: usize = 8;
 
@@ -61,6 +63,8 @@
     skip: usize,
     /// Framing is lost: what comes is passed over, and it closes once all is answered.
     broken: bool,
+    /// Its client has been asked to open nothing new on it.
+    leaves: bool,
     /// Its side of the connection was ended then, and the client is given time to see that.
     lingers: Option<Micros>,
     begun: Micros,
@@ -108,8 +112,8 @@
     bytes: usize,
     /// Connections that were left with more to read.
     again: Vec<ConnId>,
-    /// Told to stop: clients are asked to open nothing new.
-    stopping: bool,
+    /// Since when clients have been asked to open nothing new.
+    parting: Option<Micros>,
     pub notices: Vec<Notice>,
 }
 
@@ -120,7 +124,7 @@
 impl Platform {
     pub fn new(handle: LoopHandle<'static, Node>, (most, bytes): (usize, usize), conn_idle: Micros) -> Self {
         let (conns, again, notices) = (HashMap::new(), Vec::new(), Vec::new());
-        Self { handle, conns, most, conn_idle, bytes, again, stopping: false, notices }
+        Self { handle, conns, most, conn_idle, bytes, again, parting: None, notices }
     }
 
     /// Whether nothing is owed to anybody: all answers have left.
@@ -142,6 +146,7 @@
                     used: Streams::default(),
                     skip: 0,
                     broken: false,
+                    leaves: self.parting.is_some(),
                     lingers: None,
                     begun: now,
                     asked: false,
@@ -150,7 +155,7 @@
                     taken: 0,
                 };
                 self.conns.insert(id, fresh);
-                if self.stopping {
+                if self.parting.is_some() {
                     self.write(now, id, &frames::no_more(), log);
                 }
                 // Most have their request with them, and then are no longer among the speechless.
@@ -175,14 +180,23 @@
         oldest.inspect(|id| self.end(now, *id, Reason::Evicted, log)).is_some()
     }
 
-    /// Asks clients to open nothing new.
-    pub fn stop(&mut self, now: Micros, log: &mut Log) {
-        self.stopping = true;
-        for id in self.ids() {
-            self.write(now, id, &frames::no_more(), log);
+    /// Asks clients to open nothing new, or takes that back for those that come from now on.
+    pub fn part(&mut self, now: Micros, parts: bool, log: &mut Log) {
+        let asked = self.parting.is_some();
+        self.parting = parts.then(|| self.parting.unwrap_or(now));
+        for id in if parts && !asked { self.ids() } else { Vec::new() } {
+            if let Some(c) = self.conns.get_mut(&id) {
+                c.leaves = true;
+                self.write(now, id, &frames::no_more(), log);
+            }
         }
     }
 
+    /// Connections that are held.
+    pub fn held(&self) -> usize {
+        self.conns.len()
+    }
+
     fn ids(&self) -> Vec<ConnId> {
         let mut ids: Vec<_> = self.conns.keys().copied().collect();
         ids.sort();
@@ -333,7 +347,7 @@
             }
             Ok(Frame::IsReady) => {
                 c.asked = true;
-                let code = if self.stopping { Code::Refused } else { Code::Served };
+                let code = if self.parting.is_some() { Code::Refused } else { Code::Served };
                 self.write(now, id, &frames::readiness(head.stream, code), log);
             }
             Err(problem) => self.error(now, nowhere, &problem, log),
@@ -439,6 +453,8 @@
                 }
             } else if !c.conn.outbox.is_empty() && quiet >= STALLED {
                 self.end(now, id, Reason::SlowReader, log);
+            } else if c.leaves && c.is_idle() && c.asked && quiet >= self.parted(now) {
+                self.end(now, id, Reason::Drained, log);
             } else if c.is_idle() && quiet >= self.conn_idle {
                 self.end(now, id, Reason::Idle, log);
             } else if let Err(reason) = self.end_if_done(now, id) {
@@ -447,6 +463,16 @@
         }
     }
 
+    /// How long a client that has been asked to leave may still be quiet: what it sent before it heard of that
+    /// must not meet a closed connection, and in the end it must be gone, whether it heeds that or not.
+    fn parted(&self, now: Micros) -> Micros {
+        match self.parting {
+            Some(since) if now - since < FAREWELL => Micros::MAX,
+            Some(since) if now - since >= 2 * FAREWELL => 0,
+            _ => FAREWELL / 4,
+        }
+    }
+
     pub fn shut_down(&mut self, now: Micros, log: &mut Log) {
         for id in self.ids() {
             self.end(now, id, Reason::Shutdown, log);
--- a/node/src/hosts/pool.rs
+++ b/node/src/hosts/pool.rs
@@ -4,7 +4,7 @@
 //! withdrawn, as never sent, up to its first byte.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -153,6 +153,8 @@
     /// Bytes of answers that are not whole, all together.
     bytes: usize,
     members: BTreeMap<WorkerId, Member>,
+    /// Taken out by hand, whether the list knows them now or not: nothing new is sent to them.
+    barred: BTreeSet<WorkerId>,
     conns: HashMap<ConnId, HostConn>,
     /// Where each attempt is that has not ended.
     attempts: HashMap<AttemptId, ConnId>,
@@ -177,6 +179,7 @@
             most,
             bytes,
             members: BTreeMap::new(),
+            barred: BTreeSet::new(),
             conns: HashMap::new(),
             attempts: HashMap::new(),
             next_probe: 0,
@@ -191,6 +194,41 @@
         pending.min().map(|begun| begun + self.transport.connect_timeout)
     }
 
+    /// Whether somebody has this id, or had it when it was taken out.
+    pub fn knows(&self, host: &WorkerId) -> bool {
+        self.members.contains_key(host) || self.barred.contains(host)
+    }
+
+    pub fn is_barred(&self, host: &WorkerId) -> bool {
+        self.barred.contains(host)
+    }
+
+    /// All that are out by hand.
+    pub fn barred(&self) -> impl Iterator<Item = &WorkerId> {
+        self.barred.iter()
+    }
+
+    /// Takes a host out by hand, or back in. What has not begun to leave is withdrawn; what runs may end.
+    /// Idle connections are closed: whoever is taken out is mostly restarted.
+    pub fn bar(&mut self, now: Micros, host: &WorkerId, out: bool, log: &mut Log) {
+        if !out {
+            self.barred.remove(host);
+            return;
+        }
+        self.barred.insert(host.clone());
+        self.withdraw(host);
+        for id in self.members.get(host).map(|m| m.conns.clone()).unwrap_or_default() {
+            if self.conns.get(&id).is_some_and(HostConn::is_idle) {
+                self.end(now, id, Reason::Barred, log);
+            }
+        }
+    }
+
+    /// Whether anything new may be sent there.
+    fn takes(&self, host: &WorkerId) -> bool {
+        !self.barred.contains(host) && self.members.get(host).is_some_and(|m| m.condition == Condition::Up)
+    }
+
     /// News of the host list. What has not begun to leave for a host that drains or is gone is withdrawn at
     /// once: after its time the rules allow not even the first byte.
     pub fn list(&mut self, now: Micros, kind: ListKind, hosts: &[Host], log: &mut Log) {
@@ -294,8 +332,7 @@
     /// What it means that there is no connection for a command. The bounds of this process say nothing
     /// against a host.
     fn nowhere(&self, host: &WorkerId) -> Outcome {
-        let up = self.members.get(host).is_some_and(|m| m.condition == Condition::Up);
-        if up {
+        if self.takes(host) {
             Outcome::Full
         } else {
             Outcome::ConnectFailed
@@ -370,7 +407,7 @@
         fits: impl Fn(&HostConn, usize) -> bool,
         log: &mut Log,
     ) -> Option<ConnId> {
-        let member = self.members.get(host).filter(|m| m.condition == Condition::Up)?;
+        let member = self.members.get(host).filter(|_| self.takes(host))?;
         let fitting = member.conns.iter().filter_map(|id| self.conns.get(id).map(|c| (*id, c)));
         let fitting = fitting.filter(|(_, c)| fits(c, self.transport.streams));
         // The last used goes first, and one that has been idle for too long is left to be closed.
@@ -666,7 +703,9 @@
         let patience = self.transport.order_timeout;
         self.conns.values_mut().for_each(|c| c.orders.retain(|_, (_, at)| now - *at <= patience));
         if self.transport.probes {
-            let silent = |c: &HostConn| c.standing && c.owes() && now - c.heard >= QUIET;
+            let silent = |c: &HostConn| {
+                c.standing && c.owes() && now - c.heard >= QUIET && !self.barred.contains(&c.host)
+            };
             let silent = self.conns.iter().filter(|(_, c)| c.asked.is_none() && silent(c));
             let mut silent: Vec<_> = silent.map(|(id, _)| *id).collect();
             silent.sort();
@@ -685,6 +724,7 @@
             true if c.partial.is_some_and(|since| now - since >= HALTING) => Some(Reason::Protocol),
             true if c.asked.is_some_and(|since| now - since >= UNHEARD) => Some(Reason::Silent),
             true if c.writing.is_some() && now - c.wrote >= STALLED => Some(Reason::SlowReader),
+            true if c.is_idle() && self.barred.contains(&c.host) => Some(Reason::Barred),
             true if c.is_idle() && (now - c.used >= idle || self.idling.too_long(now - c.used)) => {
                 Some(Reason::Idle)
             }
--- a/node/src/front/invoke/http.rs
+++ b/node/src/http.rs
@@ -1,4 +1,4 @@
-//! HTTP/1.1 as the invoke front speaks it. Pure: bytes in, values out.
+//! HTTP/1.1 as the invoke front and the control address speak it. Pure: bytes in, values out.
 
 use std::fmt::Write;
 use std::time::SystemTime;
@@ -201,6 +201,11 @@
             .with("Content-Type", "application/problem+json")
     }
 
+    pub fn json(status: u16, value: serde_json::Value) -> Self {
+        Self { status, headers: Vec::new(), body: value.to_string().into_bytes() }
+            .with("Content-Type", "application/json")
+    }
+
     pub fn with(mut self, name: &'static str, value: impl Into<String>) -> Self {
         self.headers.push((name, value.into()));
         self
@@ -243,6 +248,7 @@
         404 => "Not Found",
         405 => "Method Not Allowed",
         408 => "Request Timeout",
+        409 => "Conflict",
         413 => "Content Too Large",
         429 => "Too Many Requests",
         431 => "Request Header Fields Too Large",
--- a/node/src/log.rs
+++ b/node/src/log.rs
@@ -27,6 +27,10 @@
     Protocol,
     /// The other side does not take what is sent to it.
     SlowReader,
+    /// Its client had been asked to leave.
+    Drained,
+    /// Its host was taken out by hand.
+    Barred,
     /// The host list says that its host has gone, or that another process holds the place.
     HostGone,
     /// The configuration names another address.
@@ -51,6 +55,8 @@
             Self::ConnectRefused => "connect_refused",
             Self::Protocol => "protocol",
             Self::SlowReader => "slow_reader",
+            Self::Drained => "drained",
+            Self::Barred => "barred",
             Self::HostGone => "host_gone",
             Self::Moved => "moved",
             Self::Silent => "silent",
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -5,23 +5,20 @@
 mod clock;
 mod config;
 mod conn;
+mod control;
 mod dnssd;
+mod door;
 mod front;
 mod hosts;
+mod http;
 mod log;
 mod node;
 mod ring;
 
-use std::cell::Cell;
-use std::net::TcpListener;
 use std::process::ExitCode;
-use std::rc::Rc;
-use std::time::Duration;
 
-use calloop::generic::Generic;
 use calloop::signals::{Signal, Signals};
-use calloop::timer::{TimeoutAction, Timer};
-use calloop::{EventLoop, Interest, LoopHandle, Mode, PostAction, RegistrationToken};
+use calloop::EventLoop;
 
 use crate::node::Node;
 
@@ -49,12 +46,12 @@
         let config = if operator {
             config::operator(&text)
         } else {
-            config::platform(&text, std::env::var("EDGE_LISTEN").ok().as_deref())
+            let told = |name| std::env::var(name).ok();
+            config::platform(&text, told("EDGE_LISTEN").as_deref(), told("EDGE_CONTROL").as_deref())
         };
         config.map_err(|e| format!("{path}: {e}"))
     };
     let config = read()?;
-    let address = config.listen;
 
     let failed = |what: &'static str| move |e: calloop::Error| format!("{what}: {e}");
     let mut events = EventLoop::<Node>::try_new().map_err(failed("no event loop"))?;
@@ -68,12 +65,7 @@
     handle.insert_source(signals, told).map_err(|e| format!("no signals: {e}"))?;
 
     let mut node = Node::new(handle.clone(), config)?;
-    let listener = TcpListener::bind(address).map_err(|e| format!("cannot listen on {address}: {e}"))?;
-    // With port 0 in the configuration this is how the port becomes known.
-    let bound = listener.local_addr().map_err(|e| format!("cannot listen on {address}: {e}"))?;
-    eprintln!("listening on {bound}");
-    listener.set_nonblocking(true).map_err(|e| format!("cannot listen on {address}: {e}"))?;
-    listen(&handle, listener).map_err(|e| format!("cannot listen on {address}: {e}"))?;
+    node.open_doors()?;
 
     while !node.is_done() {
         let wait = node.turn();
@@ -82,28 +74,3 @@
     node.shut_down();
     Ok(())
 }
-
-/// For so long nothing is accepted when there was no descriptor for a connection.
-const PAUSE: Duration = Duration::from_millis(100);
-
-/// Has the node accept what comes. Level-triggered, so that what could not be accepted comes up again.
-fn listen(handle: &LoopHandle<'static, Node>, listener: TcpListener) -> calloop::Result<()> {
-    let source = Generic::new(listener, Interest::READ, Mode::Level);
-    let (token, resume) = (Rc::new(Cell::new(None::<RegistrationToken>)), handle.clone());
-    let own = token.clone();
-    let inserted = handle.insert_source(source, move |_, listener, node: &mut Node| {
-        if node.accept(listener) {
-            return Ok(PostAction::Continue);
-        }
-        let (own, handle) = (own.get(), resume.clone());
-        let again = move |_, _: &mut (), _: &mut Node| {
-            own.iter().for_each(|token| drop(handle.enable(token)));
-            TimeoutAction::Drop
-        };
-        // Without the timer nothing would wake it again: then it stays as it is.
-        let timer = resume.insert_source(Timer::from_duration(PAUSE), again);
-        Ok(if timer.is_ok() { PostAction::Disable } else { PostAction::Continue })
-    });
-    token.set(Some(inserted.map_err(|e| e.error)?));
-    Ok(())
-}
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -3,41 +3,50 @@
 
 use std::cell::Cell;
 use std::collections::{HashMap, HashSet, VecDeque};
-use std::io::ErrorKind;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use calloop::LoopHandle;
 use wheellink::engine::{AttemptId, Command, NewRequest, Verdict};
-use wheellink::{Effect, Engine, ListKind, Micros, Outcome, Ticket};
+use wheellink::{Effect, Engine, ListKind, Micros, Outcome, Ticket, WorkerId};
 use wheellink_settings::Deployment;
 
 use crate::bus::{self, Bus, Frame, Gap};
 use crate::clock::Clock;
 use crate::config::{self, Config};
 use crate::conn::{Conn, ConnId};
+use crate::control::{self, Control};
 use crate::dnssd::{Browser, DnsSd};
+use crate::door::{self, Door};
 use crate::front::invoke::{self, Invoke};
 use crate::front::platform::frames::Request;
 use crate::front::platform::{self, Platform};
 use crate::front::Reply;
 use crate::hosts::{self, Call, Hosts};
+use crate::http::Response;
 use crate::log::{Log, Reason};
 
 /// A client's time runs from when it wrote the last byte: the answer must have reached it before it ends.
 const DUE_MARGIN: Micros = 20_000;
-/// Descriptors that are neither clients' nor hosts': standard streams, the loop's own, listener, bus.
-const OWN_SOCKETS: usize = 24;
+/// Descriptors that are neither clients' nor hosts': standard streams, the loop's own, listeners, bus,
+/// callers at the control address.
+const OWN_SOCKETS: usize = 16 + control::MOST;
 /// Parts of the memory limit that bodies of open requests, bytes for clients that do not read, and answers
 /// that are not whole may take, each of them. The program itself needs a few megabytes.
 const MEMORY_SHARE: usize = 6;
 /// Connections taken in at one go: hundreds at once must not keep the loop from those that have asked.
 const ACCEPT_AT_ONCE: usize = 32;
+/// For so long nothing is accepted when there was no descriptor for a connection.
+const NO_DESCRIPTOR: Micros = 100_000;
+/// Whoever starts is ready after this, even if the bus cannot be reached: the configuration's list will do.
+const LONGEST_CATCH_UP: Micros = 2_500_000;
 /// After SIGTERM requests keep coming for this long.
 const STILL_COMING: Micros = 800_000;
 /// What the bus may have on its way: the longest frame and more.
 const BUS_RING: usize = 256 << 10;
+/// Hosts that operators may have taken out: ids are kept for good.
+const MOST_BARRED: usize = 4096;
 /// Between looks at connections that are idle or do not come up.
 const HOUSEKEEPING: Micros = 50_000;
 
@@ -99,6 +108,16 @@
     most_bodies: usize,
     side: Side,
     hosts: Hosts,
+    /// Where clients and operators come in.
+    addresses: (SocketAddr, Option<SocketAddr>),
+    door: Option<Door>,
+    control_door: Option<Door>,
+    control: Control,
+    /// Drained by an operator: serves what comes, and asks clients not to.
+    standby: bool,
+    /// The host list was once as new as could be told: a bus that breaks later does not undo that.
+    caught_up: bool,
+    begun: Micros,
     stopping: Option<Micros>,
     kept_house: Micros,
 }
@@ -133,7 +152,15 @@
                 Side::Operator { front, hosts, classes, ids: fastrand::Rng::with_seed(config.seed) }
             }
         };
+        let mut clock = Clock::default();
         let mut node = Self {
+            addresses: (config.listen, config.control),
+            door: None,
+            control_door: None,
+            control: Control::new(handle.clone()),
+            standby: false,
+            caught_up: false,
+            begun: clock.now(),
             engine: Engine::new(router, transport.order_timeout),
             commands: VecDeque::new(),
             scratch: Vec::new(),
@@ -144,7 +171,7 @@
             side,
             hosts: Hosts::new(handle.clone(), transport, (most, share)),
             deployment: config.deployment,
-            clock: Clock::default(),
+            clock,
             log: Log::new(),
             stopping: None,
             kept_house: 0,
@@ -158,30 +185,156 @@
         Ok(node)
     }
 
-    /// Connections are waiting to be accepted. False where none can be for now: there is no descriptor left,
-    /// and as the listener stays ready, trying again at once would keep the loop busy for nothing.
-    pub fn accept(&mut self, listener: &TcpListener) -> bool {
-        let mut able = true;
+    /// Begins to listen, for clients and for operators.
+    pub fn open_doors(&mut self) -> Result<(), String> {
+        let failed = |address| move |e| format!("cannot listen on {address}: {e}");
+        let (clients, control) = self.addresses;
+        if let Some(address) = control {
+            let listener = door::listen(address).map_err(failed(address))?;
+            let door = Door::open(&self.handle, listener, Self::accept_callers).map_err(failed(address))?;
+            self.control_door = Some(door);
+        }
+        let listener = door::listen(clients).map_err(failed(clients))?;
+        let door = Door::open(&self.handle, listener, Self::accept).map_err(failed(clients))?;
+        // With port 0 in the configuration this is how the ports become known.
+        if let Some(address) = self.control_door.as_ref().and_then(Door::address) {
+            eprintln!("control on {address}");
+        }
+        eprintln!("listening on {}", door.address().unwrap_or(clients));
+        self.door = Some(door);
+        Ok(())
+    }
+
+    /// Connections of clients wait to be accepted.
+    pub fn accept(&mut self) {
         for _ in 0..ACCEPT_AT_ONCE {
             let now = self.clock.now();
-            match listener.accept() {
-                Ok((stream, peer)) => match &mut self.side {
-                    Side::Platform(front, _) => front.accept(now, stream, peer, &mut self.log),
-                    Side::Operator { front, .. } => front.accept(now, stream, peer, &mut self.log),
-                },
-                Err(e) => match e.kind() {
-                    ErrorKind::WouldBlock => break,
-                    ErrorKind::Interrupted | ErrorKind::ConnectionAborted => {}
-                    _ => {
-                        self.log.line(now, format_args!("no connection can be accepted: {e}"));
-                        able = false;
-                        break;
-                    }
-                },
+            let Some(door) = &mut self.door else { break };
+            match (door.next(), &mut self.side) {
+                (Ok(None), _) => break,
+                (Ok(Some((stream, peer))), Side::Platform(front, _)) => {
+                    front.accept(now, stream, peer, &mut self.log)
+                }
+                (Ok(Some((stream, peer))), Side::Operator { front, .. }) => {
+                    front.accept(now, stream, peer, &mut self.log)
+                }
+                (Err(e), _) => {
+                    // The listener stays ready, and trying again at once would keep the loop busy for nothing.
+                    door.shut(now + NO_DESCRIPTOR);
+                    self.log.line(now, format_args!("no connection can be accepted: {e}"));
+                    break;
+                }
             }
         }
         self.settle();
-        able
+    }
+
+    /// Operators call.
+    pub fn accept_callers(&mut self) {
+        for _ in 0..ACCEPT_AT_ONCE {
+            let now = self.clock.now();
+            let Some(door) = &mut self.control_door else { break };
+            match door.next() {
+                Ok(None) => break,
+                Ok(Some((stream, peer))) => self.control.accept(now, stream, peer, &mut self.log),
+                Err(e) => {
+                    door.shut(now + NO_DESCRIPTOR);
+                    self.log.line(now, format_args!("no caller can be accepted: {e}"));
+                    break;
+                }
+            }
+        }
+        self.settle();
+    }
+
+    pub fn caller_ready(&mut self, id: ConnId) {
+        self.control.ready(self.clock.now(), id, &mut self.log);
+        self.settle();
+    }
+
+    /// Does what an operator asks for, and says whether that could be done.
+    fn operate(&mut self, now: Micros, call: control::Call) -> Response {
+        match call {
+            control::Call::Status => self.status(now),
+            control::Call::Host { id, out } => {
+                let host: WorkerId = id.as_str().into();
+                if !self.hosts.knows(&host) {
+                    return Response::problem(404, "no script host has this id");
+                }
+                if self.hosts.is_barred(&host) != out {
+                    if self.hosts.barred().count() >= MOST_BARRED && out {
+                        return Response::problem(409, "too many hosts are out by hand");
+                    }
+                    self.log.line(
+                        now,
+                        format_args!("host {id} is {}", if out { "out by hand" } else { "back in" }),
+                    );
+                    self.bar(now, &host, out);
+                }
+                Response::json(200, serde_json::json!({"host": id, "out": out}))
+            }
+            control::Call::Standby(on) => {
+                if self.stopping.is_some() && !on {
+                    return Response::problem(409, "the program has been told to end");
+                }
+                self.stand_by(now, on);
+                Response::json(200, serde_json::json!({"standby": on}))
+            }
+        }
+    }
+
+    /// Whether this process takes clients, and what an operator may want to know besides.
+    fn status(&mut self, now: Micros) -> Response {
+        let caught_up = self.is_caught_up(now);
+        let ready = self.door.is_some() && caught_up && !self.standby && self.stopping.is_none();
+        let clients = match &self.side {
+            Side::Platform(front, _) => front.held(),
+            Side::Operator { front, .. } => front.held(),
+        };
+        let out: Vec<&str> = self.hosts.barred().map(|h| &*h.0).collect();
+        let told = serde_json::json!({"ready": ready, "standby": self.standby, "stopping": self.stopping.is_some(),
+            "caught_up": caught_up, "out": out, "requests": self.engine.open(), "clients": clients});
+        Response::json(if ready { 200 } else { 503 }, told)
+    }
+
+    /// Whether the host list is as new as can be told.
+    fn is_caught_up(&mut self, now: Micros) -> bool {
+        match &self.side {
+            Side::Platform(_, bus) => {
+                self.caught_up |= bus.is_caught_up(now) || now - self.begun >= LONGEST_CATCH_UP;
+                self.caught_up
+            }
+            Side::Operator { hosts, .. } => hosts.browser.any_up(),
+        }
+    }
+
+    /// Takes a host out by hand, or back in. The pool is told first when it is to be used again, as the engine
+    /// may send at once, and after the engine else, so that what is withdrawn goes elsewhere.
+    fn bar(&mut self, now: Micros, host: &WorkerId, out: bool) {
+        if !out {
+            self.hosts.bar(now, host, out, &mut self.log);
+        }
+        self.run_engine(|engine, commands| engine.bar(now, host.clone(), out, commands));
+        if out {
+            self.hosts.bar(now, host, out, &mut self.log);
+        }
+    }
+
+    /// Sends clients away, or takes them again.
+    fn stand_by(&mut self, now: Micros, on: bool) {
+        if std::mem::replace(&mut self.standby, on) != on {
+            self.log.line(now, if on { "drained by an operator" } else { "taking clients again" });
+            self.part(now);
+        }
+    }
+
+    /// Clients are asked to open nothing new, or no longer so.
+    fn part(&mut self, now: Micros) {
+        let parts = self.standby || self.stopping.is_some();
+        match &mut self.side {
+            Side::Platform(front, _) => front.part(now, parts, &mut self.log),
+            Side::Operator { front, .. } => front.part(now, parts),
+        }
     }
 
     pub fn client_ready(&mut self, id: ConnId) {
@@ -230,10 +383,7 @@
             let now = self.clock.now();
             self.log.line(now, format_args!("told to stop with {} requests open", self.engine.open()));
             self.stopping = Some(now);
-            match &mut self.side {
-                Side::Platform(front, _) => front.stop(now, &mut self.log),
-                Side::Operator { front, .. } => front.stop(),
-            }
+            self.part(now);
             self.settle();
         }
     }
@@ -289,6 +439,7 @@
                 hosts.close(now, &mut self.log);
             }
         }
+        self.control.shut_down(now, &mut self.log);
         self.hosts.shut_down(now, &mut self.log);
         self.end_bus(now, Reason::Shutdown);
     }
@@ -300,7 +451,9 @@
         };
         let engine = self.engine.next_tick().unwrap_or(Micros::MAX);
         let hosts = self.hosts.next_tick().unwrap_or(Micros::MAX);
-        engine.min(hosts).min(news).min(self.kept_house + HOUSEKEEPING)
+        let doors = self.door.iter().chain(&self.control_door).map(Door::next_tick).min();
+        let doors = doors.unwrap_or(Micros::MAX);
+        engine.min(hosts).min(news).min(doors).min(self.kept_house + HOUSEKEEPING)
     }
 
     /// Whether a client was left with more to read, so that others had their turn.
@@ -327,7 +480,9 @@
             let keep_house = self.kept_house + HOUSEKEEPING <= now;
             if keep_house {
                 self.kept_house = now;
+                self.control.tick(now, &mut self.log);
             }
+            self.door.iter_mut().chain(&mut self.control_door).for_each(|door| door.tick(now));
             match &mut self.side {
                 Side::Platform(front, bus) => {
                     if keep_house {
@@ -364,7 +519,7 @@
     fn read_bus(&mut self, now: Micros) -> Result<(), Reason> {
         loop {
             let Side::Platform(_, bus) = &mut self.side else { return Ok(()) };
-            bus.greet()?;
+            bus.greet(now)?;
             let Some(conn) = bus.conn.as_mut().filter(|_| bus.standing) else { return Ok(()) };
             conn.flush()?;
             let filled = conn.fill();
@@ -393,7 +548,10 @@
             }
         };
         bus.heard(now);
-        let Frame::Event(event) = frame else { return Ok(true) };
+        let Frame::Event(event) = frame else {
+            bus.told_all();
+            return Ok(true);
+        };
         let number = event.number;
         match bus.take(event) {
             Ok(None) => {}
@@ -440,6 +598,10 @@
                 self.carry_out(command);
             } else if let Some(notice) = self.hosts.notices.pop_front() {
                 self.host_notice(notice);
+            } else if let Some((caller, call)) = self.control.calls.pop() {
+                let now = self.clock.now();
+                let answer = self.operate(now, call);
+                self.control.answer(now, caller, answer, &mut self.log);
             } else if !self.hear_front() {
                 return;
             }
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -35,6 +35,7 @@
 pub struct Program {
     child: Child,
     pub address: SocketAddr,
+    control: Option<SocketAddr>,
     log: Arc<Mutex<Vec<String>>>,
     file: std::path::PathBuf,
 }
@@ -84,12 +85,20 @@
         };
         let mut child = command.spawn().unwrap();
         let mut lines = BufReader::new(child.stderr.take().unwrap()).lines();
-        let first = lines.next().expect("a first line").unwrap();
-        let address = first.strip_prefix("listening on ").unwrap_or_else(|| panic!("{first}"));
+        let mut control = None;
+        let address = loop {
+            let line = lines.next().expect("a line").unwrap();
+            match line.strip_prefix("control on ") {
+                Some(address) => control = Some(address.parse().unwrap()),
+                None => {
+                    break line.strip_prefix("listening on ").unwrap_or_else(|| panic!("{line}")).to_string()
+                }
+            }
+        };
         let (address, log) = (address.parse().unwrap(), Arc::new(Mutex::new(Vec::new())));
         let into = log.clone();
         spawn(move || lines.map_while(Result::ok).for_each(|line| into.lock().unwrap().push(line)));
-        Self { child, address, log, file }
+        Self { child, address, control, log, file }
     }
 
     /// Lines of the log with this in them.
@@ -104,6 +113,31 @@
         stream
     }
 
+    /// A connection to the operators' address.
+    pub fn connect_control(&self) -> TcpStream {
+        let stream = TcpStream::connect(self.control.expect("a control address")).unwrap();
+        stream.set_read_timeout(Some(LONG)).unwrap();
+        stream
+    }
+
+    /// An operator's call: the status of its answer.
+    pub fn operate(&self, method: &str, path: &str, body: &str) -> u16 {
+        let mut stream = self.connect_control();
+        stream.write_all(request(method, path, &[], body).as_bytes()).unwrap();
+        let status = read_reply(&mut stream).expect("an answer").status;
+        assert!(read_reply(&mut stream).is_none(), "one call to a connection");
+        status
+    }
+
+    pub fn status(&self) -> u16 {
+        self.operate("GET", "/status", "")
+    }
+
+    /// Takes a host out by hand, or back in.
+    pub fn maintain(&self, way: &str, host: u32) -> u16 {
+        self.operate("POST", &format!("/maintenance/{way}"), &format!("{{\"host\":\"s-{host:08x}\"}}"))
+    }
+
     pub fn terminate(&self) {
         self.signal("-TERM");
     }
@@ -469,7 +503,9 @@
 pub fn operator_file(resolver: SocketAddr) -> String {
     let text =
         std::fs::read_to_string(concat!(env!("CARGO_MANIFEST_DIR"), "/../deploy/invoke.toml")).unwrap();
-    text.replace("127.0.0.1:8480", "127.0.0.1:0").replace("127.0.0.1:5353", &resolver.to_string())
+    text.replace("127.0.0.1:8480", "127.0.0.1:0")
+        .replace("127.0.0.1:8481", "127.0.0.1:0")
+        .replace("127.0.0.1:5353", &resolver.to_string())
 }
 
 /// The program with its invoke front before these hosts, once it knows them.
@@ -537,7 +573,7 @@
         serde_json::json!({"Name": name, "Effect": effect, "AimUs": 1500000,
         "GiveUpUs": 4000000, "Importance": 3.0, "LateWorth": 0.2, "DedupScope": "cell", "WindowUs": 8000000})
     };
-    serde_json::json!({"name": "n0", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
+    serde_json::json!({"name": "n0", "listen": "127.0.0.1:0", "control": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
         "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256}, "bus": bus.to_string(),
         "known": {"offset": 1, "batch": [{"offset": 1, "topology": {"revision": 1, "complete": true, "members": members}}]},
         "settings": {"Discovery": "automatic", "GroupSize": 1, "Zone": "z", "Zones": ["z"],
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -277,6 +277,36 @@
         self.tell(Event::List { kind, entries }, out);
     }
 
+    /// An operator takes a host out, whatever the list says, or puts it back.
+    pub fn bar(&mut self, now: Micros, worker: WorkerId, out: bool, commands: &mut Vec<Command>) {
+        self.advance(now);
+        self.tell(Event::Barred { worker, out }, commands);
+    }
+
+    /// The settings have changed; they must have been checked. What is open goes on as it began.
+    pub fn settings(
+        &mut self,
+        now: Micros,
+        settings: Settings,
+        order_timeout: Micros,
+        out: &mut Vec<Command>,
+    ) {
+        self.advance(now);
+        self.order_timeout = order_timeout;
+        self.tell(Event::Settings(Box::new(settings)), out);
+    }
+
+    /// What is believed loaded, for a process that takes this one's place.
+    pub fn loaded(&self) -> Vec<Loaded> {
+        self.router.loaded()
+    }
+
+    /// What the process believed loaded whose place this one takes.
+    pub fn inherit(&mut self, now: Micros, loaded: Vec<Loaded>, out: &mut Vec<Command>) {
+        self.advance(now);
+        self.tell(Event::Inherited(loaded), out);
+    }
+
     /// Time has passed.
     pub fn tick(&mut self, now: Micros, out: &mut Vec<Command>) {
         self.advance(now);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -61,7 +61,7 @@
 }
 
 /// A class of requests.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Class {
     /// Answers within this time earn full worth.
     pub aim: Micros,
@@ -113,7 +113,7 @@
     OnRequest,
 }
 
-/// Facts about a deployment, told once.
+/// Facts about a deployment, told at the start and whenever they change.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Settings {
     /// Routers that share the traffic, this one included.
@@ -159,14 +159,15 @@
         bad(self.classes.is_empty(), "no classes")?;
         bad(self.routers == 0, "no routers")?;
         bad(self.max_attempts == 0, "no attempts allowed")?;
+        let deadlines = self.classes.iter().flat_map(|c| [c.aim, c.give_up]);
+        bad(deadlines.into_iter().any(|t| t <= 0), "a deadline that is not above 0")?;
         let windows = self.classes.iter().map(|c| match c.effect {
             Effect::Keyed { window, .. } => window,
             _ => 0,
         });
-        let aims = self.classes.iter().flat_map(|c| [c.aim, c.give_up]);
         let period = self.load_budget.map_or(0, |b| b.period);
         let times = [self.keep, self.cold_for, self.fall_window, self.max_retry_after, period];
-        bad(times.into_iter().chain(aims).chain(windows).any(|t| t < 0), "a negative time")?;
+        bad(times.into_iter().chain(windows).any(|t| t < 0), "a negative time")?;
         let budget = self.load_budget.map_or([0.0; 2], |b| [b.free, b.share]);
         let worths = self.classes.iter().flat_map(|c| [c.worth, c.late_worth]);
         let quotas = self.tenants.iter().map(|t| t.quota);
@@ -228,6 +229,23 @@
     Failed,
 }
 
+/// A function believed loaded on a worker, as one router tells its successor.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Loaded {
+    /// Where.
+    pub worker: WorkerId,
+    /// Which function.
+    pub function: FunctionId,
+    /// Requests that one copy runs at once.
+    pub lanes: u32,
+    /// Copies.
+    pub copies: u32,
+    /// Believed loaded until then.
+    pub until: Micros,
+    /// Calls of the function lately.
+    pub calls: f64,
+}
+
 /// How an attempt, a load order or a probe ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -340,6 +358,17 @@
         /// Copies that stand loaded.
         copies: u32,
     },
+    /// An operator takes a worker out of service, whatever the list says, or puts it back.
+    Barred {
+        /// The worker.
+        worker: WorkerId,
+        /// Out, or back in.
+        out: bool,
+    },
+    /// The settings have changed. Requests that were open before keep their class and tenant.
+    Settings(Box<Settings>),
+    /// What the router believed loaded whose place this one takes.
+    Inherited(Vec<Loaded>),
     /// Time has passed; asked for by [`Action::Wake`].
     Woken,
 }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -72,6 +72,8 @@
 const COLD_MARGIN: f64 = 0.6;
 /// An answer's time says this long how slow its worker is.
 const SLOW_MEMORY: f64 = 3e6;
+/// For so long one that was put back is given copies of functions ahead of their calls.
+const RETURNING: Micros = 5_000_000;
 /// A copy is renewed when it has less than this to live: time for an order and for its load.
 const RENEW_BEFORE: Micros = 1_500_000;
 /// Functions not called for this multiple of the keep-alive are let go.
@@ -107,6 +109,11 @@
         Ok(Self(Core { settings, rng, lot: seed, tenant_rates, ..Core::default() }))
     }
 
+    /// All that is believed loaded, for a router that takes this one's place.
+    pub fn loaded(&self) -> Vec<Loaded> {
+        self.0.loaded()
+    }
+
     /// Takes one event and appends what is to be done about it. Late, repeated or unknown ids do no harm.
     pub fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
         self.0.handle(now, event, out);
@@ -132,6 +139,8 @@
                 let counted = self.count(&function, tenant, lanes);
                 let fresh = Request {
                     class,
+                    terms: self.settings.classes[class],
+                    attempts: self.settings.max_attempts,
                     tenant,
                     arrived: self.now,
                     worth: self.worth(class, tenant, repeat),
@@ -183,6 +192,9 @@
             Event::LoadEnded { worker, function, outcome, copies } => {
                 self.load_ended(&worker, &function, (outcome, copies), out)
             }
+            Event::Barred { worker, out } => self.bar(&worker, out),
+            Event::Settings(settings) => self.retune(*settings),
+            Event::Inherited(loaded) => self.inherit(loaded),
             Event::Woken => {}
         }
         if self.wake_at <= self.now {
@@ -201,7 +213,7 @@
             return self.subscribe_at = self.now + FIRST_REST;
         }
         if kind != ListKind::Delta {
-            self.workers.values_mut().for_each(|w| w.up = false);
+            self.workers.values_mut().for_each(|w| (w.listed, w.up) = (false, false));
         }
         for e in entries {
             let fresh = || Worker {
@@ -211,15 +223,15 @@
                 ..Worker::default()
             };
             let w = self.workers.entry(e.worker.clone()).or_insert_with(fresh);
-            w.up = e.condition == Condition::Up;
+            w.listed = e.condition == Condition::Up;
+            w.up = w.listed && !w.barred;
             (w.zone, w.cell) = (e.zone, e.cell);
             let size = if e.size.is_finite() && e.size > 0.0 { e.size } else { 1.0 };
             self.roster += u64::from(size != w.size);
             w.size = size;
             if e.ready_at > w.started || e.condition == Condition::Gone {
                 // A new process holds nothing and has no record.
-                (w.failed, w.tried, w.rest, w.ill_until, w.on_trial, w.report) =
-                    (0.0, 0.0, 0, 0, false, None);
+                w.acquit();
                 (w.started, w.cold_since) = (w.started.max(e.ready_at), w.started.max(e.ready_at));
                 self.functions.values_mut().for_each(|f| f.lose(&e.worker));
             }
@@ -227,10 +239,25 @@
         self.sum_up();
         // Those that are gone keep their place in the orders, as they mostly come back; not for ever.
         if self.workers.len() as f64 > 2.0 * self.totals.up {
-            self.workers.retain(|_, w| w.up || w.in_flight > 0);
+            self.workers.retain(|_, w| w.up || w.barred || w.in_flight > 0);
         }
     }
 
+    /// Out, a worker gets nothing new. Back in, it may be another process that holds nothing and is cold.
+    fn bar(&mut self, n: &WorkerId, out: bool) {
+        let w = self.workers.entry(n.clone()).or_default();
+        w.up = w.listed && !out;
+        if std::mem::replace(&mut w.barred, out) && !out {
+            w.acquit();
+            (w.back, w.cold_since) = (self.now, self.now);
+            for f in self.functions.values_mut() {
+                f.lose(n);
+                f.places.entry(n.clone()).and_modify(|p| p.missed_until = 0);
+            }
+        }
+        self.sum_up();
+    }
+
     fn tick(&mut self, out: &mut Vec<Action>) {
         let now = self.now;
         let ticks = (now - self.ticked) as f64 / TICK as f64;
@@ -281,7 +308,7 @@
 impl Core {
     /// Requests that the worker is thought to hold: our own, and for those of the others its fresh report or
     /// what our own share lets us expect, which is the fleet's mean where we see too little of each worker.
-    fn load(&self, w: &Worker) -> f64 {
+    pub(crate) fn load(&self, w: &Worker) -> f64 {
         let others = (self.settings.routers - 1) as f64;
         let fair = self.totals.in_flight * w.size / self.totals.size.max(1e-9);
         let trust = self.trust();
@@ -301,26 +328,6 @@
         seen / (seen + unseen)
     }
 
-    fn mean_size(&self) -> f64 {
-        (self.totals.size / self.totals.up.max(1.0)).max(1e-9)
-    }
-
-    /// Sums over the workers that are up, made anew at most once a tick.
-    fn sum_up(&mut self) {
-        let up = || self.workers.values().filter(|w| w.up);
-        self.totals = Totals {
-            at: self.now,
-            up: up().count() as f64,
-            size: up().map(|w| w.size).sum(),
-            warm: up().map(|w| w.size * self.warmth(w)).sum(),
-            in_flight: up().map(|w| w.mean_in_flight).sum(),
-            ill: up().filter(|w| w.ill_until > self.now || w.on_trial).count() as f64,
-            slow: up().map(|w| w.slow).sum(),
-            load: 0.0,
-        };
-        self.totals.load = self.workers.values().filter(|w| w.up).map(|w| self.load(w)).sum();
-    }
-
     /// The load per size above which a worker is crowded.
     fn crowding(&self) -> f64 {
         let mean = self.totals.load / self.totals.up.max(1.0);
@@ -421,7 +428,14 @@
                 }
             }
         }
+        // One put back holds nothing, so no call would find it: functions that are to be there go ahead.
+        let lacks = |n| f.places.get(n).is_none_or(|p| p.warm_until <= self.now && p.loading.is_none());
+        let back = |n, w: &Worker| w.back > 0 && self.now - w.back < RETURNING && f.known && lacks(n);
+        let back = fit.iter().find(|(n, w)| back(*n, w)).map(|(n, _)| (*n).clone());
         if let Some((_, _, n)) = best {
+            if let Some(back) = back {
+                self.order(&back, &function, 1, true, out);
+            }
             return Route::Send(n);
         }
         // One alone in being slow is passed over. Where all are, ever more copies only push out others.
@@ -429,7 +443,6 @@
         let alone = |w: &Worker| !self.admits(w) && w.slow > ALONE * rest(w) && rest(w) < PRESSURE;
         let home = fit.iter().find(|(_, w)| !alone(w)).filter(|(_, w)| self.admits(w));
         let home = home.map(|(n, _)| (*n).clone());
-        let lacks = |n| f.places.get(n).is_none_or(|p| p.warm_until <= self.now && p.loading.is_none());
         let free = |n, w: &Worker| lacks(n) && self.admits(w) && self.load(w) / w.size < limit;
         let spill = fit.iter().find(|(n, w)| free(*n, w)).map(|(n, _)| (*n).clone());
         if let Some((_, n)) = waiting {
@@ -437,7 +450,7 @@
             let warm = p.warm_until > self.now || presumed.contains(&n);
             // Waiting for a lane, or for a load, must leave time to be served within the aim.
             let queue = (p.in_flight as f64 + others * p.mean_in_flight) / (lanes * p.copies.max(1) as f64);
-            let aim = self.settings.classes[r.class].aim as f64;
+            let aim = r.terms.aim as f64;
             let full = queue > 1.0 + HOLD_SHARE * aim / self.usual.max(1.0) && p.in_flight > 0;
             let roomy = self.workers.get(&n).is_some_and(|w| self.load(w) / w.size < limit);
             // Lanes run out: one more copy there, or at the next worker in order when this one is crowded.
@@ -506,16 +519,6 @@
         known
     }
 
-    /// A call that came then counts for the ration of orders.
-    fn grant(&mut self, arrived: Micros) {
-        let window = self.settings.load_budget.map_or(0, |b| b.period);
-        while self.arrivals.front().is_some_and(|t| *t <= self.now - window) {
-            self.arrivals.pop_front();
-        }
-        let at = self.arrivals.partition_point(|t| *t < arrived);
-        self.arrivals.insert(at, arrived);
-    }
-
     /// Algorithm 2: the likeliest successor not believed warm, if its ratio beats the threshold.
     fn preload_successor(&mut self, id: &FunctionId, out: &mut Vec<Action>) {
         let Some(f) = self.functions.get(id) else { return };
@@ -608,7 +611,8 @@
             return;
         }
         // Held requests are looked at once a tick; answer while the client surely still waits.
-        if r.tries.len() as u32 >= self.settings.max_attempts || self.now + 2 * TICK >= r.due {
+        let most = r.attempts.min(self.settings.max_attempts);
+        if r.tries.len() as u32 >= most || self.now + 2 * TICK >= r.due {
             return self.give_up(id, out);
         }
         let route = self.route(id, out);
@@ -618,7 +622,7 @@
             Route::AwaitLoad => (r.held, self.holding) = (true, true),
             Route::Busy => {
                 (r.held, self.holding) = (true, true);
-                let aim = self.settings.classes[r.class].aim as f64;
+                let aim = r.terms.aim as f64;
                 let patience = (HOLD_SHARE * aim).min(EARLY * (r.due - r.arrived) as f64);
                 if (now - r.arrived) as f64 > patience && self.may_refuse(id) {
                     self.give_up(id, out);
@@ -659,14 +663,6 @@
         self.forget(id);
     }
 
-    /// Drops a request that is answered and has nothing out.
-    fn forget(&mut self, id: &RequestId) {
-        let over = |r: &Request| r.answered && r.tries.iter().all(|t| t.ended.is_some());
-        if self.requests.get(id).is_some_and(over) {
-            self.requests.remove(id);
-        }
-    }
-
     fn answer(
         &mut self,
         id: &RequestId,
@@ -684,7 +680,7 @@
         };
         t.ended = Some(outcome);
         let (warm, function, sent, arrived) = (t.warm, r.function.clone(), t.sent, r.arrived);
-        let (class, tenant, aim) = (r.class, r.tenant, self.settings.classes[r.class].aim);
+        let (class, tenant, aim) = (r.class, r.tenant, r.terms.aim);
         let errors = r.tries.iter().filter(|t| t.ended == Some(Outcome::Error)).count();
         let knows = matches!(outcome, Outcome::Done | Outcome::Miss);
         let counts = knows && !r.counted;
@@ -793,7 +789,7 @@
     fn may_refuse(&self, id: &RequestId) -> bool {
         let Some(r) = self.requests.get(id) else { return false };
         let never_ran = r.tries.iter().all(|t| t.ended.is_some_and(Outcome::never_ran));
-        match self.settings.classes[r.class].effect {
+        match r.terms.effect {
             Effect::Safe => true,
             Effect::Keyed { scope, .. } => never_ran || scope == Scope::All,
             Effect::Unsafe => never_ran,
@@ -821,12 +817,12 @@
     /// Whether the request may have another attempt somewhere.
     fn may_repeat(&self, r: &Request) -> bool {
         let never_ran = r.tries.iter().all(|t| t.ended.is_some_and(Outcome::never_ran));
-        never_ran || self.settings.classes[r.class].effect != Effect::Unsafe
+        never_ran || r.terms.effect != Effect::Unsafe
     }
 
     /// Whether it may go to this worker: keyed requests stay with those that drop their repeats.
     fn may_repeat_on(&self, r: &Request, n: &WorkerId, w: &Worker) -> bool {
-        let Effect::Keyed { scope, window } = self.settings.classes[r.class].effect else { return true };
+        let Effect::Keyed { scope, window } = r.terms.effect else { return true };
         let ran = |t: &&Try| !t.ended.is_some_and(Outcome::never_ran);
         r.tries.iter().filter(ran).all(|t| {
             let same = match (scope, self.workers.get(&t.worker)) {
@@ -847,7 +843,7 @@
         // A connection that broke does not speak against its worker; two do.
         let fails = |t: &Try| ended(t).map_or(0, |e| if e == Outcome::Reset { 1 } else { 2 });
         let failed_here = r.tries.iter().filter(here).map(fails).sum::<u32>() >= 2;
-        let safe = self.settings.classes[r.class].effect == Effect::Safe;
+        let safe = r.terms.effect == Effect::Safe;
         let well = panic || (w.ill_until <= self.now && (!w.on_trial || (safe && w.in_flight == 0)));
         let shut = w.shut.iter().any(|s| (s.0, s.1) == (r.class, r.tenant) && s.2 > self.now);
         w.up && well && !shut && self.cold_room(name, w) && !failed_here
@@ -942,7 +938,7 @@
         // Where the old are mostly lost, not slow, a read is asked for anew while there is time.
         let lost = self.lost > LOST && self.slow < SHED && self.settings.cancel;
         for (id, r) in self.requests.iter().filter(|(_, r)| lost && !r.answered && !r.streaming) {
-            let safe = self.settings.classes[r.class].effect == Effect::Safe;
+            let safe = r.terms.effect == Effect::Safe;
             let k = r.tries.iter().position(|t| t.ended.is_none() && t.warm && self.now - t.sent > old);
             if let (true, Some(k)) = (safe && r.tries.iter().all(|t| t.ended != Some(Outcome::Cancelled)), k)
             {
@@ -956,7 +952,7 @@
             }
             // What may be repeated is called off there, and goes elsewhere when that is confirmed.
             for (id, r) in &self.requests {
-                let safe = self.settings.classes[r.class].effect == Effect::Safe;
+                let safe = r.terms.effect == Effect::Safe;
                 for (k, t) in r.tries.iter().enumerate().filter(|(_, t)| t.ended.is_none() && t.worker == n) {
                     if safe && !r.answered && !r.streaming && self.now - t.sent > old {
                         out.push(Action::Cancel { request: id.clone(), attempt: k as u32 });
--- a/src/state.rs
+++ b/src/state.rs
@@ -56,7 +56,14 @@
     pub(crate) zone: u32,
     pub(crate) cell: i64,
     pub(crate) size: f64,
+    /// In service, as the list has it.
+    pub(crate) listed: bool,
+    /// Taken out by an operator.
+    pub(crate) barred: bool,
+    /// May be sent new work: listed and not barred.
     pub(crate) up: bool,
+    /// When an operator put it back.
+    pub(crate) back: Micros,
     pub(crate) started: Micros,
     /// Its start, or the last sign of one.
     pub(crate) cold_since: Micros,
@@ -88,7 +95,11 @@
 }
 
 pub(crate) struct Request {
+    /// Index of its class; of none any more since the settings changed.
     pub(crate) class: usize,
+    /// Its class, and the attempts that it may have, as they were when it came.
+    pub(crate) terms: Class,
+    pub(crate) attempts: u32,
     pub(crate) tenant: Option<usize>,
     pub(crate) arrived: Micros,
     /// What an answer is likely to earn.
@@ -151,7 +162,95 @@
     pub(crate) held_worth: f64,
 }
 
+impl Worker {
+    /// A new process is met without a record.
+    pub(crate) fn acquit(&mut self) {
+        (self.failed, self.tried, self.rest, self.ill_until, self.full_until) = (0.0, 0.0, 0, 0, 0);
+        (self.on_trial, self.report, self.slow) = (false, None, 0.0);
+        self.shut.clear();
+    }
+}
+
 impl Core {
+    pub(crate) fn mean_size(&self) -> f64 {
+        (self.totals.size / self.totals.up.max(1.0)).max(1e-9)
+    }
+
+    /// Sums over the workers that are up, made anew at most once a tick.
+    pub(crate) fn sum_up(&mut self) {
+        let up = || self.workers.values().filter(|w| w.up);
+        self.totals = Totals {
+            at: self.now,
+            up: up().count() as f64,
+            size: up().map(|w| w.size).sum(),
+            warm: up().map(|w| w.size * self.warmth(w)).sum(),
+            in_flight: up().map(|w| w.mean_in_flight).sum(),
+            ill: up().filter(|w| w.ill_until > self.now || w.on_trial).count() as f64,
+            slow: up().map(|w| w.slow).sum(),
+            load: 0.0,
+        };
+        self.totals.load = self.workers.values().filter(|w| w.up).map(|w| self.load(w)).sum();
+    }
+
+    /// A call that came then counts for the ration of orders.
+    pub(crate) fn grant(&mut self, arrived: Micros) {
+        let window = self.settings.load_budget.map_or(0, |b| b.period);
+        while self.arrivals.front().is_some_and(|t| *t <= self.now - window) {
+            self.arrivals.pop_front();
+        }
+        let at = self.arrivals.partition_point(|t| *t < arrived);
+        self.arrivals.insert(at, arrived);
+    }
+
+    /// Takes new settings up. Classes and tenants go by index: what was told by the old ones is let go.
+    pub(crate) fn retune(&mut self, settings: Settings) {
+        if settings.tenants != self.settings.tenants {
+            self.tenant_rates = vec![0.0; settings.tenants.len()];
+            self.recent.clear();
+        }
+        self.workers.values_mut().for_each(|w| w.shut.clear());
+        self.requests.values_mut().for_each(|r| (r.class, r.tenant) = (usize::MAX, None));
+        self.settings = settings;
+    }
+
+    /// All that is believed loaded, for a router that takes this one's place.
+    pub(crate) fn loaded(&self) -> Vec<Loaded> {
+        let places =
+            self.functions.iter().flat_map(|(id, f)| f.places.iter().map(move |(n, p)| (id, f, n, p)));
+        let warm = places.filter(|(.., p)| p.warm_until > self.now);
+        let told = warm.map(|(id, f, n, p)| Loaded {
+            worker: n.clone(),
+            function: id.clone(),
+            lanes: f.lanes,
+            copies: p.copies,
+            until: p.warm_until,
+            calls: f.calls,
+        });
+        told.collect()
+    }
+
+    /// Believes what another router believed, as far as this one has not learnt better.
+    pub(crate) fn inherit(&mut self, loaded: Vec<Loaded>) {
+        for l in loaded.into_iter().filter(|l| l.until > self.now && l.calls.is_finite()) {
+            let f = self.functions.entry(l.function).or_default();
+            if f.places.is_empty() {
+                self.calls += l.calls.max(0.0);
+                (f.calls, f.lanes, f.known) = (f.calls + l.calls.max(0.0), l.lanes.max(1), true);
+                (f.last_call, f.seen) = (self.now, f.seen.max(2));
+            }
+            let p = f.places.entry(l.worker).or_default();
+            (p.warm_until, p.copies) = (p.warm_until.max(l.until), p.copies.max(l.copies));
+        }
+    }
+
+    /// Drops a request that is answered and has nothing out.
+    pub(crate) fn forget(&mut self, id: &RequestId) {
+        let over = |r: &Request| r.answered && r.tries.iter().all(|t| t.ended.is_some());
+        if self.requests.get(id).is_some_and(over) {
+            self.requests.remove(id);
+        }
+    }
+
     /// The share of its capacity that a worker is sure to have: all of it, unless it started lately.
     pub(crate) fn warmth(&self, w: &Worker) -> f64 {
         let (s, age) = (&self.settings, self.now - w.cold_since);
