A new process takes the place of a running one over a Unix socket

node/src/upgrade.rs: the two meet on a socket in TMPDIR named by the clients' address; the running one passes its listening socket, hosts out by hand, standby, the bus's number and what is believed loaded. Both hold half of what they may while two run; if the new one goes, the old one opens its door again.

--- a/node/src/bus.rs
+++ b/node/src/bus.rs
@@ -134,6 +134,8 @@
     /// When the connection came to stand, and whether all was told on it: it says so once a second.
     stood: Micros,
     told: bool,
+    /// The event that another process had read when this one began.
+    wanted: u64,
     retry_at: Micros,
     pause: Micros,
     last: u64,
@@ -155,6 +157,7 @@
             heard: 0,
             stood: 0,
             told: false,
+            wanted: 0,
             retry_at: 0,
             pause: FIRST_PAUSE,
             last,
@@ -184,7 +187,19 @@
     /// comes at once.
     pub fn is_caught_up(&self, now: Micros) -> bool {
         let quiet = self.standing && now - self.stood.max(self.heard) >= QUIET;
-        self.catching_up.is_none() && (self.told || quiet)
+        self.catching_up.is_none() && self.last >= self.wanted && (self.told || quiet)
+    }
+
+    /// Where it is read, and how far.
+    pub fn place(&self) -> (SocketAddr, u64) {
+        (self.address, self.last)
+    }
+
+    /// Another process has read the same bus so far.
+    pub fn read_elsewhere(&mut self, (address, last): (SocketAddr, u64)) {
+        if address == self.address {
+            self.wanted = last;
+        }
     }
 
     /// It has nothing new.
--- a/node/src/door.rs
+++ b/node/src/door.rs
@@ -2,6 +2,7 @@
 
 use std::io::{self, ErrorKind};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::{AsFd, OwnedFd};
 use std::rc::Rc;
 
 use calloop::generic::Generic;
@@ -53,6 +54,11 @@
         Ok(Self { handle: handle.clone(), socket, token, shut: None })
     }
 
+    /// Another handle of the same socket, for another process.
+    pub fn share(&self) -> io::Result<OwnedFd> {
+        Ok(self.socket.as_fd().try_clone_to_owned()?)
+    }
+
     pub fn address(&self) -> Option<SocketAddr> {
         self.socket.local_addr().ok()
     }
--- a/node/src/front/invoke.rs
+++ b/node/src/front/invoke.rs
@@ -155,6 +155,11 @@
         self.parting = parts.then(|| self.parting.unwrap_or(now));
     }
 
+    /// Holds to other bounds from now on, in connections and bytes.
+    pub fn bound(&mut self, (most, bytes): (usize, usize)) {
+        (self.most, self.bytes) = (most, bytes);
+    }
+
     /// Connections that are held.
     pub fn held(&self) -> usize {
         self.conns.len()
--- a/node/src/front/platform.rs
+++ b/node/src/front/platform.rs
@@ -112,6 +112,8 @@
     bytes: usize,
     /// Connections that were left with more to read.
     again: Vec<ConnId>,
+    /// What clients are told who ask.
+    pub ready: bool,
     /// Since when clients have been asked to open nothing new.
     parting: Option<Micros>,
     pub notices: Vec<Notice>,
@@ -124,7 +126,7 @@
 impl Platform {
     pub fn new(handle: LoopHandle<'static, Node>, (most, bytes): (usize, usize), conn_idle: Micros) -> Self {
         let (conns, again, notices) = (HashMap::new(), Vec::new(), Vec::new());
-        Self { handle, conns, most, conn_idle, bytes, again, parting: None, notices }
+        Self { handle, conns, most, conn_idle, bytes, again, ready: true, parting: None, notices }
     }
 
     /// Whether nothing is owed to anybody: all answers have left.
@@ -192,6 +194,11 @@
         }
     }
 
+    /// Holds to other bounds from now on, in connections and bytes.
+    pub fn bound(&mut self, (most, bytes): (usize, usize)) {
+        (self.most, self.bytes) = (most, bytes);
+    }
+
     /// Connections that are held.
     pub fn held(&self) -> usize {
         self.conns.len()
@@ -347,7 +354,7 @@
             }
             Ok(Frame::IsReady) => {
                 c.asked = true;
-                let code = if self.parting.is_some() { Code::Refused } else { Code::Served };
+                let code = if self.ready { Code::Served } else { Code::Refused };
                 self.write(now, id, &frames::readiness(head.stream, code), log);
             }
             Err(problem) => self.error(now, nowhere, &problem, log),
--- a/node/src/hosts/pool.rs
+++ b/node/src/hosts/pool.rs
@@ -188,6 +188,11 @@
         }
     }
 
+    /// Holds to other bounds from now on; idle connections beyond them are closed.
+    pub fn bound(&mut self, (most, bytes): (usize, usize)) {
+        (self.most, self.bytes) = (most, bytes);
+    }
+
     /// When a connection that is being made is given up next.
     pub fn next_tick(&self) -> Option<Micros> {
         let pending = self.conns.values().filter(|c| !c.standing).map(|c| c.begun);
@@ -730,9 +735,14 @@
             }
             _ => None,
         };
-        let mut over: Vec<_> = self.conns.iter().filter_map(|(id, c)| Some((*id, over(c)?))).collect();
-        over.sort_by_key(|(id, _)| *id);
-        for (id, reason) in over {
+        let mut ends: Vec<_> = self.conns.iter().filter_map(|(id, c)| Some((*id, over(c)?))).collect();
+        let spare = self.conns.len().saturating_sub(ends.len() + self.most);
+        let idle = self.conns.iter().filter(|(_, c)| spare > 0 && c.is_idle() && over(c).is_none());
+        let mut idle: Vec<_> = idle.map(|(id, c)| (c.used, *id)).collect();
+        idle.sort();
+        ends.extend(idle.into_iter().take(spare).map(|(_, id)| (id, Reason::Evicted)));
+        ends.sort_by_key(|(id, _)| *id);
+        for (id, reason) in ends {
             self.end(now, id, reason, log);
         }
     }
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -14,6 +14,7 @@
 mod log;
 mod node;
 mod ring;
+mod upgrade;
 
 use std::process::ExitCode;
 
@@ -64,7 +65,8 @@
     };
     handle.insert_source(signals, told).map_err(|e| format!("no signals: {e}"))?;
 
-    let mut node = Node::new(handle.clone(), config)?;
+    let place = upgrade::claim(config.listen)?;
+    let mut node = Node::new(handle.clone(), config, place)?;
     node.open_doors()?;
 
     while !node.is_done() {
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -3,7 +3,7 @@
 
 use std::cell::Cell;
 use std::collections::{HashMap, HashSet, VecDeque};
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -26,6 +26,7 @@
 use crate::hosts::{self, Call, Hosts};
 use crate::http::Response;
 use crate::log::{Log, Reason};
+use crate::upgrade::{Message, News, Place, State, Upgrade};
 
 /// A client's time runs from when it wrote the last byte: the answer must have reached it before it ends.
 const DUE_MARGIN: Micros = 20_000;
@@ -113,6 +114,15 @@
     door: Option<Door>,
     control_door: Option<Door>,
     control: Control,
+    upgrade: Upgrade,
+    /// The listening socket, until this process takes clients.
+    listener: Option<TcpListener>,
+    /// A new process takes the clients.
+    succeeded: bool,
+    /// Connections of clients that the peer holds.
+    peer_clients: usize,
+    /// Descriptors and bytes that may be held.
+    limits: (usize, usize),
     /// Drained by an operator: serves what comes, and asks clients not to.
     standby: bool,
     /// The host list was once as new as could be told: a bus that breaks later does not undo that.
@@ -123,7 +133,11 @@
 }
 
 impl Node {
-    pub fn new(handle: LoopHandle<'static, Node>, config: Config) -> Result<Self, String> {
+    pub fn new(handle: LoopHandle<'static, Node>, config: Config, place: Place) -> Result<Self, String> {
+        let Place { listener, inheritance } = place;
+        let state = inheritance.as_ref().map(|i| i.state.clone());
+        let upgrade = Upgrade::new(&handle, config.listen, inheritance)
+            .map_err(|e| format!("no word with the peer: {e}"))?;
         let transport = config.deployment.transport.clone();
         let clients = (config.sockets / 3).max(1);
         let share = config.memory / MEMORY_SHARE;
@@ -158,6 +172,11 @@
             door: None,
             control_door: None,
             control: Control::new(handle.clone()),
+            upgrade,
+            listener: Some(listener),
+            succeeded: false,
+            peer_clients: 0,
+            limits: (config.sockets, config.memory),
             standby: false,
             caught_up: false,
             begun: clock.now(),
@@ -177,14 +196,136 @@
             kept_house: 0,
             handle,
         };
+        node.resize();
+        if let Some(state) = &state {
+            node.inherit(state);
+        }
         for (i, event) in known.into_iter().enumerate() {
             let kind = if i == 0 { ListKind::Cached } else { event.kind };
             node.list(kind, event.hosts);
         }
+        if let Some(state) = &state {
+            // Only now, as a whole list begins all beliefs anew.
+            let now = node.clock.now();
+            node.run_engine(|engine, out| engine.inherit(now, state.loaded(), out));
+        }
         node.settle();
         Ok(node)
     }
 
+    /// Takes over what the process whose place this one takes was told by operators.
+    fn inherit(&mut self, state: &State) {
+        let now = self.clock.now();
+        for id in &state.out {
+            self.bar(now, &id.as_str().into(), true);
+        }
+        self.stand_by(now, state.standby);
+        if let (Side::Platform(_, bus), Some(place)) = (&mut self.side, state.bus) {
+            bus.read_elsewhere(place);
+        }
+    }
+
+    /// What this process may hold: all of the limits, or its part of them while two processes run.
+    fn resize(&mut self) {
+        let (sockets, memory) = self.limits;
+        let (share, clients) = (memory / MEMORY_SHARE, (sockets / 3).max(1));
+        let (share, clients, most) = if self.upgrade.has_peer() {
+            let most = sockets.saturating_sub(clients + 2 * OWN_SOCKETS) / 2;
+            (share / 2, clients.saturating_sub(self.peer_clients).max(clients / 2), most)
+        } else {
+            (share, clients, sockets.saturating_sub(clients + OWN_SOCKETS))
+        };
+        self.most_bodies = share;
+        self.hosts.bound((most.max(1), share));
+        match &mut self.side {
+            Side::Platform(front, _) => front.bound((clients, share)),
+            Side::Operator { front, .. } => front.bound((clients, share)),
+        }
+    }
+
+    pub fn guests_ready(&mut self) {
+        self.upgrade.accept();
+        self.settle();
+    }
+
+    pub fn peer_ready(&mut self, id: ConnId) {
+        self.upgrade.ready(id);
+        self.settle();
+    }
+
+    /// What another process of this address says or wants.
+    fn hear_peer(&mut self, now: Micros, news: News) {
+        match news {
+            News::Arrived(id) => {
+                let socket = self.door.as_ref().map(Door::share);
+                let Some(Ok(socket)) = socket else { return };
+                self.log.line(now, "a new process comes to take this one's place");
+                let state = self.state();
+                self.upgrade.hand_over(id, state, socket);
+                self.resize();
+            }
+            News::Said(Message::Ready) => {
+                // Who is queued is taken by the new process, from the same socket.
+                self.log.line(now, "the new process takes clients");
+                self.succeeded = true;
+                self.door.iter_mut().for_each(|door| door.shut(Micros::MAX));
+                self.part(now);
+            }
+            News::Said(Message::Host { id, out }) => self.bar(now, &id.as_str().into(), out),
+            News::Said(Message::Standby { on }) => self.stand_by(now, on),
+            News::Said(Message::Clients { held }) => {
+                self.peer_clients = held;
+                self.resize();
+            }
+            News::Said(Message::Hello { .. } | Message::State(_)) => {}
+            News::Left => {
+                self.log.line(now, "the other process is gone");
+                self.peer_clients = 0;
+                self.resize();
+                if std::mem::take(&mut self.succeeded) {
+                    // The new one has failed: this one serves on.
+                    self.door.iter_mut().for_each(Door::reopen);
+                    self.part(now);
+                    self.shine(now);
+                }
+            }
+        }
+    }
+
+    fn state(&self) -> State {
+        let mut state = State {
+            out: self.hosts.barred().map(|h| h.0.to_string()).collect(),
+            standby: self.standby,
+            bus: match &self.side {
+                Side::Platform(_, bus) => Some(bus.place()),
+                Side::Operator { .. } => None,
+            },
+            loaded: Vec::new(),
+        };
+        state.set_loaded(self.engine.loaded());
+        state
+    }
+
+    /// Takes clients: at once, or where another process runs when the host list is as new as can be told.
+    fn take_clients(&mut self) -> Result<(), String> {
+        let now = self.clock.now();
+        let Some(listener) = self.listener.take() else { return Ok(()) };
+        let door = Door::open(&self.handle, listener, Self::accept);
+        self.door = Some(door.map_err(|e| format!("cannot listen on {}: {e}", self.addresses.0))?);
+        self.upgrade.tell(&Message::Ready);
+        self.log.line(now, "taking clients");
+        self.shine(now);
+        Ok(())
+    }
+
+    /// Is found by a new process from now on. Without that, an upgrade is a restart.
+    fn shine(&mut self, now: Micros) {
+        let address = self.door.as_ref().and_then(Door::address).unwrap_or(self.addresses.0);
+        if let Err(e) = self.upgrade.shine(address) {
+            self.log.line(now, format_args!("new processes will not find this one: {e}"));
+        }
+    }
+
     /// Begins to listen, for clients and for operators.
     pub fn open_doors(&mut self) -> Result<(), String> {
         let failed = |address| move |e| format!("cannot listen on {address}: {e}");
@@ -194,14 +335,15 @@
             let door = Door::open(&self.handle, listener, Self::accept_callers).map_err(failed(address))?;
             self.control_door = Some(door);
         }
-        let listener = door::listen(clients).map_err(failed(clients))?;
-        let door = Door::open(&self.handle, listener, Self::accept).map_err(failed(clients))?;
         // With port 0 in the configuration this is how the ports become known.
         if let Some(address) = self.control_door.as_ref().and_then(Door::address) {
             eprintln!("control on {address}");
         }
-        eprintln!("listening on {}", door.address().unwrap_or(clients));
-        self.door = Some(door);
+        let address = self.listener.as_ref().and_then(|l| l.local_addr().ok()).unwrap_or(clients);
+        eprintln!("listening on {address}");
+        if !self.upgrade.has_peer() {
+            self.take_clients()?;
+        }
         Ok(())
     }
 
@@ -270,6 +412,7 @@
                         format_args!("host {id} is {}", if out { "out by hand" } else { "back in" }),
                     );
                     self.bar(now, &host, out);
+                    self.upgrade.tell(&Message::Host { id: id.clone(), out });
                 }
                 Response::json(200, serde_json::json!({"host": id, "out": out}))
             }
@@ -278,6 +421,7 @@
                     return Response::problem(409, "the program has been told to end");
                 }
                 self.stand_by(now, on);
+                self.upgrade.tell(&Message::Standby { on });
                 Response::json(200, serde_json::json!({"standby": on}))
             }
         }
@@ -287,16 +431,20 @@
     fn status(&mut self, now: Micros) -> Response {
         let caught_up = self.is_caught_up(now);
         let ready = self.door.is_some() && caught_up && !self.standby && self.stopping.is_none();
-        let clients = match &self.side {
-            Side::Platform(front, _) => front.held(),
-            Side::Operator { front, .. } => front.held(),
-        };
+        let clients = self.clients();
         let out: Vec<&str> = self.hosts.barred().map(|h| &*h.0).collect();
         let told = serde_json::json!({"ready": ready, "standby": self.standby, "stopping": self.stopping.is_some(),
             "caught_up": caught_up, "out": out, "requests": self.engine.open(), "clients": clients});
         Response::json(if ready { 200 } else { 503 }, told)
     }
 
+    fn clients(&self) -> usize {
+        match &self.side {
+            Side::Platform(front, _) => front.held(),
+            Side::Operator { front, .. } => front.held(),
+        }
+    }
+
     /// Whether the host list is as new as can be told.
     fn is_caught_up(&mut self, now: Micros) -> bool {
         match &self.side {
@@ -330,9 +478,13 @@
 
     /// Clients are asked to open nothing new, or no longer so.
     fn part(&mut self, now: Micros) {
-        let parts = self.standby || self.stopping.is_some();
+        let ready = !self.standby && self.stopping.is_none();
+        let parts = !ready || self.succeeded;
         match &mut self.side {
-            Side::Platform(front, _) => front.part(now, parts, &mut self.log),
+            Side::Platform(front, _) => {
+                front.ready = ready;
+                front.part(now, parts, &mut self.log)
+            }
             Side::Operator { front, .. } => front.part(now, parts),
         }
     }
@@ -439,6 +591,7 @@
                 hosts.close(now, &mut self.log);
             }
         }
+        self.upgrade.shut_down();
         self.control.shut_down(now, &mut self.log);
         self.hosts.shut_down(now, &mut self.log);
         self.end_bus(now, Reason::Shutdown);
@@ -481,6 +634,15 @@
             if keep_house {
                 self.kept_house = now;
                 self.control.tick(now, &mut self.log);
+                if self.succeeded {
+                    let held = self.clients();
+                    self.upgrade.tell(&Message::Clients { held });
+                }
+            }
+            if self.listener.is_some() && self.is_caught_up(now) {
+                if let Err(problem) = self.take_clients() {
+                    self.log.line(now, problem);
+                }
             }
             self.door.iter_mut().chain(&mut self.control_door).for_each(|door| door.tick(now));
             match &mut self.side {
@@ -598,6 +760,10 @@
                 self.carry_out(command);
             } else if let Some(notice) = self.hosts.notices.pop_front() {
                 self.host_notice(notice);
+            } else if !self.upgrade.news.is_empty() {
+                let now = self.clock.now();
+                let news = self.upgrade.news.remove(0);
+                self.hear_peer(now, news);
             } else if let Some((caller, call)) = self.control.calls.pop() {
                 let now = self.clock.now();
                 let answer = self.operate(now, call);
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -42,10 +42,22 @@
 
 fn binary() -> Command {
     let mut command = Command::new(env!("CARGO_BIN_EXE_wheellink-node"));
-    command.env_clear().stderr(Stdio::piped());
+    command.env_clear().env("TMPDIR", shared_folder()).stderr(Stdio::piped());
     command
 }
 
+/// Where the programs of one test run meet.
+pub fn shared_folder() -> std::path::PathBuf {
+    let path = std::env::temp_dir().join(format!("wheellink-test-{}", std::process::id()));
+    std::fs::create_dir_all(&path).unwrap();
+    path
+}
+
+/// Where a program that listens there is found by one that is to take its place.
+pub fn meeting_place(address: SocketAddr) -> std::path::PathBuf {
+    shared_folder().join(format!("wheellink-{}.sock", address.to_string().replace(':', "-")))
+}
+
 fn write_file(text: &str) -> std::path::PathBuf {
     static NEXT: std::sync::atomic::AtomicU32 = std::sync::atomic::AtomicU32::new(0);
     let n = NEXT.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
@@ -72,7 +84,8 @@
     pub fn start_with_descriptors(most: u32, text: &str, operator: bool) -> Self {
         let mut shell = Command::new("/bin/sh");
         let script = format!("ulimit -n {most}; exec \"$0\" \"$@\"");
-        shell.args(["-c", &script, env!("CARGO_BIN_EXE_wheellink-node")]).env_clear().stderr(Stdio::piped());
+        shell.args(["-c", &script, env!("CARGO_BIN_EXE_wheellink-node")]).env_clear();
+        shell.env("TMPDIR", shared_folder()).stderr(Stdio::piped());
         Self::run(shell, text, operator)
     }
 
@@ -90,8 +103,11 @@
             let line = lines.next().expect("a line").unwrap();
             match line.strip_prefix("control on ") {
                 Some(address) => control = Some(address.parse().unwrap()),
+                None if line.starts_with("wheellink-node: ") => panic!("{line}"),
                 None => {
-                    break line.strip_prefix("listening on ").unwrap_or_else(|| panic!("{line}")).to_string()
+                    if let Some(address) = line.strip_prefix("listening on ") {
+                        break address.to_string();
+                    }
                 }
             }
         };
@@ -148,6 +164,12 @@
         self.signal("-HUP");
     }
 
+    /// Ends it without a word.
+    pub fn kill(&mut self) {
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
+    }
+
     fn signal(&self, signal: &str) {
         let id = self.child.id().to_string();
         assert!(Command::new("kill").args([signal, &id]).status().unwrap().success());
@@ -169,6 +191,12 @@
         let _ = self.child.kill();
         let _ = self.child.wait();
         let _ = std::fs::remove_file(&self.file);
+        // A successor may be found there by now.
+        let place = meeting_place(self.address);
+        if std::os::unix::net::UnixStream::connect(&place).is_err() {
+            let _ = std::fs::remove_file(place);
+        }
+        let _ = std::fs::remove_dir(shared_folder());
     }
 }
 
--- /dev/null
+++ b/node/tests/upgrade.rs
@@ -0,0 +1,127 @@
+//! A new process takes the place of a running one, on real sockets, one test a rule.
+
+mod common;
+
+use std::io::Write;
+use std::net::{SocketAddr, TcpListener};
+use std::os::unix::net::UnixListener;
+use std::thread::spawn;
+
+use common::*;
+use rstest::rstest;
+
+const SERVED: u8 = 79;
+
+/// The configuration of a process that listens there.
+fn at(address: SocketAddr, config: String) -> String {
+    config.replace("\"listen\":\"127.0.0.1:0\"", &format!("\"listen\":\"{address}\""))
+}
+
+fn call(p: &Program, stream: u32, class: &str) -> u8 {
+    let mut client = p.connect();
+    client.write_all(&call_frame(stream, class, 4000, b"")).unwrap();
+    read_frame(&mut client).unwrap().code
+}
+
+/// Clients are served throughout, hosts out by hand stay out, what is loaded is known, and the old process
+/// answers what it has taken.
+#[test]
+fn a_new_process_takes_the_place_of_a_running_one() {
+    let loads = || Host::start(Ways { does: Does::Answer("200"), work: ms(1), load: Some(ms(5)) });
+    let (a, b, c) = (loads(), loads(), loads());
+    let hosts = [&a, &b, &c];
+    let mut old = platform(&hosts);
+    let orders = |host: &Host| host.seen.lock().unwrap().orders.len();
+    assert_eq!(call(&old.program, 1, "check-score"), SERVED);
+    wait_for("the load", || hosts.iter().any(|h| !h.seen.lock().unwrap().loaded.is_empty()));
+    assert_eq!(call(&old.program, 2, "check-score"), SERVED);
+    let loaded = hosts.iter().position(|h| h.calls() > 0 && orders(h) > 0).unwrap();
+    let out = (loaded + 1) % 3;
+    assert_eq!(old.program.maintain("enter", out as u32), 200);
+    hosts[loaded].ways.lock().unwrap().work = ms(1500);
+    let mut open = old.program.connect();
+    open.write_all(&call_frame(3, "check-score", 4000, b"")).unwrap();
+    let runs = hosts[loaded].calls() + 1;
+    wait_for("the call", || hosts[loaded].calls() == runs);
+    hosts[loaded].ways.lock().unwrap().work = ms(1);
+
+    let text = at(old.program.address, config(old.bus.address, &hosts));
+    let new = Program::start(&text, false);
+    let (_, _feed) = old.bus.greeted();
+    let mut stream = 10;
+    wait_for("readiness", || {
+        stream += 1;
+        assert_eq!(call(&new, stream, "check-score"), SERVED, "whoever takes it");
+        new.status() == 200
+    });
+    assert_eq!(read_frame(&mut open).unwrap().kind, 6, "clients are asked to move");
+    // What operators say reaches both, whoever hears it.
+    assert_eq!(old.program.maintain("enter", loaded as u32), 200);
+    wait_for("word of it", || {
+        new.logged("hand") == 0
+            && call(&new, 9000, "check-score") == SERVED
+            && orders(hosts[3 - loaded - out]) > 0
+    });
+    assert_eq!(new.maintain("exit", loaded as u32), 200);
+    let before = [hosts[out].calls(), orders(hosts[out])];
+    let ordered = orders(hosts[loaded]);
+    assert_eq!(read_frame(&mut open).unwrap().code, SERVED);
+    old.program.terminate();
+    assert!(old.program.ended().success());
+    for stream in 100..110 {
+        assert_eq!(call(&new, stream, "check-score"), SERVED);
+    }
+    assert_eq!([hosts[out].calls(), orders(hosts[out])], before, "the ban holds");
+    assert!(ordered <= 2, "what was loaded is not ordered again: {ordered}");
+    assert_eq!(new.maintain("exit", out as u32), 200);
+}
+
+/// A new process that fails leaves the old one to serve on, and to be found by the next.
+#[test]
+fn if_the_new_process_fails_the_old_one_serves_on() {
+    let host = Host::warm();
+    let mut old = platform(&[&host]);
+    let text = at(old.program.address, config(old.bus.address, &[&host]));
+    for round in 1..=2 {
+        let mut new = Program::start(&text, false);
+        let (_, _feed) = old.bus.greeted();
+        wait_for("readiness", || new.status() == 200);
+        assert_eq!(call(&new, round, "send-mail"), SERVED);
+        new.kill();
+        assert_eq!((call(&old.program, 10 + round, "send-mail"), old.program.status()), (SERVED, 200));
+        wait_for("word of it", || old.program.logged("the other process is gone") == round as usize);
+    }
+    old.program.terminate();
+    assert!(old.program.ended().success());
+}
+
+/// What is found at the meeting place may be a dead process's, or nobody's: then it starts alone.
+#[rstest]
+#[case::dead(false)]
+#[case::not_one_of_ours(true)]
+fn a_process_that_finds_no_peer_starts_alone(#[case] alive: bool) {
+    let address = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let listener = UnixListener::bind(meeting_place(address)).unwrap();
+    if alive {
+        spawn(move || {
+            listener.incoming().map_while(Result::ok).for_each(|mut s| s.write_all(b"{}\n").unwrap())
+        });
+    }
+    let (host, bus) = (Host::warm(), Bus::start());
+    let program = Program::start(&at(address, config(bus.address, &[&host])), false);
+    assert_eq!(call(&program, 1, "send-mail"), SERVED);
+}
+
+/// Drained is drained, whichever process is told.
+#[test]
+fn a_drain_goes_over_to_the_new_process() {
+    let host = Host::warm();
+    let old = platform(&[&host]);
+    assert_eq!(old.program.operate("POST", "/standby", ""), 200);
+    let new = Program::start(&at(old.program.address, config(old.bus.address, &[&host])), false);
+    let (_, _feed) = old.bus.greeted();
+    wait_for("the new one", || new.logged("taking clients") == 1);
+    assert_eq!((old.program.status(), new.status()), (503, 503));
+    assert_eq!(new.operate("POST", "/active", ""), 200);
+    wait_for("word of it", || (old.program.status(), new.status()) == (200, 200));
+}
