SIGHUP takes up the whole configuration, or nothing of it

A file is read and checked whole (deadlines and attempts above 0, a keyed class with its window, no key missing that stood in the file before) and then taken up by engine, pool and front in one go. Requests under way keep their class by value, and the lower number of attempts of the two files. Tests: a table of files that are turned down, a read that stays a read though its class becomes unsafe, keys that are missed.

--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -26,6 +26,38 @@
     pub memory: usize,
     pub deployment: Deployment,
     pub side: Side,
+    /// The file as it was read, but for the host list: what a new file must not lack.
+    form: Value,
+}
+
+impl Config {
+    /// Whether a file may take this one's place: what stood in this one must not be missing there. A file that
+    /// lost a part would else be taken with defaults in its place.
+    pub fn may_be_followed_by(&self, next: &Config) -> Result<(), String> {
+        match missing(&self.form, &next.form) {
+            Some(key) => Err(format!("{key} is missing")),
+            None => Ok(()),
+        }
+    }
+}
+
+/// A key of the old form that the new one lacks. Lists may become longer or shorter; what all their old
+/// entries had, their new ones must have.
+fn missing(old: &Value, new: &Value) -> Option<String> {
+    match (old, new) {
+        (Value::Object(old), Value::Object(new)) => old.iter().find_map(|(key, old)| match new.get(key) {
+            None | Some(Value::Null) if !old.is_null() => Some(key.clone()),
+            None => None,
+            Some(new) => missing(old, new).map(|inner| format!("{key}.{inner}")),
+        }),
+        (Value::Array(old), Value::Array(new)) => {
+            let common = |key: &&String| old.iter().all(|entry| entry.get(key).is_some_and(|v| !v.is_null()));
+            let first = old.first().and_then(Value::as_object)?;
+            let lacks = |key: &&String| new.iter().any(|entry| entry.get(key).is_none_or(Value::is_null));
+            first.keys().filter(common).find(lacks).cloned()
+        }
+        _ => None,
+    }
 }
 
 /// Who speaks with clients, and who tells of hosts.
@@ -68,7 +100,11 @@
 /// Reads the platform's configuration, with `listen` and `control` from the environment where they are set
 /// there.
 pub fn platform(text: &str, listen: Option<&str>, control: Option<&str>) -> Result<Config, String> {
+    let mut form: Value = serde_json::from_str(text).map_err(|e| e.to_string())?;
     let file: File = serde_json::from_str(text).map_err(|e| e.to_string())?;
+    if let Some(known) = form.get_mut("known") {
+        *known = Value::Bool(true);
+    }
     let address = |what: &str, text: &str| {
         text.parse::<SocketAddr>().map_err(|_| format!("{what} is no address with a port: {text:?}"))
     };
@@ -92,6 +128,7 @@
         sockets: limits.sockets.unwrap_or(SOCKETS),
         memory: (limits.memory_mb.unwrap_or(MEMORY).max(16.0) * f64::from(1 << 20)) as usize,
         deployment,
+        form,
         side: Side::Platform { bus: address("bus", &file.bus)?, offset: file.known.offset, known: known? },
     })
 }
@@ -106,3 +143,22 @@
     let number = value.as_u64().or_else(|| value.as_str().and_then(hex));
     number.ok_or_else(|| format!("seed is neither a number nor hex digits: {value}"))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rstest::rstest;
+    use serde_json::json;
+
+    #[rstest]
+    #[case::same(json!({"a": 1, "b": [{"x": 1}]}), None)]
+    #[case::more(json!({"a": 2, "b": [{"x": 1, "y": 2}, {"x": 3}], "c": 0}), None)]
+    #[case::fewer_entries(json!({"a": 2, "b": []}), None)]
+    #[case::no_key(json!({"b": [{"x": 1}]}), Some("a"))]
+    #[case::null(json!({"a": null, "b": []}), Some("a"))]
+    #[case::entry_without(json!({"a": 1, "b": [{"x": 1}, {"y": 1}]}), Some("b.x"))]
+    fn a_key_that_stood_is_missed(#[case] new: Value, #[case] wanted: Option<&str>) {
+        let old = json!({"a": 1, "b": [{"x": 1}, {"x": 2, "z": 3}]});
+        assert_eq!(missing(&old, &new).as_deref(), wanted);
+    }
+}
--- a/node/src/config/operator.rs
+++ b/node/src/config/operator.rs
@@ -226,6 +226,7 @@
         transport,
     };
     Ok(Config {
+        form: serde_json::Value::Null,
         control: file.control,
         listen: file.listen,
         seed,
--- a/node/src/front/invoke.rs
+++ b/node/src/front/invoke.rs
@@ -155,6 +155,12 @@
         self.parting = parts.then(|| self.parting.unwrap_or(now));
     }
 
+    /// Takes other settings up; calls that are open keep theirs.
+    pub fn retune(&mut self, conn_idle: Micros, bounds: Bounds, names: (Vec<String>, Vec<String>)) {
+        (self.conn_idle, self.names) = (conn_idle, names);
+        self.results.bound(bounds);
+    }
+
     /// Holds to other bounds from now on, in connections and bytes.
     pub fn bound(&mut self, (most, bytes): (usize, usize)) {
         (self.most, self.bytes) = (most, bytes);
--- a/node/src/front/invoke/results.rs
+++ b/node/src/front/invoke/results.rs
@@ -47,6 +47,11 @@
         }
     }
 
+    /// Holds to other bounds from now on; what is kept beyond them goes as its time comes.
+    pub fn bound(&mut self, bounds: Bounds) {
+        self.bounds = bounds;
+    }
+
     /// Takes a deferred call in; `None` where as many are open or waiting as may be.
     pub fn open(&mut self) -> Option<String> {
         if self.jobs.len() >= self.bounds.most {
--- a/node/src/front/platform.rs
+++ b/node/src/front/platform.rs
@@ -107,7 +107,8 @@
     handle: LoopHandle<'static, Node>,
     conns: HashMap<ConnId, ClientConn>,
     most: usize,
-    conn_idle: Micros,
+    /// Idle connections are closed after this.
+    pub conn_idle: Micros,
     /// Bytes that wait for clients, all together.
     bytes: usize,
     /// Connections that were left with more to read.
--- a/node/src/hosts/pool.rs
+++ b/node/src/hosts/pool.rs
@@ -188,6 +188,11 @@
         }
     }
 
+    /// Connections are used by other settings from now on.
+    pub fn retune(&mut self, transport: Transport) {
+        self.transport = transport;
+    }
+
     /// Holds to other bounds from now on; idle connections beyond them are closed.
     pub fn bound(&mut self, (most, bytes): (usize, usize)) {
         (self.most, self.bytes) = (most, bytes);
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -3,14 +3,13 @@
 
 use std::cell::Cell;
 use std::collections::{HashMap, HashSet, VecDeque};
-use std::net::{SocketAddr, TcpListener};
+use std::net::TcpListener;
 use std::rc::Rc;
 use std::time::Duration;
 
 use calloop::LoopHandle;
 use wheellink::engine::{AttemptId, Command, NewRequest, Verdict};
 use wheellink::{Effect, Engine, ListKind, Micros, Outcome, Ticket, WorkerId};
-use wheellink_settings::Deployment;
 
 use crate::bus::{self, Bus, Frame, Gap};
 use crate::clock::Clock;
@@ -97,7 +96,8 @@
     handle: LoopHandle<'static, Node>,
     clock: Clock,
     log: Log,
-    deployment: Deployment,
+    /// The configuration in force; what `side` holds of it is the fronts' and the bus's.
+    config: Config,
     engine: Engine,
     commands: VecDeque<Command>,
     scratch: Vec<Command>,
@@ -109,8 +109,6 @@
     most_bodies: usize,
     side: Side,
     hosts: Hosts,
-    /// Where clients and operators come in.
-    addresses: (SocketAddr, Option<SocketAddr>),
     door: Option<Door>,
     control_door: Option<Door>,
     control: Control,
@@ -121,8 +119,6 @@
     succeeded: bool,
     /// Connections of clients that the peer holds.
     peer_clients: usize,
-    /// Descriptors and bytes that may be held.
-    limits: (usize, usize),
     /// Drained by an operator: serves what comes, and asks clients not to.
     standby: bool,
     /// The host list was once as new as could be told: a bus that breaks later does not undo that.
@@ -133,7 +129,7 @@
 }
 
 impl Node {
-    pub fn new(handle: LoopHandle<'static, Node>, config: Config, place: Place) -> Result<Self, String> {
+    pub fn new(handle: LoopHandle<'static, Node>, mut config: Config, place: Place) -> Result<Self, String> {
         let Place { listener, inheritance } = place;
         let state = inheritance.as_ref().map(|i| i.state.clone());
         let upgrade = Upgrade::new(&handle, config.listen, inheritance)
@@ -144,11 +140,12 @@
         let most = config.sockets.saturating_sub(clients + OWN_SOCKETS).max(1);
         let router = config.deployment.router(config.seed).map_err(|e| e.to_string())?;
         let mut known = Vec::new();
-        let side = match config.side {
+        let side = match &mut config.side {
             config::Side::Platform { bus, offset, known: events } => {
-                known = events;
+                // Only the start needs them.
+                known = std::mem::take(events);
                 let front = Box::new(Platform::new(handle.clone(), (clients, share), transport.conn_idle));
-                Side::Platform(front, Bus::new(bus, offset))
+                Side::Platform(front, Bus::new(*bus, *offset))
             }
             config::Side::Operator { resolver, service, bounds, classes } => {
                 let d = &config.deployment;
@@ -157,18 +154,22 @@
                     handle.clone(),
                     (clients, share),
                     transport.conn_idle,
-                    bounds,
+                    *bounds,
                     names,
                 ));
-                let browser = Browser::new(service, d.zones.clone(), config.seed);
-                let hosts = DnsSd::new(&handle, resolver, browser);
+                let browser = Browser::new(service.clone(), d.zones.clone(), config.seed);
+                let hosts = DnsSd::new(&handle, *resolver, browser);
                 let hosts = Box::new(hosts.map_err(|e| format!("no socket for queries to {resolver}: {e}"))?);
-                Side::Operator { front, hosts, classes, ids: fastrand::Rng::with_seed(config.seed) }
+                Side::Operator {
+                    front,
+                    hosts,
+                    classes: classes.clone(),
+                    ids: fastrand::Rng::with_seed(config.seed),
+                }
             }
         };
         let mut clock = Clock::default();
         let mut node = Self {
-            addresses: (config.listen, config.control),
             door: None,
             control_door: None,
             control: Control::new(handle.clone()),
@@ -176,7 +177,6 @@
             listener: Some(listener),
             succeeded: false,
             peer_clients: 0,
-            limits: (config.sockets, config.memory),
             standby: false,
             caught_up: false,
             begun: clock.now(),
@@ -189,7 +189,7 @@
             most_bodies: share,
             side,
             hosts: Hosts::new(handle.clone(), transport, (most, share)),
-            deployment: config.deployment,
+            config,
             clock,
             log: Log::new(),
             stopping: None,
@@ -227,7 +227,7 @@
 
     /// What this process may hold: all of the limits, or its part of them while two processes run.
     fn resize(&mut self) {
-        let (sockets, memory) = self.limits;
+        let (sockets, memory) = (self.config.sockets, self.config.memory);
         let (share, clients) = (memory / MEMORY_SHARE, (sockets / 3).max(1));
         let (share, clients, most) = if self.upgrade.has_peer() {
             let most = sockets.saturating_sub(clients + 2 * OWN_SOCKETS) / 2;
@@ -311,7 +311,7 @@
         let now = self.clock.now();
         let Some(listener) = self.listener.take() else { return Ok(()) };
         let door = Door::open(&self.handle, listener, Self::accept);
-        self.door = Some(door.map_err(|e| format!("cannot listen on {}: {e}", self.addresses.0))?);
+        self.door = Some(door.map_err(|e| format!("cannot listen on {}: {e}", self.config.listen))?);
         self.upgrade.tell(&Message::Ready);
         self.log.line(now, "taking clients");
         self.shine(now);
@@ -320,7 +320,7 @@
 
     /// Is found by a new process from now on. Without that, an upgrade is a restart.
     fn shine(&mut self, now: Micros) {
-        let address = self.door.as_ref().and_then(Door::address).unwrap_or(self.addresses.0);
+        let address = self.door.as_ref().and_then(Door::address).unwrap_or(self.config.listen);
         if let Err(e) = self.upgrade.shine(address) {
             self.log.line(now, format_args!("new processes will not find this one: {e}"));
         }
@@ -329,7 +329,7 @@
     /// Begins to listen, for clients and for operators.
     pub fn open_doors(&mut self) -> Result<(), String> {
         let failed = |address| move |e| format!("cannot listen on {address}: {e}");
-        let (clients, control) = self.addresses;
+        let (clients, control) = (self.config.listen, self.config.control);
         if let Some(address) = control {
             let listener = door::listen(address).map_err(failed(address))?;
             let door = Door::open(&self.handle, listener, Self::accept_callers).map_err(failed(address))?;
@@ -540,36 +540,62 @@
         }
     }
 
-    /// SIGHUP: the file has been replaced. Where hosts are learnt from is taken up anew; requests, hosts and
-    /// connections live on. A file that makes no sense is told of, and all stays as it is.
+    /// SIGHUP: the file has been replaced. It is checked as a whole, and then taken up but for the addresses
+    /// where this process listens; requests, hosts and connections live on. A file that makes no sense is told
+    /// of, and all stays as it is.
     pub fn reload(&mut self, config: Result<Config, String>) {
         let now = self.clock.now();
-        let source = match config.map(|c| c.side) {
-            Ok(config::Side::Platform { bus, .. }) => self.move_bus(now, bus),
-            Ok(config::Side::Operator { resolver, .. }) => self.move_resolver(resolver),
-            Err(problem) => Err(problem),
-        };
-        match source {
+        let taken = config.and_then(|config| {
+            self.config.may_be_followed_by(&config)?;
+            self.take_up(now, config)
+        });
+        match taken {
             Ok(what) => self.log.line(now, format_args!("configuration read again: {what}")),
             Err(problem) => self.log.line(now, format_args!("the old configuration is kept: {problem}")),
         }
         self.settle();
     }
 
-    fn move_bus(&mut self, now: Micros, address: SocketAddr) -> Result<String, String> {
-        let Side::Platform(_, bus) = &self.side else { return Err("no operator's file".into()) };
-        if bus.address != address {
+    /// Takes a checked configuration up. What can fail comes first.
+    fn take_up(&mut self, now: Micros, config: Config) -> Result<String, String> {
+        let d = &config.deployment;
+        let idle = d.transport.conn_idle;
+        let (source, moved) = match (&mut self.side, &config.side) {
+            (Side::Platform(front, bus), config::Side::Platform { bus: address, .. }) => {
+                front.conn_idle = idle;
+                (format!("bus {address}"), (bus.address != *address).then_some(*address))
+            }
+            (
+                Side::Operator { front, hosts, classes, .. },
+                config::Side::Operator { resolver, bounds, .. },
+            ) => {
+                let failed = |e| format!("no socket for queries to {resolver}: {e}");
+                hosts.moved(*resolver).map_err(failed)?;
+                front.retune(idle, *bounds, (d.classes.clone(), d.tenants.clone()));
+                if let config::Side::Operator { classes: new, .. } = &config.side {
+                    classes.clone_from(new);
+                }
+                (format!("resolver {resolver}"), None)
+            }
+            _ => return Err("it is of another kind".into()),
+        };
+        if let Some(address) = moved {
             self.end_bus(now, Reason::Moved);
-            let Side::Platform(_, bus) = &mut self.side else { return Err("no operator's file".into()) };
-            bus.moved(address);
+            if let Side::Platform(_, bus) = &mut self.side {
+                bus.moved(address);
+            }
         }
-        Ok(format!("bus {address}"))
-    }
-
-    fn move_resolver(&mut self, resolver: SocketAddr) -> Result<String, String> {
-        let Side::Operator { hosts, .. } = &mut self.side else { return Err("an operator's file".into()) };
-        hosts.moved(resolver).map_err(|e| format!("no socket for queries to {resolver}: {e}"))?;
-        Ok(format!("resolver {resolver}"))
+        let what = format!("{source}, {} classes, {} attempts", d.classes.len(), d.settings.max_attempts);
+        let (settings, transport) = (d.settings.clone(), d.transport.clone());
+        let patience = transport.order_timeout;
+        self.hosts.retune(transport);
+        self.run_engine(|engine, out| engine.settings(now, settings, patience, out));
+        if (config.listen, config.control) != (self.config.listen, self.config.control) {
+            self.log.line(now, "addresses to listen on change with the next start only");
+        }
+        self.config = config;
+        self.resize();
+        Ok(what)
     }
 
     /// Whether it has been told to stop and owes nothing any more.
@@ -701,7 +727,7 @@
     fn take_bus_frame(&mut self, now: Micros) -> Result<bool, Reason> {
         let Side::Platform(_, bus) = &mut self.side else { return Ok(false) };
         let Some(conn) = &mut bus.conn else { return Ok(false) };
-        let frame = match bus::next_frame(&mut conn.inbox, &self.deployment.zones) {
+        let frame = match bus::next_frame(&mut conn.inbox, &self.config.deployment.zones) {
             Ok(None) => return Ok(false),
             Ok(Some(frame)) => frame,
             Err(problem) => {
@@ -844,9 +870,9 @@
         if !front.waits(origin) {
             return;
         }
-        let class = self.deployment.class(&request.class);
-        let tenant = request.tenant.as_deref().and_then(|t| self.deployment.tenant(t));
-        let shared = !self.deployment.tenants.is_empty();
+        let class = self.config.deployment.class(&request.class);
+        let tenant = request.tenant.as_deref().and_then(|t| self.config.deployment.tenant(t));
+        let shared = !self.config.deployment.tenants.is_empty();
         let wrong = match class {
             None => Some("a class that is not known"),
             _ if shared && tenant.is_none() => Some("a tenant that is not known"),
@@ -863,7 +889,7 @@
             tenant,
             function: request.function,
             // No client waits longer than its class says; what is open for a day would pile up.
-            timeout: (request.timeout * 1000).min(2 * self.deployment.settings.classes[class].give_up),
+            timeout: (request.timeout * 1000).min(2 * self.config.deployment.settings.classes[class].give_up),
             lanes: request.lanes,
             repeat: request.repeat,
             key: request.key,
@@ -875,7 +901,7 @@
     fn invoke_call(&mut self, origin: invoke::Origin, call: invoke::Call) {
         let now = self.clock.now();
         let Side::Operator { classes, ids, .. } = &mut self.side else { return };
-        let Some(settings) = self.deployment.settings.classes.get(call.class) else { return };
+        let Some(settings) = self.config.deployment.settings.classes.get(call.class) else { return };
         let (deferred, lanes) = classes[call.class];
         let usual = match origin {
             invoke::Origin::Waiting(_) => settings.give_up,
@@ -901,7 +927,7 @@
     fn request(&mut self, now: Micros, origin: Origin, incoming: Incoming) {
         let size = incoming.body.len();
         if self.bodies + size > self.most_bodies {
-            return self.reply(now, &origin, Reply::Refused(self.deployment.settings.max_retry_after));
+            return self.reply(now, &origin, Reply::Refused(self.config.deployment.settings.max_retry_after));
         }
         let new = NewRequest {
             class: incoming.class,
@@ -914,7 +940,7 @@
         self.bodies += size;
         let call = Call {
             id: incoming.id.into(),
-            class: self.deployment.classes[incoming.class].clone(),
+            class: self.config.deployment.classes[incoming.class].clone(),
             function: new.function.clone(),
             key: incoming.key,
             body: Rc::from(incoming.body),
--- a/node/tests/platform.rs
+++ b/node/tests/platform.rs
@@ -356,6 +356,68 @@
     assert_eq!((read_frame(&mut client).unwrap().code, b.calls()), (SERVED, 1));
 }
 
+/// A file with something changed by its text.
+fn changed(text: &str, from: &str, to: &str) -> String {
+    assert!(text.contains(from), "{from}");
+    text.replacen(from, to, 1)
+}
+
+/// A file is turned down as a whole where a part of it makes no sense or is missing: the new class is not known.
+#[rstest]
+#[case::cut_short("\"FallUs\"", "")]
+#[case::no_attempts("\"MaxAttempts\":5", "\"MaxAttempts\":0")]
+#[case::attempts_no_number("\"MaxAttempts\":5", "\"MaxAttempts\":\"many\"")]
+#[case::no_time("\"GiveUpUs\":4000000", "\"GiveUpUs\":0")]
+#[case::negative_aim("\"AimUs\":1500000", "\"AimUs\":-1")]
+#[case::time_no_number("\"GiveUpUs\":4000000", "\"GiveUpUs\":\"NaN\"")]
+#[case::a_key_missing("\"limits\":", "\"limit\":")]
+#[case::an_optional_key_missing("\"ConnIdleUs\":", "\"Idle\":")]
+fn a_reload_takes_all_or_nothing(#[case] from: &str, #[case] to: &str) {
+    let host = Host::warm();
+    let p = platform(&[&host]);
+    let good = config(p.bus.address, &[&host]).replace("\"send-mail\"", "\"post\"");
+    let bad =
+        if to.is_empty() { good[..good.find(from).unwrap()].to_string() } else { changed(&good, from, to) };
+    for text in ["", &bad] {
+        p.program.reload(text);
+    }
+    wait_for("word of the bad file", || p.program.logged("the old configuration is kept") >= 1);
+    let mut client = p.program.connect();
+    client.write_all(&call_frame(1, "send-mail", 4000, b"")).unwrap();
+    assert_eq!(read_frame(&mut client).unwrap().code, SERVED);
+    p.program.reload(&good);
+    wait_for("word of the good file", || p.program.logged("configuration read again") == 1);
+    client.write_all(&call_frame(2, "post", 4000, b"")).unwrap();
+    assert_eq!(read_frame(&mut client).unwrap().code, SERVED);
+    client.write_all(&call_frame(3, "send-mail", 4000, b"")).unwrap();
+    assert_eq!(read_frame(&mut client).unwrap().code, FAILED, "gone");
+}
+
+/// A request under way keeps its class, and as many attempts as both files allow.
+#[test]
+fn a_request_under_way_keeps_its_class_over_a_reload() {
+    let (a, b) = (Host::start(Ways { does: Does::HangUp, work: ms(1), load: None }), Host::warm());
+    let stuck = Stuck::start();
+    let mut p = platform(&[]);
+    p.feed.write_all(&event(2, false, &[(7, stuck.address, 0)])).unwrap();
+    sleep(ms(100));
+    let mut client = p.program.connect();
+    // A read that has not left yet: when its host drains it goes to one that hangs up, and on from there, as
+    // a read may. By the new file its class is one that never may.
+    client.write_all(&call_frame(1, "check-score", 4000, b"")).unwrap();
+    sleep(ms(50));
+    let text = config(p.bus.address, &[]);
+    p.program.reload(&changed(&text, "\"Effect\":\"safe\"", "\"Effect\":\"unsafe\""));
+    wait_for("the reload", || p.program.logged("configuration read again") == 1);
+    let hosts = [(7, stuck.address, 1), (8, a.address, 0), (9, b.address, 0)];
+    p.feed.write_all(&event(3, false, &hosts)).unwrap();
+    assert_eq!(read_frame(&mut client).unwrap().code, SERVED);
+    // One that comes now is of the new class: where its attempt may have run, it has failed.
+    b.ways.lock().unwrap().does = Does::HangUp;
+    client.write_all(&call_frame(2, "check-score", 4000, b"")).unwrap();
+    assert_eq!(read_frame(&mut client).unwrap().code, FAILED);
+}
+
 /// Hosts tell answers apart by the id: a second request under one that is open is turned away alone.
 #[test]
 fn the_id_of_an_open_request_is_taken_once() {
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -216,7 +216,8 @@
                 Some("cell") => Scope::Cell,
                 other => return Err(format!("unknown DedupScope {other:?}")),
             };
-            Effect::Keyed { scope, window: p.window_us.unwrap_or(0) }
+            let window = p.window_us.filter(|w| *w > 0).ok_or("a keyed class without WindowUs")?;
+            Effect::Keyed { scope, window }
         }
         other => return Err(format!("unknown Effect {other:?}")),
     };
