Bounds on peers measure progress, not a total; a crowd makes room by its silence

Now silence within a frame or an answer counts (2 s, 0.5 s), totals are 2.7 s for the first frame, 10 s for later ones, 4 s for an answer; the bus is heard by its bytes. Who makes room: those that never spoke, those that see their end, those that stopped within a frame, longest first, then the idle. Where nobody can, newcomers wait to be accepted instead of being closed. A connection may hold as many long answers as requests; all together stay bounded.

--- a/node/src/bus.rs
+++ b/node/src/bus.rs
@@ -246,6 +246,11 @@
         self.pause = (self.pause * 2).min(LONGEST_PAUSE);
     }
 
+    /// Some bytes have come: a frame may come in pieces.
+    pub fn moved_on(&mut self, now: Micros) {
+        self.heard = now;
+    }
+
     /// A frame has come.
     pub fn heard(&mut self, now: Micros) {
         (self.heard, self.pause) = (now, FIRST_PAUSE);
--- a/node/src/front/invoke.rs
+++ b/node/src/front/invoke.rs
@@ -172,9 +172,6 @@
     }
 
     pub fn accept(&mut self, now: Micros, stream: TcpStream, peer: SocketAddr, log: &mut Log) {
-        if self.conns.len() >= self.most && !self.evict(now, log) {
-            return log.ended(now, format_args!("http {peer}"), Reason::Evicted, "calls=0");
-        }
         let id = crate::node::fresh_id();
         match Conn::accepted(&self.handle, id, stream, (INBOX, OUTBOX), ready) {
             Ok(conn) => {
@@ -189,6 +186,11 @@
         }
     }
 
+    /// Whether a new connection can be taken in, if need be in another's place. Else it waits to be accepted.
+    pub fn has_room(&mut self, now: Micros, log: &mut Log) -> bool {
+        self.conns.len() < self.most || self.evict(now, log)
+    }
+
     /// Makes room by closing a connection that is owed nothing: first those that never asked anything
     /// whole, then those that have had time to see their end, then those that have been idle longest.
     fn evict(&mut self, now: Micros, log: &mut Log) -> bool {
--- a/node/src/front/platform.rs
+++ b/node/src/front/platform.rs
@@ -16,9 +16,10 @@
 
 /// Requests that one connection may have open.
 const OPEN: usize = 32;
-/// What a connection may hold unsent before nothing more is read from it, and at most.
+/// What a connection may hold unsent before nothing more is read from it, and at most: as many long answers as
+/// it may have requests open. The memory of all together is bounded apart from that.
 const BACKED_UP: usize = 64 << 10;
-const OUTBOX: usize = 320 << 10;
+const OUTBOX: usize = 8 << 20;
 const INBOX: usize = 32 << 10;
 /// Streams used out of order that a connection may have: beyond that its numbering is no numbering.
 const SCATTERED: usize = 1024;
@@ -28,11 +29,19 @@
 /// How long a client that is being closed is given to see that: what it still sends is passed over
 /// meanwhile, as a reset for unread bytes could overtake the error.
 const LINGER: Micros = 2_000_000;
-/// From its beginning a client's first whole frame must have come by then: those that say nothing, or half of
-/// something, hold places that others need.
-const NEWCOMER: Micros = 2_000_000;
-/// From its first byte any later frame must be whole by then.
-const HALTING: Micros = 5_000_000;
+/// Within a frame a client that sends nothing for so long has gone silent. Pieces may be of any size, and as
+/// long as they come the client is at it.
+const SILENT: Micros = 2_000_000;
+/// From its beginning a client's first whole frame must have come by then: some need two seconds to write it,
+/// and those that only seem to, by pieces without an end, hold places that others need.
+const NEWCOMER: Micros = 2_700_000;
+/// ... and any later frame by then from its first byte.
+const HALTING: Micros = 10_000_000;
+/// One that has sent nothing for so long within a frame goes when others need its place; the longest silent
+/// goes first, so that one which still writes is outlasted by those that do not.
+const PAUSING: Micros = 100_000;
+/// ... and one that has not begun a frame by then, if there is nobody else.
+const HESITATING: Micros = 20_000;
 /// A client that said nothing for so long after it came is one that may go when others need its place.
 const SPEECHLESS: Micros = 200_000;
 /// After this, connections of clients that were asked to leave are closed as they come to rest.
@@ -72,6 +81,8 @@
     asked: bool,
     /// A frame has begun then and is not whole.
     partial: Option<Micros>,
+    /// When bytes last came.
+    moved: Micros,
     active: Micros,
     taken: u64,
 }
@@ -136,9 +147,6 @@
     }
 
     pub fn accept(&mut self, now: Micros, stream: TcpStream, peer: SocketAddr, log: &mut Log) {
-        if self.conns.len() >= self.most && !self.evict(now, log) {
-            return log.ended(now, format_args!("client {peer}"), Reason::Evicted, "requests=0");
-        }
         let id = crate::node::fresh_id();
         match Conn::accepted(&self.handle, id, stream, (INBOX, OUTBOX), ready) {
             Ok(conn) => {
@@ -154,6 +162,7 @@
                     begun: now,
                     asked: false,
                     partial: None,
+                    moved: now,
                     active: now,
                     taken: 0,
                 };
@@ -168,15 +177,24 @@
         }
     }
 
-    /// Makes room by closing a connection without an open request: first those that never asked, then those
-    /// that have had time to see their end, then those that have been idle longest. Hundreds that say nothing
-    /// must not crowd out clients that asked once and keep their connection.
+    /// Whether a new connection can be taken in, if need be in another's place. Else it waits to be accepted:
+    /// whoever is served next makes room.
+    pub fn has_room(&mut self, now: Micros, log: &mut Log) -> bool {
+        self.conns.len() < self.most || self.evict(now, log)
+    }
+
+    /// Makes room by closing a connection without an open request: first those that never said anything, then
+    /// those that have had time to see their end, then those that stopped within a frame, then those that have
+    /// been idle longest. Thousands that never finish a request must not crowd out clients that asked once and
+    /// keep their connection, nor those that are still writing.
     fn evict(&mut self, now: Micros, log: &mut Log) -> bool {
-        let rank = |c: &ClientConn| match () {
+        let rank = |c: &ClientConn| match now - c.moved {
             _ if c.lingers.is_some_and(|since| now - since >= SPEECHLESS) => Some((1, c.begun)),
-            _ if !c.open.is_empty() || c.broken => None,
-            _ if !c.asked => (now - c.begun >= SPEECHLESS).then_some((0, c.begun)),
-            _ => c.conn.inbox.is_empty().then_some((2, c.active)),
+            _ if !c.open.is_empty() || c.broken || !c.conn.outbox.is_empty() => None,
+            quiet if c.partial.is_some() => Some((if quiet >= PAUSING { 2 } else { 5 }, c.moved)),
+            _ if c.asked => Some((3, c.active)),
+            quiet if quiet >= SPEECHLESS => Some((0, c.begun)),
+            quiet => (quiet >= HESITATING).then_some((4, c.begun)),
         };
         let ranked = self.conns.iter().filter_map(|(id, c)| Some((rank(c)?, *id)));
         let oldest = ranked.min().map(|(_, id)| id);
@@ -240,7 +258,11 @@
             if c.conn.outbox.len() > BACKED_UP {
                 return Ok(());
             }
+            let before = c.conn.inbox.len();
             let filled = c.conn.fill();
+            if c.conn.inbox.len() > before {
+                c.moved = now;
+            }
             while self.take(now, id, log)? {}
             let Some(c) = self.conns.get_mut(&id) else { return Ok(()) };
             c.partial = if c.conn.inbox.is_empty() { None } else { c.partial.or(Some(now)) };
@@ -448,8 +470,8 @@
             let quiet = now - c.active;
             let late = match c.partial {
                 _ if c.broken || !c.conn.outbox.is_empty() => false,
-                _ if !c.asked && c.open.is_empty() => now - c.begun >= NEWCOMER,
-                Some(since) => now - since >= HALTING,
+                _ if !c.asked && c.open.is_empty() => now - c.begun >= NEWCOMER || now - c.moved >= SILENT,
+                Some(since) => now - since >= HALTING || now - c.moved >= SILENT,
                 None => false,
             };
             if late && c.conn.inbox.is_empty() && c.skip == 0 && c.taken == 0 {
--- a/node/src/hosts/pool.rs
+++ b/node/src/hosts/pool.rs
@@ -138,8 +138,11 @@
 const QUIET: Micros = 500_000;
 /// ... and then given up after this. Hosts answer beside their queue.
 const UNHEARD: Micros = 400_000;
-/// From its first byte an answer must be whole within this time: hosts write it at one go.
-const HALTING: Micros = 500_000;
+/// A host that sends nothing for so long within an answer has gone silent. As long as pieces come, of any size,
+/// it is at it.
+const PAUSING: Micros = 500_000;
+/// ... but from its first byte an answer must be whole by then: others on its connection wait behind it.
+const HALTING: Micros = 4_000_000;
 /// A host that takes no bytes for so long while some wait has stopped reading.
 const STALLED: Micros = 3_000_000;
 /// An answer above this size is large: few may be on their way at once.
@@ -731,6 +734,7 @@
         }
         let over = |c: &HostConn| match c.standing {
             false if now - c.begun >= self.transport.connect_timeout => Some(Reason::ConnectTimeout),
+            true if c.partial.is_some() && now - c.heard >= PAUSING => Some(Reason::Protocol),
             true if c.partial.is_some_and(|since| now - since >= HALTING) => Some(Reason::Protocol),
             true if c.asked.is_some_and(|since| now - since >= UNHEARD) => Some(Reason::Silent),
             true if c.writing.is_some() && now - c.wrote >= STALLED => Some(Reason::SlowReader),
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -39,6 +39,8 @@
 const ACCEPT_AT_ONCE: usize = 32;
 /// For so long nothing is accepted when there was no descriptor for a connection.
 const NO_DESCRIPTOR: Micros = 100_000;
+/// ... and when all places are held by clients that are owed an answer.
+const NO_ROOM: Micros = 5_000;
 /// Whoever starts is ready after this, even if the bus cannot be reached: the configuration's list will do.
 const LONGEST_CATCH_UP: Micros = 2_500_000;
 /// After SIGTERM requests keep coming for this long.
@@ -352,6 +354,14 @@
         for _ in 0..ACCEPT_AT_ONCE {
             let now = self.clock.now();
             let Some(door) = &mut self.door else { break };
+            let room = match &mut self.side {
+                Side::Platform(front, _) => front.has_room(now, &mut self.log),
+                Side::Operator { front, .. } => front.has_room(now, &mut self.log),
+            };
+            if !room {
+                door.shut(now + NO_ROOM);
+                break;
+            }
             match (door.next(), &mut self.side) {
                 (Ok(None), _) => break,
                 (Ok(Some((stream, peer))), Side::Platform(front, _)) => {
@@ -710,7 +720,11 @@
             bus.greet(now)?;
             let Some(conn) = bus.conn.as_mut().filter(|_| bus.standing) else { return Ok(()) };
             conn.flush()?;
+            let before = conn.inbox.len();
             let filled = conn.fill();
+            if conn.inbox.len() > before {
+                bus.moved_on(now);
+            }
             while self.take_bus_frame(now)? {}
             let more = filled?;
             let Side::Platform(_, bus) = &self.side else { return Ok(()) };
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -213,6 +213,10 @@
     HangUp,
     /// Answers with these bytes, `ID` standing for the id, and with nothing on this connection from then on.
     Spoils(&'static str),
+    /// Answers with these bytes, one at a time with a pause after each.
+    Drips(&'static str, Duration),
+    /// Answers with a body of so many bytes.
+    Long(usize),
 }
 
 /// How a host behaves; may be changed while it runs.
@@ -320,6 +324,14 @@
                     raw.lock().unwrap().write_all(bytes.replace("ID", &id).as_bytes()).unwrap();
                     continue;
                 }
+                if let Does::Drips(bytes, pause) = does {
+                    drop(s);
+                    for byte in bytes.replace("ID", &id).bytes() {
+                        raw.lock().unwrap().write_all(&[byte]).unwrap();
+                        sleep(pause);
+                    }
+                    continue;
+                }
                 if load.is_some() && !s.loaded.contains(&item) && !s.loading.contains(&item) {
                     answer(&id, "404", "-", b"");
                     continue;
@@ -336,6 +348,9 @@
                     *s.runs.entry(text).or_default() += 1;
                     drop(s);
                     sleep(work);
+                    if let Does::Long(length) = does {
+                        answer(&id, "200", "tell=warm", &vec![b'x'; length]);
+                    }
                     if let Does::Answer(word) = does {
                         let body =
                             if word == "200" { [b"did ", body.as_slice()].concat() } else { Vec::new() };
--- a/node/tests/platform.rs
+++ b/node/tests/platform.rs
@@ -499,6 +499,68 @@
     assert!(frames.len() == errors && frames.iter().all(|f| (f.stream, f.code) == (0, FAILED)), "{frames:?}");
 }
 
+/// Who still writes is waited for, in pieces of any size and with every place wanted by thousands that never
+/// finish a request.
+#[test]
+fn a_slow_writer_is_served_though_a_crowd_wants_its_place() {
+    let host = Host::warm();
+    let p = platform(&[&host]);
+    let mut slow = p.program.connect();
+    let frame = call_frame(1, "send-mail", 4000, b"slow");
+    let half = frame[..20].to_vec();
+    let mut crowd = std::collections::VecDeque::new();
+    for piece in frame.chunks(frame.len() / 25) {
+        slow.write_all(piece).unwrap();
+        for _ in 0..20 {
+            let mut one = p.program.connect();
+            let _ = one.write_all(&half);
+            crowd.push_back(one);
+            crowd.drain(..crowd.len().saturating_sub(300));
+        }
+        sleep(ms(80));
+    }
+    assert_eq!(read_frame(&mut slow).unwrap().code, SERVED);
+    let mut usual = p.program.connect();
+    usual.write_all(&call_frame(2, "send-mail", 4000, b"")).unwrap();
+    assert_eq!(read_frame(&mut usual).unwrap().code, SERVED);
+}
+
+/// A host may write its answer in pieces for longer than it may be silent within it.
+#[test]
+fn an_answer_in_pieces_is_waited_for() {
+    let host = Host::warm();
+    host.ways.lock().unwrap().does = Does::Drips("ID 200 tell=warm 12\r\nin good time\r\n", ms(30));
+    let p = platform(&[&host]);
+    let mut client = p.program.connect();
+    client.write_all(&call_frame(1, "send-mail", 4000, b"")).unwrap();
+    let answer = read_frame(&mut client).unwrap();
+    assert_eq!((answer.code, answer.body.as_slice()), (SERVED, &b"in good time"[..]));
+}
+
+/// Long answers to one that reads slowly wait for it, however many; when told to stop the program waits too.
+#[test]
+fn long_answers_reach_a_slow_reader_also_after_sigterm() {
+    const LONG_BODY: usize = 230_000;
+    let host = Host::start(Ways { does: Does::Long(LONG_BODY), work: ms(1), load: None });
+    let mut p = platform(&[&host]);
+    let mut client = p.program.connect();
+    let frames: Vec<u8> = (1..=32).flat_map(|stream| call_frame(stream, "check-score", 4000, b"")).collect();
+    client.write_all(&frames).unwrap();
+    wait_for("the calls", || host.calls() == 32);
+    sleep(ms(300));
+    p.program.terminate();
+    let mut answers = 0;
+    while answers < 32 {
+        let frame = read_frame(&mut client).unwrap();
+        if frame.kind == 2 {
+            assert_eq!((frame.code, frame.body.len()), (SERVED, LONG_BODY));
+            answers += 1;
+        }
+        sleep(ms(40));
+    }
+    assert!(p.program.ended().success());
+}
+
 /// What is sent at full speed after an error is passed over, so that no reset overtakes the error, and costs
 /// others next to nothing.
 #[test]
