--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -644,3 +644,71 @@
     let first = sends.iter().filter(|w| **w == "c0".into()).count();
     assert!(first > 12, "{first}");
 }
+
+/// Out by hand is a state of its own: no list brings the worker back, and only the operator's word does. Then
+/// nothing is believed loaded there, and a function that belongs there goes ahead of its calls.
+#[test]
+fn a_worker_out_by_hand_gets_nothing_until_it_is_put_back() {
+    let mut bed = Bed::new(Settings { when_cold: WhenCold::Misses, ..settings() }, 3);
+    let home = bed.serve(SAFE, "f");
+    bed.event(Event::Barred { worker: home.clone(), out: true });
+    for condition in [Condition::Gone, Condition::Up] {
+        bed.event(Event::List { kind: ListKind::Delta, entries: vec![entry(&home.0, condition)] });
+    }
+    let elsewhere: Vec<_> = (0..20).map(|_| bed.serve(SAFE, "f")).collect();
+    assert!(!elsewhere.contains(&home));
+    bed.event(Event::Barred { worker: home.clone(), out: false });
+    let (r, out) = bed.call(SAFE, "f");
+    let ordered: Vec<_> = loads(&out).into_iter().map(|(n, ..)| n).collect();
+    assert_eq!((sent(&out).as_ref(), ordered), (elsewhere.last(), vec![home.clone()]));
+    bed.answer(&r, 0, &sent(&out).unwrap(), Outcome::Done);
+    let (worker, function) = (home.clone(), "f".into());
+    bed.event(Event::LoadEnded { worker, function, outcome: Outcome::Done, copies: 1 });
+    assert!((0..20).any(|_| bed.serve(SAFE, "f") == home), "traffic returns");
+}
+
+/// A request keeps its class though the settings change under it, and has no more attempts than either allows.
+#[test]
+fn new_settings_leave_open_requests_their_class() {
+    let mut bed = Bed::new(settings(), 4);
+    let (read, out) = bed.call(SAFE, "f");
+    let first = sent(&out).unwrap();
+    let classes = vec![class(Effect::Unsafe)];
+    bed.event(Event::Settings(Box::new(Settings { classes, max_attempts: 2, ..settings() })));
+    let out = bed.answer(&read, 0, &first, Outcome::Error);
+    let second = sent(&out).expect("still a read");
+    let out = bed.answer(&read, 1, &second, Outcome::Error);
+    assert_eq!((sent(&out), refused(&out)), (None, 1), "two attempts at most");
+    let (mail, out) = bed.call(0, "f");
+    let out = bed.answer(&mail, 0, &sent(&out).unwrap(), Outcome::Error);
+    assert_eq!((sent(&out), failed(&out)), (None, 1), "the class of that index is another now");
+}
+
+/// What one router believes loaded another can go on with.
+#[test]
+fn a_successor_finds_the_copies_that_its_predecessor_knew() {
+    let settings = || Settings { when_cold: WhenCold::Misses, ..settings() };
+    let mut old = Bed::new(settings(), 9);
+    let places: Vec<_> = (0..9).map(|i| old.serve(SAFE, &format!("f{i}"))).collect();
+    let mut new = Bed::new(settings(), 9);
+    new.now = old.now;
+    // One call of each that finds nothing where it goes first, so that the order alone does not tell.
+    for (i, place) in places.iter().enumerate() {
+        let other = format!("w{}", (0..9).find(|n| format!("w{n}") != *place.0).unwrap());
+        let told = Loaded {
+            worker: other.as_str().into(),
+            function: format!("f{i}").as_str().into(),
+            lanes: 2,
+            copies: 1,
+            until: new.now + 5 * S,
+            calls: 3.0,
+        };
+        new.event(Event::Inherited(vec![told]));
+        assert_eq!(&*new.serve(SAFE, &format!("f{i}")).0, other);
+    }
+    let told: Vec<_> = old.router.loaded().into_iter().map(|l| (l.function, l.worker)).collect();
+    assert!(places
+        .iter()
+        .enumerate()
+        .all(|(i, p)| told.contains(&(format!("f{i}").as_str().into(), p.clone()))));
+}
