--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -25,7 +25,7 @@
 use crate::hosts::{self, Call, Hosts};
 use crate::http::Response;
 use crate::log::{Log, Reason};
-use crate::upgrade::{Message, News, Place, State, Upgrade};
+use crate::upgrade::{self, Message, News, Place, State, Upgrade};
 
 /// A client's time runs from when it wrote the last byte: the answer must have reached it before it ends.
 const DUE_MARGIN: Micros = 20_000;
@@ -121,6 +121,8 @@
     succeeded: bool,
     /// Connections of clients that the peer holds.
     peer_clients: usize,
+    /// Up to when the successor was told what counts for the ration.
+    tallied: Micros,
     /// Drained by an operator: serves what comes, and asks clients not to.
     standby: bool,
     /// The host list was once as new as could be told: a bus that breaks later does not undo that.
@@ -179,6 +181,7 @@
             listener: Some(listener),
             succeeded: false,
             peer_clients: 0,
+            tallied: 0,
             standby: false,
             caught_up: false,
             begun: clock.now(),
@@ -209,7 +212,9 @@
         if let Some(state) = &state {
             // Only now, as a whole list begins all beliefs anew.
             let now = node.clock.now();
-            node.run_engine(|engine, out| engine.inherit(now, state.loaded(), out));
+            node.run_engine(|engine, out| {
+                engine.inherit(now, state.loaded(), upgrade::heard(&state.ration), out)
+            });
         }
         node.settle();
         Ok(node)
@@ -275,9 +280,11 @@
             }
             News::Said(Message::Host { id, out }) => self.bar(now, &id.as_str().into(), out),
             News::Said(Message::Standby { on }) => self.stand_by(now, on),
-            News::Said(Message::Clients { held }) => {
-                self.peer_clients = held;
+            News::Said(Message::Tally { clients, ration }) => {
+                self.peer_clients = clients;
                 self.resize();
+                let tallies = upgrade::heard(&ration);
+                self.run_engine(|engine, out| engine.inherit(now, Vec::new(), tallies, out));
             }
             News::Said(Message::Hello { .. } | Message::State(_)) => {}
             News::Left => {
@@ -294,7 +301,15 @@
         }
     }
 
-    fn state(&self) -> State {
+    /// Tells the successor what this process holds, and what counts for the ration of both.
+    fn tell_tally(&mut self, now: Micros) {
+        let ration = upgrade::told(self.engine.tallies(self.tallied));
+        self.tallied = now;
+        self.upgrade.tell(&Message::Tally { clients: self.clients(), ration });
+    }
+
+    fn state(&mut self) -> State {
+        self.tallied = self.clock.now();
         let mut state = State {
             out: self.hosts.barred().map(|h| h.0.to_string()).collect(),
             standby: self.standby,
@@ -303,6 +318,7 @@
                 Side::Operator { .. } => None,
             },
             loaded: Vec::new(),
+            ration: upgrade::told(self.engine.tallies(0)),
         };
         state.set_loaded(self.engine.loaded());
         state
@@ -671,8 +687,7 @@
                 self.kept_house = now;
                 self.control.tick(now, &mut self.log);
                 if self.succeeded {
-                    let held = self.clients();
-                    self.upgrade.tell(&Message::Clients { held });
+                    self.tell_tally(now);
                 }
             }
             if self.listener.is_some() && self.is_caught_up(now) {
--- a/node/src/upgrade.rs
+++ b/node/src/upgrade.rs
@@ -22,7 +22,7 @@
     SendAncillaryMessage, SendFlags,
 };
 use serde::{Deserialize, Serialize};
-use wheellink::{Loaded, Micros};
+use wheellink::{Loaded, Micros, Tally};
 
 use crate::conn::ConnId;
 use crate::door;
@@ -64,12 +64,25 @@
     Standby {
         on: bool,
     },
-    /// Old to new: so many connections of clients it still holds.
-    Clients {
-        held: usize,
+    /// Old to new: so many connections of clients it still holds, and what it took and ordered since it said
+    /// so last.
+    Tally {
+        clients: usize,
+        ration: Ration,
     },
 }
 
+/// What counts for the ration of orders: when, calls, orders.
+pub type Ration = Vec<(Micros, u32, u32)>;
+
+pub fn told(tallies: Vec<Tally>) -> Ration {
+    tallies.into_iter().map(|t| (t.at, t.calls, t.orders)).collect()
+}
+
+pub fn heard(ration: &Ration) -> Vec<Tally> {
+    ration.iter().map(|(at, calls, orders)| Tally { at: *at, calls: *calls, orders: *orders }).collect()
+}
+
 /// What a new process cannot learn elsewhere.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct State {
@@ -80,6 +93,7 @@
     pub bus: Option<(SocketAddr, u64)>,
     /// What is believed loaded: host, function, lanes, copies, until when, calls.
     pub loaded: Vec<(String, String, u32, u32, Micros, f64)>,
+    pub ration: Ration,
 }
 
 impl State {
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -301,10 +301,15 @@
         self.router.loaded()
     }
 
-    /// What the process believed loaded whose place this one takes.
-    pub fn inherit(&mut self, now: Micros, loaded: Vec<Loaded>, out: &mut Vec<Command>) {
+    /// What was taken and ordered since then, for such a process.
+    pub fn tallies(&self, since: Micros) -> Vec<Tally> {
+        self.router.tallies(since)
+    }
+
+    /// What the process knew whose place this one takes.
+    pub fn inherit(&mut self, now: Micros, loaded: Vec<Loaded>, tallies: Vec<Tally>, out: &mut Vec<Command>) {
         self.advance(now);
-        self.tell(Event::Inherited(loaded), out);
+        self.tell(Event::Inherited { loaded, tallies }, out);
     }
 
     /// Time has passed.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -246,6 +246,22 @@
     pub calls: f64,
 }
 
+/// What counts for the ration of orders in one short stretch of time.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Tally {
+    /// When the stretch began; it lasts [`Tally::LENGTH`].
+    pub at: Micros,
+    /// Calls that widen the ration.
+    pub calls: u32,
+    /// Orders given.
+    pub orders: u32,
+}
+
+impl Tally {
+    /// How long a stretch is.
+    pub const LENGTH: Micros = 100_000;
+}
+
 /// How an attempt, a load order or a probe ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -367,8 +383,13 @@
     },
     /// The settings have changed. Requests that were open before keep their class and tenant.
     Settings(Box<Settings>),
-    /// What the router believed loaded whose place this one takes.
-    Inherited(Vec<Loaded>),
+    /// What the router knew whose place this one takes.
+    Inherited {
+        /// What it believed loaded.
+        loaded: Vec<Loaded>,
+        /// What it took and ordered lately: the ration counts both routers as one.
+        tallies: Vec<Tally>,
+    },
     /// Time has passed; asked for by [`Action::Wake`].
     Woken,
 }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -96,7 +96,7 @@
 // -------------------------------------------------------------------------------------------------- state
 
 /// The decisions of one router. Feed it events in order; it answers with actions.
-pub struct Router(Core);
+pub struct Router(pub(crate) Core);
 
 // ------------------------------------------------------------------------------------------------- events
 
@@ -109,11 +109,6 @@
         Ok(Self(Core { settings, rng, lot: seed, tenant_rates, ..Core::default() }))
     }
 
-    /// All that is believed loaded, for a router that takes this one's place.
-    pub fn loaded(&self) -> Vec<Loaded> {
-        self.0.loaded()
-    }
-
     /// Takes one event and appends what is to be done about it. Late, repeated or unknown ids do no harm.
     pub fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
         self.0.handle(now, event, out);
@@ -194,7 +189,7 @@
             }
             Event::Barred { worker, out } => self.bar(&worker, out),
             Event::Settings(settings) => self.retune(*settings),
-            Event::Inherited(loaded) => self.inherit(loaded),
+            Event::Inherited { loaded, tallies } => self.inherit(loaded, tallies),
             Event::Woken => {}
         }
         if self.wake_at <= self.now {
--- a/src/state.rs
+++ b/src/state.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use crate::interface::*;
+use crate::rules::Router;
 
 /// What is believed of one function on one worker.
 #[derive(Default)]
@@ -162,6 +163,19 @@
     pub(crate) held_worth: f64,
 }
 
+/// What is told to a router that takes another's place.
+impl Router {
+    /// All that is believed loaded, for a router that takes this one's place.
+    pub fn loaded(&self) -> Vec<Loaded> {
+        self.0.loaded()
+    }
+
+    /// Calls and orders since then that count for the ration, for such a router.
+    pub fn tallies(&self, since: Micros) -> Vec<Tally> {
+        self.0.tallies(since)
+    }
+}
+
 impl Worker {
     /// A new process is met without a record.
     pub(crate) fn acquit(&mut self) {
@@ -229,8 +243,28 @@
         told.collect()
     }
 
-    /// Believes what another router believed, as far as this one has not learnt better.
-    pub(crate) fn inherit(&mut self, loaded: Vec<Loaded>) {
+    /// Calls and orders since then, for a router that takes this one's place.
+    pub(crate) fn tallies(&self, since: Micros) -> Vec<Tally> {
+        let mut all: BTreeMap<Micros, Tally> = BTreeMap::new();
+        let calls = self.arrivals.iter().map(|t| (*t, 1, 0));
+        for (t, calls, orders) in calls.chain(self.orders.iter().map(|t| (*t, 0, 1))).filter(|t| t.0 > since)
+        {
+            let at = t - t.rem_euclid(Tally::LENGTH);
+            let tally = all.entry(at).or_insert(Tally { at, ..Tally::default() });
+            (tally.calls, tally.orders) = (tally.calls + calls, tally.orders + orders);
+        }
+        all.into_values().collect()
+    }
+
+    /// Believes what another router believed, as far as this one has not learnt better, and counts what it
+    /// took and ordered as its own: calls as early as they may have been, orders as late.
+    pub(crate) fn inherit(&mut self, loaded: Vec<Loaded>, tallies: Vec<Tally>) {
+        let period = self.settings.load_budget.map_or(0, |b| b.period);
+        for t in tallies.into_iter().filter(|t| t.at > self.now - period) {
+            let at = self.arrivals.partition_point(|a| *a < t.at);
+            (0..t.calls).for_each(|_| self.arrivals.insert(at, t.at));
+            self.orders.extend((0..t.orders).map(|_| t.at + Tally::LENGTH));
+        }
         for l in loaded.into_iter().filter(|l| l.until > self.now && l.calls.is_finite()) {
             let f = self.functions.entry(l.function).or_default();
             if f.places.is_empty() {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -703,7 +703,7 @@
             until: new.now + 5 * S,
             calls: 3.0,
         };
-        new.event(Event::Inherited(vec![told]));
+        new.event(Event::Inherited { loaded: vec![told], tallies: vec![] });
         assert_eq!(&*new.serve(SAFE, &format!("f{i}")).0, other);
     }
     let told: Vec<_> = old.router.loaded().into_iter().map(|l| (l.function, l.worker)).collect();
@@ -712,3 +712,28 @@
         .enumerate()
         .all(|(i, p)| told.contains(&(format!("f{i}").as_str().into(), p.clone()))));
 }
+
+/// Found on the upgrade day: a router that takes another's place gave a whole ration on top of what that one had
+/// given in the same window.
+#[test]
+fn the_ration_counts_what_the_predecessor_ordered() {
+    let budget = LoadBudget { free: 2.0, share: 0.5, period: 10 * S };
+    let settings = || Settings { load_budget: Some(budget), when_cold: WhenCold::Misses, ..settings() };
+    let ordered = |bed: &mut Bed| -> usize {
+        let calls = (0..12).map(|i| {
+            let (r, out) = bed.call(SAFE, &format!("g{i}"));
+            let Some(worker) = sent(&out) else { return 0 };
+            loads(&bed.answer(&r, 0, &worker, Outcome::Miss)).len()
+        });
+        calls.sum()
+    };
+    let mut old = Bed::new(settings(), 3);
+    let before = ordered(&mut old);
+    let tallies = old.router.tallies(0);
+    assert_eq!(tallies.iter().map(|t| t.orders as usize).sum::<usize>(), before);
+    let mut new = Bed::new(settings(), 3);
+    new.now = old.now;
+    new.event(Event::Inherited { loaded: vec![], tallies });
+    let after = ordered(&mut new);
+    assert!(before > 0 && before + after <= 2 + 24 / 2, "{before} and {after} orders for 24 calls");
+}
