A new process is told what cold hosts stand and what was sent to them

done_rate and cold_sends of the module are passed on with the state. The test of the module: a successor that is told nothing finds no room on cold hosts, one that is told finds as much as its predecessor, and next to none where that one has used it up.

--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -9,7 +9,7 @@
 
 use calloop::LoopHandle;
 use wheellink::engine::{AttemptId, Command, NewRequest, Verdict};
-use wheellink::{Effect, Engine, ListKind, Micros, Outcome, Ticket, WorkerId};
+use wheellink::{Effect, Engine, Legacy, ListKind, Micros, Outcome, Ticket, WorkerId};
 
 use crate::bus::{self, Bus, Frame, Gap};
 use crate::clock::Clock;
@@ -212,9 +212,7 @@
         if let Some(state) = &state {
             // Only now, as a whole list begins all beliefs anew.
             let now = node.clock.now();
-            node.run_engine(|engine, out| {
-                engine.inherit(now, state.loaded(), upgrade::heard(&state.ration), out)
-            });
+            node.run_engine(|engine, out| engine.inherit(now, state.legacy(), out));
         }
         node.settle();
         Ok(node)
@@ -283,8 +281,8 @@
             News::Said(Message::Tally { clients, ration }) => {
                 self.peer_clients = clients;
                 self.resize();
-                let tallies = upgrade::heard(&ration);
-                self.run_engine(|engine, out| engine.inherit(now, Vec::new(), tallies, out));
+                let legacy = Legacy { tallies: upgrade::heard(&ration), ..Legacy::default() };
+                self.run_engine(|engine, out| engine.inherit(now, legacy, out));
             }
             News::Said(Message::Hello { .. } | Message::State(_)) => {}
             News::Left => {
@@ -317,10 +315,9 @@
                 Side::Platform(_, bus) => Some(bus.place()),
                 Side::Operator { .. } => None,
             },
-            loaded: Vec::new(),
-            ration: upgrade::told(self.engine.tallies(0)),
+            ..State::default()
         };
-        state.set_loaded(self.engine.loaded());
+        state.set_legacy(self.engine.legacy());
         state
     }
 
--- a/node/src/upgrade.rs
+++ b/node/src/upgrade.rs
@@ -22,7 +22,7 @@
     SendAncillaryMessage, SendFlags,
 };
 use serde::{Deserialize, Serialize};
-use wheellink::{Loaded, Micros, Tally};
+use wheellink::{Legacy, Loaded, Micros, Tally};
 
 use crate::conn::ConnId;
 use crate::door;
@@ -94,18 +94,33 @@
     /// What is believed loaded: host, function, lanes, copies, until when, calls.
     pub loaded: Vec<(String, String, u32, u32, Micros, f64)>,
     pub ration: Ration,
+    /// Answers a second.
+    pub served: f64,
+    /// Attempts sent to cold hosts lately: host, when.
+    pub sends: Vec<(String, Vec<Micros>)>,
 }
 
 impl State {
-    pub fn set_loaded(&mut self, mut loaded: Vec<Loaded>) {
+    /// Takes in what the module passes on.
+    pub fn set_legacy(&mut self, legacy: Legacy) {
+        let Legacy { mut loaded, tallies, served, sends } = legacy;
         loaded.sort_by(|a, b| b.calls.total_cmp(&a.calls));
-        let told = loaded.iter().take(MOST_LOADED);
-        let told = told
-            .map(|l| (l.worker.0.to_string(), l.function.0.to_string(), l.lanes, l.copies, l.until, l.calls));
-        self.loaded = told.collect();
+        let most = loaded.into_iter().take(MOST_LOADED);
+        self.loaded = most
+            .map(|l| (l.worker.0.to_string(), l.function.0.to_string(), l.lanes, l.copies, l.until, l.calls))
+            .collect();
+        (self.ration, self.served) = (told(tallies), served);
+        self.sends = sends.into_iter().map(|(host, times)| (host.0.to_string(), times)).collect();
     }
 
-    pub fn loaded(&self) -> Vec<Loaded> {
+    /// ... and gives it out.
+    pub fn legacy(&self) -> Legacy {
+        let sends = self.sends.iter().map(|(host, times)| (host.as_str().into(), times.clone()));
+        let (tallies, served) = (heard(&self.ration), self.served);
+        Legacy { loaded: self.loaded(), tallies, served, sends: sends.collect() }
+    }
+
+    fn loaded(&self) -> Vec<Loaded> {
         let told = self.loaded.iter().map(|(worker, function, lanes, copies, until, calls)| Loaded {
             worker: worker.as_str().into(),
             function: function.as_str().into(),
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -296,9 +296,9 @@
         self.tell(Event::Settings(Box::new(settings)), out);
     }
 
-    /// What is believed loaded, for a process that takes this one's place.
-    pub fn loaded(&self) -> Vec<Loaded> {
-        self.router.loaded()
+    /// What a process needs that takes this one's place.
+    pub fn legacy(&self) -> Legacy {
+        self.router.legacy()
     }
 
     /// What was taken and ordered since then, for such a process.
@@ -307,9 +307,9 @@
     }
 
     /// What the process knew whose place this one takes.
-    pub fn inherit(&mut self, now: Micros, loaded: Vec<Loaded>, tallies: Vec<Tally>, out: &mut Vec<Command>) {
+    pub fn inherit(&mut self, now: Micros, legacy: Legacy, out: &mut Vec<Command>) {
         self.advance(now);
-        self.tell(Event::Inherited { loaded, tallies }, out);
+        self.tell(Event::Inherited(legacy), out);
     }
 
     /// Time has passed.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -262,6 +262,19 @@
     pub const LENGTH: Micros = 100_000;
 }
 
+/// What a router tells the one that takes its place.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Legacy {
+    /// What it believes loaded.
+    pub loaded: Vec<Loaded>,
+    /// What it took and ordered lately: the ration counts both routers as one.
+    pub tallies: Vec<Tally>,
+    /// Answers a second that it was given: starting workers get a share of them.
+    pub served: f64,
+    /// When it sent attempts to starting workers lately: what these can stand counts both routers as one.
+    pub sends: Vec<(WorkerId, Vec<Micros>)>,
+}
+
 /// How an attempt, a load order or a probe ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -384,12 +397,7 @@
     /// The settings have changed. Requests that were open before keep their class and tenant.
     Settings(Box<Settings>),
     /// What the router knew whose place this one takes.
-    Inherited {
-        /// What it believed loaded.
-        loaded: Vec<Loaded>,
-        /// What it took and ordered lately: the ration counts both routers as one.
-        tallies: Vec<Tally>,
-    },
+    Inherited(Legacy),
     /// Time has passed; asked for by [`Action::Wake`].
     Woken,
 }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -189,7 +189,7 @@
             }
             Event::Barred { worker, out } => self.bar(&worker, out),
             Event::Settings(settings) => self.retune(*settings),
-            Event::Inherited { loaded, tallies } => self.inherit(loaded, tallies),
+            Event::Inherited(legacy) => self.inherit(legacy),
             Event::Woken => {}
         }
         if self.wake_at <= self.now {
--- a/src/state.rs
+++ b/src/state.rs
@@ -165,9 +165,11 @@
 
 /// What is told to a router that takes another's place.
 impl Router {
-    /// All that is believed loaded, for a router that takes this one's place.
-    pub fn loaded(&self) -> Vec<Loaded> {
-        self.0.loaded()
+    /// All that a router needs which takes this one's place.
+    pub fn legacy(&self) -> Legacy {
+        let sends = self.0.workers.iter().filter(|(_, w)| self.0.warmth(w) < 1.0);
+        let sends = sends.map(|(n, w)| (n.clone(), w.cold_sends.iter().copied().collect())).collect();
+        Legacy { loaded: self.0.loaded(), tallies: self.0.tallies(0), served: self.0.done_rate, sends }
     }
 
     /// Calls and orders since then that count for the ration, for such a router.
@@ -258,7 +260,12 @@
 
     /// Believes what another router believed, as far as this one has not learnt better, and counts what it
     /// took and ordered as its own: calls as early as they may have been, orders as late.
-    pub(crate) fn inherit(&mut self, loaded: Vec<Loaded>, tallies: Vec<Tally>) {
+    pub(crate) fn inherit(&mut self, legacy: Legacy) {
+        let Legacy { loaded, tallies, served, sends } = legacy;
+        self.done_rate = self.done_rate.max(if served.is_finite() { served } else { 0.0 });
+        for (n, times) in sends {
+            self.workers.entry(n).and_modify(|w| w.cold_sends.extend(times));
+        }
         let period = self.settings.load_budget.map_or(0, |b| b.period);
         for t in tallies.into_iter().filter(|t| t.at > self.now - period) {
             let at = self.arrivals.partition_point(|a| *a < t.at);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -703,10 +703,10 @@
             until: new.now + 5 * S,
             calls: 3.0,
         };
-        new.event(Event::Inherited { loaded: vec![told], tallies: vec![] });
+        new.event(Event::Inherited(Legacy { loaded: vec![told], ..Legacy::default() }));
         assert_eq!(&*new.serve(SAFE, &format!("f{i}")).0, other);
     }
-    let told: Vec<_> = old.router.loaded().into_iter().map(|l| (l.function, l.worker)).collect();
+    let told: Vec<_> = old.router.legacy().loaded.into_iter().map(|l| (l.function, l.worker)).collect();
     assert!(places
         .iter()
         .enumerate()
@@ -733,7 +733,36 @@
     assert_eq!(tallies.iter().map(|t| t.orders as usize).sum::<usize>(), before);
     let mut new = Bed::new(settings(), 3);
     new.now = old.now;
-    new.event(Event::Inherited { loaded: vec![], tallies });
+    new.event(Event::Inherited(Legacy { tallies, ..Legacy::default() }));
     let after = ordered(&mut new);
     assert!(before > 0 && before + after <= 2 + 24 / 2, "{before} and {after} orders for 24 calls");
 }
+
+/// Found on upgrade days after a release: with all workers cold, a router that has just begun knew of no answers,
+/// and so of no room anywhere. What its predecessor sent them counts as well.
+#[test]
+fn a_successor_knows_what_cold_workers_stand() {
+    let fresh = |bed: &mut Bed| {
+        let cold = |i| ListEntry { ready_at: bed.now, ..entry(&format!("w{i}"), Condition::Up) };
+        let entries = (0..3).map(cold).collect();
+        bed.event(Event::List { kind: ListKind::Full, entries });
+    };
+    let calls = |bed: &mut Bed| -> usize {
+        (0..60).filter(|i| sent(&bed.call(SAFE, &format!("f{}", i % 9)).1).is_some()).count()
+    };
+    let mut old = Bed::new(settings(), 3);
+    (0..200).for_each(|i| drop(old.serve(SAFE, &format!("f{}", i % 9))));
+    fresh(&mut old);
+    let now = old.now;
+    let successor = |legacy: Legacy| {
+        let mut new = Bed::new(settings(), 3);
+        new.now = now;
+        fresh(&mut new);
+        new.event(Event::Inherited(legacy));
+        new
+    };
+    let (early, before) = (old.router.legacy(), calls(&mut old));
+    assert!(before > 0 && calls(&mut successor(Legacy::default())) == 0);
+    assert_eq!(calls(&mut successor(early)), before);
+    assert!(calls(&mut successor(old.router.legacy())) <= 2, "the old one has sent what they stand");
+}
