The invoke front bounds silence, not slowness; peers of an upgrade must be the same user's

By reading: a request of the invoke front had 10 s in all and any newcomer of 200 ms could be pushed out while still writing; now 3 s of silence, and who stopped longest goes first, as on the platform's front. The meeting place may lie in a folder that others use: both sides check whose process they talk to. What a later version says besides is passed over. Tests: a slow and a silent writer, the state through its form in JSON, unknown messages.

--- a/node/src/front/invoke.rs
+++ b/node/src/front/invoke.rs
@@ -27,7 +27,9 @@
 const STALLED: Micros = 10_000_000;
 /// How long a client that is being closed is given to see that.
 const LINGER: Micros = 1_000_000;
-/// A request must be whole within this time from its first byte.
+/// Within a request a client that sends nothing for so long has gone silent.
+const SILENT: Micros = 3_000_000;
+/// ... and from its first byte the request must be whole by then, however it comes.
 const SLOW_REQUEST: Micros = 10_000_000;
 /// One that has sent nothing, or half of a request, for so long may go when others need its place.
 const SPEECHLESS: Micros = 200_000;
@@ -87,6 +89,8 @@
     /// The last time that something was finished; the first byte of a request that is not whole.
     active: Micros,
     begun: Option<Micros>,
+    /// When bytes last came.
+    moved: Micros,
     taken: u64,
 }
 
@@ -177,7 +181,8 @@
             Ok(conn) => {
                 let state = State::Reading;
                 let (told_to_continue, begun, taken) = (false, None, 0);
-                let fresh = HttpConn { conn, peer, state, told_to_continue, active: now, begun, taken };
+                let fresh =
+                    HttpConn { conn, peer, state, told_to_continue, active: now, begun, moved: now, taken };
                 self.conns.insert(id, fresh);
                 // Most have their request with them, and then are no longer among the speechless.
                 self.ready(now, id, log);
@@ -191,13 +196,15 @@
         self.conns.len() < self.most || self.evict(now, log)
     }
 
-    /// Makes room by closing a connection that is owed nothing: first those that never asked anything
-    /// whole, then those that have had time to see their end, then those that have been idle longest.
+    /// Makes room by closing a connection that is owed nothing: first those that never said
+    /// anything, then those that have had time to see their end, then those that stopped within a request, then
+    /// those that have been idle longest.
     fn evict(&mut self, now: Micros, log: &mut Log) -> bool {
         let rank = |c: &HttpConn| match &c.state {
             State::Lingering(_, since) => (now - since >= SPEECHLESS).then_some((1, *since)),
+            State::Reading if c.begun.is_some() => (now - c.moved >= SPEECHLESS).then_some((2, c.moved)),
             State::Reading if c.taken == 0 => (now - c.active >= SPEECHLESS).then_some((0, c.active)),
-            State::Reading => c.begun.is_none().then_some((2, c.active)),
+            State::Reading => Some((3, c.active)),
             State::Waiting { .. } | State::Closing(_) => None,
         };
         let ranked = self.conns.iter().filter_map(|(id, c)| Some((rank(c)?, *id)));
@@ -231,7 +238,11 @@
                 c.active = now;
             }
             c.linger_if_done(now);
+            let before = c.conn.inbox.len();
             let more = c.conn.fill()?;
+            if c.conn.inbox.len() > before {
+                c.moved = now;
+            }
             // Whoever waited for the answer to a call is gone, or has nothing more to ask.
             match (c.conn.eof, &c.state) {
                 (true, State::Lingering(reason, _)) => return Err(*reason),
@@ -514,7 +525,8 @@
             self.end(now, id, reason, log);
         }
         let slow = |c: &HttpConn| {
-            matches!(c.state, State::Reading) && c.begun.is_some_and(|b| now - b >= SLOW_REQUEST)
+            let stuck = |b| now - b >= SLOW_REQUEST || now - c.moved >= SILENT;
+            matches!(c.state, State::Reading) && c.begun.is_some_and(stuck)
         };
         let mut slow: Vec<_> = self.conns.iter().filter(|(_, c)| slow(c)).map(|(id, _)| *id).collect();
         slow.sort();
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -276,7 +276,11 @@
                 self.door.iter_mut().for_each(|door| door.shut(Micros::MAX));
                 self.part(now);
             }
-            News::Said(Message::Host { id, out }) => self.bar(now, &id.as_str().into(), out),
+            News::Said(Message::Host { id, out }) => {
+                let way = if out { "out by hand" } else { "back in" };
+                self.log.line(now, format_args!("host {id} is {way}, the other process was told"));
+                self.bar(now, &id.as_str().into(), out)
+            }
             News::Said(Message::Standby { on }) => self.stand_by(now, on),
             News::Said(Message::Tally { clients, ration }) => {
                 self.peer_clients = clients;
@@ -284,7 +288,7 @@
                 let legacy = Legacy { tallies: upgrade::heard(&ration), ..Legacy::default() };
                 self.run_engine(|engine, out| engine.inherit(now, legacy, out));
             }
-            News::Said(Message::Hello { .. } | Message::State(_)) => {}
+            News::Said(Message::Hello { .. } | Message::State(_) | Message::Other) => {}
             News::Left => {
                 self.log.line(now, "the other process is gone");
                 self.peer_clients = 0;
--- a/node/src/upgrade.rs
+++ b/node/src/upgrade.rs
@@ -70,6 +70,9 @@
         clients: usize,
         ration: Ration,
     },
+    /// What a later version says besides is passed over.
+    #[serde(other)]
+    Other,
 }
 
 /// What counts for the ration of orders: when, calls, orders.
@@ -85,6 +88,7 @@
 
 /// What a new process cannot learn elsewhere.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
 pub struct State {
     /// Hosts that are out by hand.
     pub out: Vec<String>,
@@ -178,6 +182,9 @@
     let stream = UnixStream::connect(meeting_place(address)).map_err(problem)?;
     stream.set_read_timeout(Some(PATIENCE)).map_err(problem)?;
     stream.set_write_timeout(Some(PATIENCE)).map_err(problem)?;
+    if !is_own(&stream) {
+        return Err("it runs for another user".into());
+    }
     let mut bytes = line(&Message::Hello { version: VERSION, listen: address });
     io::Write::write_all(&mut &stream, &bytes).map_err(problem)?;
     bytes.clear();
@@ -215,6 +222,11 @@
     }
 }
 
+/// Whether the other side runs for the same user: the folder may be shared with others.
+fn is_own(stream: &UnixStream) -> bool {
+    rustix::net::sockopt::socket_peercred(stream).is_ok_and(|peer| peer.uid == rustix::process::geteuid())
+}
+
 fn line(message: &Message) -> Vec<u8> {
     let mut bytes = serde_json::to_vec(message).expect("a message has a form in JSON");
     bytes.push(b'\n');
@@ -397,6 +409,9 @@
     pub fn accept(&mut self) {
         let Some((listener, _)) = &self.beacon else { return };
         let Ok((stream, _)) = listener.accept() else { return };
+        if !is_own(&stream) {
+            return;
+        }
         let id = crate::node::fresh_id();
         if let Ok(wire) = Wire::new(&self.handle, id, stream) {
             self.wires.insert(id, wire);
@@ -476,3 +491,37 @@
         ids.into_iter().for_each(|id| self.drop_wire(id));
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_is_passed_on_arrives_as_it_left() {
+        let loaded = (0..3).map(|i| Loaded {
+            worker: "s-1".into(),
+            function: format!("f{i}").as_str().into(),
+            lanes: 2,
+            copies: i,
+            until: 17,
+            calls: f64::from(i) + 0.5,
+        });
+        let tallies = vec![Tally { at: 100_000, calls: 7, orders: 2 }];
+        let sends = vec![("s-2".into(), vec![5, 6])];
+        let mut legacy = Legacy { loaded: loaded.collect(), tallies, served: 12.5, sends };
+        let mut state = State { out: vec!["s-9".into()], ..State::default() };
+        state.set_legacy(legacy.clone());
+        let Message::State(heard) = serde_json::from_slice(&line(&Message::State(state))).unwrap() else {
+            panic!("no state")
+        };
+        legacy.loaded.reverse();
+        assert_eq!((heard.legacy(), heard.out), (legacy, vec!["s-9".to_string()]), "most called first");
+    }
+
+    #[test]
+    fn a_later_version_may_say_more() {
+        let read = |text: &str| serde_json::from_str::<Message>(text).unwrap();
+        assert_eq!(read(r#"{"say":"weather","sun":1}"#), Message::Other);
+        assert_eq!(read(r#"{"say":"state","moon":1}"#), Message::State(State::default()));
+    }
+}
--- a/node/tests/invoke.rs
+++ b/node/tests/invoke.rs
@@ -387,3 +387,19 @@
     assert!(sending.join().unwrap(), "all of it could be sent");
     drop((silent, halves));
 }
+
+/// Within a request silence counts, not how long it takes: pieces are waited for, and who stops is told so.
+#[test]
+fn a_slow_writer_is_waited_for_and_a_silent_one_is_not() {
+    let host = Host::warm();
+    let (program, _resolver) = operator(&[&host], |text| text);
+    let text = call("f1", "send-mail", &[], "slow");
+    let (mut slow, mut silent) = (program.connect(), program.connect());
+    silent.write_all(&text.as_bytes()[..30]).unwrap();
+    for piece in text.as_bytes().chunks(text.len() / 16) {
+        slow.write_all(piece).unwrap();
+        sleep(ms(200));
+    }
+    assert_eq!(read_reply(&mut slow).unwrap().status, 200);
+    assert_eq!(read_reply(&mut silent).unwrap().status, 408);
+}
