--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -164,6 +164,13 @@
         self.signal("-HUP");
     }
 
+    /// Processor time that it has used, in hundredths of a second.
+    pub fn used(&self) -> u64 {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).unwrap();
+        let fields: Vec<_> = stat.rsplit(')').next().unwrap().split_whitespace().collect();
+        fields[11].parse::<u64>().unwrap() + fields[12].parse::<u64>().unwrap()
+    }
+
     /// Ends it without a word.
     pub fn kill(&mut self) {
         self.child.kill().unwrap();
--- a/node/tests/upgrade.rs
+++ b/node/tests/upgrade.rs
@@ -5,7 +5,7 @@
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener};
 use std::os::unix::net::UnixListener;
-use std::thread::spawn;
+use std::thread::{sleep, spawn};
 
 use common::*;
 use rstest::rstest;
@@ -124,3 +124,22 @@
     assert_eq!(new.operate("POST", "/active", ""), 200);
     wait_for("word of it", || (old.program.status(), new.status()) == (200, 200));
 }
+
+/// Found on an upgrade day: half a second of nothing but work while an old process waited for its last answer.
+#[test]
+fn to_wait_for_the_last_answer_costs_no_work() {
+    let host = Host::start(Ways { does: Does::Answer("200"), work: ms(2500), load: None });
+    let mut old = platform(&[&host]);
+    let mut open = old.program.connect();
+    open.write_all(&call_frame(1, "check-score", 4000, b"")).unwrap();
+    wait_for("the call", || host.calls() == 1);
+    let new = Program::start(&at(old.program.address, config(old.bus.address, &[&host])), false);
+    let (_, _feed) = old.bus.greeted();
+    wait_for("readiness", || new.status() == 200);
+    old.program.terminate();
+    let used = (old.program.used(), new.used());
+    sleep(ms(2000));
+    let used = (old.program.used() - used.0, new.used() - used.1);
+    assert!(used.0 < 20 && used.1 < 20, "{used:?} of 200");
+    assert!(old.program.ended().success());
+}
