--- a/node/src/front/platform.rs
+++ b/node/src/front/platform.rs
@@ -81,7 +81,8 @@
     asked: bool,
     /// A frame has begun then and is not whole.
     partial: Option<Micros>,
-    /// When bytes last came.
+    /// How often bytes of it have come, and when they last did.
+    pieces: u32,
     moved: Micros,
     active: Micros,
     taken: u64,
@@ -162,6 +163,7 @@
                     begun: now,
                     asked: false,
                     partial: None,
+                    pieces: 0,
                     moved: now,
                     active: now,
                     taken: 0,
@@ -191,6 +193,8 @@
         let rank = |c: &ClientConn| match now - c.moved {
             _ if c.lingers.is_some_and(|since| now - since >= SPEECHLESS) => Some((1, c.begun)),
             _ if !c.open.is_empty() || c.broken || !c.conn.outbox.is_empty() => None,
+            // Who has come back to a frame is writing it; most that never finish one have left off for good.
+            quiet if c.partial.is_some() && c.pieces > 1 && quiet < SILENT / 2 => Some((6, c.moved)),
             quiet if c.partial.is_some() => Some((if quiet >= PAUSING { 2 } else { 5 }, c.moved)),
             _ if c.asked => Some((3, c.active)),
             quiet if quiet >= SPEECHLESS => Some((0, c.begun)),
@@ -261,11 +265,14 @@
             let before = c.conn.inbox.len();
             let filled = c.conn.fill();
             if c.conn.inbox.len() > before {
-                c.moved = now;
+                (c.moved, c.pieces) = (now, c.pieces.saturating_add(1));
             }
             while self.take(now, id, log)? {}
             let Some(c) = self.conns.get_mut(&id) else { return Ok(()) };
             c.partial = if c.conn.inbox.is_empty() { None } else { c.partial.or(Some(now)) };
+            if c.partial.is_none() {
+                c.pieces = 0;
+            }
             if !filled? {
                 return self.end_if_done(now, id);
             }
--- a/node/src/hosts/pool.rs
+++ b/node/src/hosts/pool.rs
@@ -191,6 +191,16 @@
         }
     }
 
+    /// Connections that are open or being made.
+    pub fn held(&self) -> usize {
+        self.conns.len()
+    }
+
+    /// Connections that may be wanted soon: one more to each host.
+    pub fn reserve(&self) -> usize {
+        self.members.len()
+    }
+
     /// Connections are used by other settings from now on.
     pub fn retune(&mut self, transport: Transport) {
         self.transport = transport;
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -238,7 +238,11 @@
             let most = sockets.saturating_sub(clients + 2 * OWN_SOCKETS) / 2;
             (share / 2, clients.saturating_sub(self.peer_clients).max(clients / 2), most)
         } else {
-            (share, clients, sockets.saturating_sub(clients + OWN_SOCKETS))
+            // What hosts do not use is the clients' up to half of all; what these hold beyond their part is then
+            // not the hosts'.
+            let all = sockets.saturating_sub(OWN_SOCKETS);
+            let free = all.saturating_sub(self.hosts.held() + self.hosts.reserve());
+            (share, free.min(sockets / 2).max(clients), all.saturating_sub(self.clients().max(clients)))
         };
         self.most_bodies = share;
         self.hosts.bound((most.max(1), share));
@@ -370,6 +374,7 @@
     pub fn accept(&mut self) {
         for _ in 0..ACCEPT_AT_ONCE {
             let now = self.clock.now();
+            self.resize();
             let Some(door) = &mut self.door else { break };
             let room = match &mut self.side {
                 Side::Platform(front, _) => front.has_room(now, &mut self.log),
@@ -686,6 +691,7 @@
             let keep_house = self.kept_house + HOUSEKEEPING <= now;
             if keep_house {
                 self.kept_house = now;
+                self.resize();
                 self.control.tick(now, &mut self.log);
                 if self.succeeded {
                     self.tell_tally(now);
--- a/node/tests/platform.rs
+++ b/node/tests/platform.rs
@@ -592,7 +592,7 @@
     assert_eq!(read_frame(&mut usual).unwrap().code, SERVED);
     let silent: Vec<_> = (0..80).map(|_| p.program.connect()).collect();
     sleep(ms(300));
-    let more: Vec<_> = (0..60).map(|_| p.program.connect()).collect();
+    let more: Vec<_> = (0..110).map(|_| p.program.connect()).collect();
     wait_for("places to be made", || p.program.logged("reason=evicted requests=0") >= 40);
     usual.write_all(&call_frame(2, "send-mail", 4000, b"")).unwrap();
     assert_eq!(read_frame(&mut usual).unwrap().code, SERVED);
