--- a/node/src/conn.rs
+++ b/node/src/conn.rs
@@ -1,22 +1,32 @@
 //! A TCP connection as the event loop sees it: a socket, a ring each way, and nothing of any protocol.
 
+use std::cell::Cell;
 use std::io::{self, ErrorKind};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::rc::Rc;
 
 use calloop::generic::Generic;
-use calloop::{Interest, LoopHandle, Mode, PostAction, RegistrationToken};
+use calloop::{Interest, Mode, PostAction, RegistrationToken};
 use socket2::{Domain, Protocol, Socket, Type};
 
 use crate::log::Reason;
-use crate::node::Node;
 use crate::ring::Ring;
+use crate::wake::{Handle, Wake};
 
 /// Names a connection for as long as it lives; never used again.
 pub type ConnId = u64;
 
-/// What a connection's callbacks are.
-pub type Callback = fn(&mut Node, ConnId);
+/// An id that no other connection has or had.
+pub fn fresh_id() -> ConnId {
+    thread_local!(static NEXT: Cell<ConnId> = const { Cell::new(0) });
+    NEXT.with(|next| {
+        next.set(next.get() + 1);
+        next.get()
+    })
+}
+
+/// What a connection's owner is woken by.
+pub type Waking = fn(ConnId) -> Wake;
 
 pub struct Conn {
     stream: Rc<TcpStream>,
@@ -28,18 +38,19 @@
 }
 
 impl Conn {
-    /// Registers the socket: `ready` is called on every edge, and reads and writes as far as it can.
+    /// Registers the socket: its owner is woken by `ready` on every edge, and is to read and write as far
+    /// as it can.
     pub fn new(
-        handle: &LoopHandle<'static, Node>,
+        handle: &Handle,
         id: ConnId,
         stream: TcpStream,
         (inbox, outbox): (usize, usize),
-        ready: Callback,
+        ready: Waking,
     ) -> io::Result<Self> {
         let stream = Rc::new(stream);
         let source = Generic::new(stream.clone(), Interest::BOTH, Mode::Edge);
-        let token = handle.insert_source(source, move |_, _, node| {
-            ready(node, id);
+        let token = handle.insert_source(source, move |_, _, wakes| {
+            wakes.push(ready(id));
             Ok(PostAction::Continue)
         });
         let token = token.map_err(|e| io::Error::other(e.error.to_string()))?;
@@ -48,11 +59,11 @@
 
     /// Takes an accepted connection in.
     pub fn accepted(
-        handle: &LoopHandle<'static, Node>,
+        handle: &Handle,
         id: ConnId,
         stream: TcpStream,
         bounds: (usize, usize),
-        ready: Callback,
+        ready: Waking,
     ) -> io::Result<Self> {
         stream.set_nonblocking(true)?;
         stream.set_nodelay(true)?;
@@ -61,11 +72,11 @@
 
     /// Begins a connection; the first edge tells how that went.
     pub fn connect(
-        handle: &LoopHandle<'static, Node>,
+        handle: &Handle,
         id: ConnId,
         address: SocketAddr,
         bounds: (usize, usize),
-        ready: Callback,
+        ready: Waking,
     ) -> io::Result<Self> {
         let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
         socket.set_nonblocking(true)?;
@@ -129,7 +140,7 @@
     }
 
     /// Takes it out of the loop and closes it. What the other side has already been sent still reaches it.
-    pub fn close(self, handle: &LoopHandle<'static, Node>) {
+    pub fn close(self, handle: &Handle) {
         handle.remove(self.token);
         self.half_close();
     }
--- a/node/src/control.rs
+++ b/node/src/control.rs
@@ -4,14 +4,13 @@
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpStream};
 
-use calloop::LoopHandle;
 use serde::Deserialize;
 use wheellink::Micros;
 
 use crate::conn::{Conn, ConnId};
 use crate::http::{self, Bad, Parsed, Request, Response};
 use crate::log::{Log, Reason};
-use crate::node::Node;
+use crate::wake::{Handle, Wake};
 
 /// Callers at once. Who is not done makes room for a new one, longest first: calls are answered in the turn
 /// in which they are whole, so nobody who has called waits among them.
@@ -74,17 +73,13 @@
 }
 
 pub struct Control {
-    handle: LoopHandle<'static, Node>,
+    handle: Handle,
     callers: BTreeMap<ConnId, Caller>,
     pub calls: Vec<(ConnId, Call)>,
 }
 
-fn ready(node: &mut Node, id: ConnId) {
-    node.caller_ready(id);
-}
-
 impl Control {
-    pub fn new(handle: LoopHandle<'static, Node>) -> Self {
+    pub fn new(handle: Handle) -> Self {
         Self { handle, callers: BTreeMap::new(), calls: Vec::new() }
     }
 
@@ -95,8 +90,8 @@
                 self.callers.iter().min_by_key(|(id, c)| (c.answered.is_none(), **id)).map(|(id, _)| *id);
             first.into_iter().for_each(|id| self.end(now, id, Reason::Evicted, log));
         }
-        let id = crate::node::fresh_id();
-        match Conn::accepted(&self.handle, id, stream, (INBOX, OUTBOX), ready) {
+        let id = crate::conn::fresh_id();
+        match Conn::accepted(&self.handle, id, stream, (INBOX, OUTBOX), Wake::Caller) {
             Ok(conn) => {
                 let caller = Caller { conn, peer, begun: now, answered: None, head_only: false };
                 self.callers.insert(id, caller);
--- a/node/src/dnssd.rs
+++ b/node/src/dnssd.rs
@@ -9,13 +9,13 @@
 use std::rc::Rc;
 
 use calloop::generic::Generic;
-use calloop::{Interest, LoopHandle, Mode, PostAction, RegistrationToken};
+use calloop::{Interest, Mode, PostAction, RegistrationToken};
 use wheellink::Micros;
 
 use crate::bus::Host;
 use crate::conn::{Conn, ConnId};
 use crate::log::{Log, Reason};
-use crate::node::Node;
+use crate::wake::{Handle, Wake};
 pub use browser::Browser;
 pub use records::parse_name;
 
@@ -38,7 +38,7 @@
 }
 
 pub struct DnsSd {
-    handle: LoopHandle<'static, Node>,
+    handle: Handle,
     resolver: SocketAddr,
     socket: Rc<UdpSocket>,
     token: RegistrationToken,
@@ -46,16 +46,8 @@
     pub browser: Browser,
 }
 
-fn ready(node: &mut Node, id: ConnId) {
-    node.dns_tcp_ready(id);
-}
-
 impl DnsSd {
-    pub fn new(
-        handle: &LoopHandle<'static, Node>,
-        resolver: SocketAddr,
-        browser: Browser,
-    ) -> io::Result<Self> {
+    pub fn new(handle: &Handle, resolver: SocketAddr, browser: Browser) -> io::Result<Self> {
         let (socket, token) = Self::socket(handle, resolver)?;
         let (handle, asking) = (handle.clone(), BTreeMap::new());
         Ok(Self { handle, resolver, socket, token, asking, browser })
@@ -72,10 +64,7 @@
     }
 
     /// A socket that hears the resolver and nobody else.
-    fn socket(
-        handle: &LoopHandle<'static, Node>,
-        resolver: SocketAddr,
-    ) -> io::Result<(Rc<UdpSocket>, RegistrationToken)> {
+    fn socket(handle: &Handle, resolver: SocketAddr) -> io::Result<(Rc<UdpSocket>, RegistrationToken)> {
         let any = if resolver.is_ipv4() { Ipv4Addr::LOCALHOST.into() } else { Ipv6Addr::LOCALHOST.into() };
         let socket = UdpSocket::bind(SocketAddr::new(any, 0))?;
         socket.connect(resolver)?;
@@ -83,8 +72,8 @@
         let socket = Rc::new(socket);
         // Level-triggered: what is left by one go is taken by the next.
         let source = Generic::new(socket.clone(), Interest::READ, Mode::Level);
-        let token = handle.insert_source(source, |_, _, node| {
-            node.dns_ready();
+        let token = handle.insert_source(source, |_, _, wakes| {
+            wakes.push(Wake::Resolver);
             Ok(PostAction::Continue)
         });
         let token = token.map_err(|e| io::Error::other(e.error.to_string()))?;
@@ -120,9 +109,9 @@
 
     fn ask_over_tcp(&mut self, now: Micros, log: &mut Log) {
         for query in std::mem::take(&mut self.browser.over_tcp) {
-            let id = crate::node::fresh_id();
+            let id = crate::conn::fresh_id();
             let bounds = (2 + usize::from(u16::MAX), 2 + LONGEST);
-            match Conn::connect(&self.handle, id, self.resolver, bounds, ready) {
+            match Conn::connect(&self.handle, id, self.resolver, bounds, Wake::ResolverConn) {
                 Ok(conn) if self.asking.len() < CONNECTIONS => {
                     self.asking.insert(id, Asking { conn, begun: now, asked: false, query });
                 }
--- a/node/src/door.rs
+++ b/node/src/door.rs
@@ -6,11 +6,11 @@
 use std::rc::Rc;
 
 use calloop::generic::Generic;
-use calloop::{Interest, LoopHandle, Mode, PostAction, RegistrationToken};
+use calloop::{Interest, Mode, PostAction, RegistrationToken};
 use socket2::{Domain, Protocol, Socket, Type};
 use wheellink::Micros;
 
-use crate::node::Node;
+use crate::wake::{Handle, Wake};
 
 /// Connections that the system may hold until they are accepted: thousands may come at once, and one that is
 /// not queued is begun anew by its client only after a second.
@@ -28,7 +28,7 @@
 
 /// See the module's page.
 pub struct Door {
-    handle: LoopHandle<'static, Node>,
+    handle: Handle,
     socket: Rc<TcpListener>,
     token: RegistrationToken,
     /// Shut until then; for good where that is never.
@@ -36,18 +36,14 @@
 }
 
 impl Door {
-    /// Registers the socket: `knock` is called as long as connections wait. Level-triggered, so that what was
+    /// Registers the socket: `knock` is said as long as connections wait. Level-triggered, so that what was
     /// not accepted comes up again.
-    pub fn open(
-        handle: &LoopHandle<'static, Node>,
-        listener: TcpListener,
-        knock: fn(&mut Node),
-    ) -> io::Result<Self> {
+    pub fn open(handle: &Handle, listener: TcpListener, knock: Wake) -> io::Result<Self> {
         listener.set_nonblocking(true)?;
         let socket = Rc::new(listener);
         let source = Generic::new(socket.clone(), Interest::READ, Mode::Level);
-        let token = handle.insert_source(source, move |_, _, node| {
-            knock(node);
+        let token = handle.insert_source(source, move |_, _, wakes| {
+            wakes.push(knock);
             Ok(PostAction::Continue)
         });
         let token = token.map_err(|e| io::Error::other(e.error.to_string()))?;
@@ -86,6 +82,11 @@
         self.shut = Some(until);
     }
 
+    /// Whether nothing is accepted now.
+    pub fn is_shut(&self) -> bool {
+        self.shut.is_some()
+    }
+
     /// Accepts again.
     pub fn reopen(&mut self) {
         if self.shut.take().is_some() {
--- a/node/src/front/invoke.rs
+++ b/node/src/front/invoke.rs
@@ -8,7 +8,6 @@
 use std::collections::HashMap;
 use std::net::{SocketAddr, TcpStream};
 
-use calloop::LoopHandle;
 use wheellink::{Micros, Ticket};
 
 use crate::conn::{Conn, ConnId};
@@ -16,7 +15,7 @@
 use crate::hosts::lines::is_word;
 use crate::http::{self, Bad, Parsed, Request, Response};
 use crate::log::{Log, Reason};
-use crate::node::Node;
+use crate::wake::{Handle, Wake};
 use results::{Bounds, Job, Results};
 
 /// Longest body of a call.
@@ -105,7 +104,7 @@
 }
 
 pub struct Invoke {
-    handle: LoopHandle<'static, Node>,
+    handle: Handle,
     conns: HashMap<ConnId, HttpConn>,
     most: usize,
     conn_idle: Micros,
@@ -123,13 +122,9 @@
     pub notices: Vec<Notice>,
 }
 
-fn ready(node: &mut Node, id: ConnId) {
-    node.client_ready(id);
-}
-
 impl Invoke {
     pub fn new(
-        handle: LoopHandle<'static, Node>,
+        handle: Handle,
         (most, bytes): (usize, usize),
         conn_idle: Micros,
         bounds: Bounds,
@@ -176,8 +171,8 @@
     }
 
     pub fn accept(&mut self, now: Micros, stream: TcpStream, peer: SocketAddr, log: &mut Log) {
-        let id = crate::node::fresh_id();
-        match Conn::accepted(&self.handle, id, stream, (INBOX, OUTBOX), ready) {
+        let id = crate::conn::fresh_id();
+        match Conn::accepted(&self.handle, id, stream, (INBOX, OUTBOX), Wake::Client) {
             Ok(conn) => {
                 let state = State::Reading;
                 let (told_to_continue, begun, taken) = (false, None, 0);
--- a/node/src/front/platform.rs
+++ b/node/src/front/platform.rs
@@ -5,13 +5,12 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::{SocketAddr, TcpStream};
 
-use calloop::LoopHandle;
 use wheellink::{Micros, Ticket};
 
 use crate::conn::{Conn, ConnId};
 use crate::front::Reply;
 use crate::log::{Log, Reason};
-use crate::node::Node;
+use crate::wake::{Handle, Wake};
 use frames::{Code, Frame, Head, Request};
 
 /// Requests that one connection may have open.
@@ -116,7 +115,7 @@
 }
 
 pub struct Platform {
-    handle: LoopHandle<'static, Node>,
+    handle: Handle,
     conns: HashMap<ConnId, ClientConn>,
     most: usize,
     /// Idle connections are closed after this.
@@ -132,12 +131,8 @@
     pub notices: Vec<Notice>,
 }
 
-fn ready(node: &mut Node, id: ConnId) {
-    node.client_ready(id);
-}
-
 impl Platform {
-    pub fn new(handle: LoopHandle<'static, Node>, (most, bytes): (usize, usize), conn_idle: Micros) -> Self {
+    pub fn new(handle: Handle, (most, bytes): (usize, usize), conn_idle: Micros) -> Self {
         let (conns, again, notices) = (HashMap::new(), Vec::new(), Vec::new());
         Self { handle, conns, most, conn_idle, bytes, again, ready: true, parting: None, notices }
     }
@@ -148,8 +143,8 @@
     }
 
     pub fn accept(&mut self, now: Micros, stream: TcpStream, peer: SocketAddr, log: &mut Log) {
-        let id = crate::node::fresh_id();
-        match Conn::accepted(&self.handle, id, stream, (INBOX, OUTBOX), ready) {
+        let id = crate::conn::fresh_id();
+        match Conn::accepted(&self.handle, id, stream, (INBOX, OUTBOX), Wake::Client) {
             Ok(conn) => {
                 let fresh = ClientConn {
                     conn,
--- a/node/src/hosts/pool.rs
+++ b/node/src/hosts/pool.rs
@@ -9,7 +9,6 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use calloop::LoopHandle;
 use wheellink::engine::{AttemptEnd, AttemptId, OrderId};
 use wheellink::{Condition, FunctionId, ListKind, Micros, Outcome, WorkerId};
 use wheellink_settings::Transport;
@@ -19,7 +18,7 @@
 use crate::bus::Host;
 use crate::conn::{Conn, ConnId};
 use crate::log::{Log, Reason};
-use crate::node::Node;
+use crate::wake::{Handle, Wake};
 
 /// What is sent for a request, however many attempts it takes.
 pub struct Call {
@@ -149,7 +148,7 @@
 const LARGE: usize = 32 << 10;
 
 pub struct Hosts {
-    handle: LoopHandle<'static, Node>,
+    handle: Handle,
     transport: Transport,
     /// Connections to all hosts together.
     most: usize,
@@ -166,16 +165,8 @@
     pub notices: VecDeque<Notice>,
 }
 
-fn ready(node: &mut Node, id: ConnId) {
-    node.host_ready(id);
-}
-
 impl Hosts {
-    pub fn new(
-        handle: LoopHandle<'static, Node>,
-        transport: Transport,
-        (most, bytes): (usize, usize),
-    ) -> Self {
+    pub fn new(handle: Handle, transport: Transport, (most, bytes): (usize, usize)) -> Self {
         Self {
             handle,
             transport,
@@ -446,15 +437,16 @@
             log.line(now, format_args!("no connection left for host {}", host.0));
             return None;
         }
-        let id = crate::node::fresh_id();
+        let id = crate::conn::fresh_id();
         let address = member.address;
-        let conn = match Conn::connect(&self.handle, id, address, (lines::LONGEST_ANSWER, 64 << 10), ready) {
-            Ok(conn) => conn,
-            Err(e) => {
-                log.line(now, format_args!("no connection to host {} at {address}: {e}", host.0));
-                return None;
-            }
-        };
+        let conn =
+            match Conn::connect(&self.handle, id, address, (lines::LONGEST_ANSWER, 64 << 10), Wake::Host) {
+                Ok(conn) => conn,
+                Err(e) => {
+                    log.line(now, format_args!("no connection to host {} at {address}: {e}", host.0));
+                    return None;
+                }
+            };
         let fresh = HostConn {
             host: host.clone(),
             conn,
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -15,6 +15,7 @@
 mod node;
 mod ring;
 mod upgrade;
+mod wake;
 
 use std::process::ExitCode;
 
@@ -22,6 +23,7 @@
 use calloop::EventLoop;
 
 use crate::node::Node;
+use crate::wake::{Wake, Wakes};
 
 fn main() -> ExitCode {
     match run() {
@@ -55,13 +57,13 @@
     let config = read()?;
 
     let failed = |what: &'static str| move |e: calloop::Error| format!("{what}: {e}");
-    let mut events = EventLoop::<Node>::try_new().map_err(failed("no event loop"))?;
+    let mut events = EventLoop::<Wakes>::try_new().map_err(failed("no event loop"))?;
     let handle = events.handle();
     // Signals not named here would end the process: SIGHUP says that the file has been replaced.
     let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGHUP]).map_err(|e| format!("no signals: {e}"))?;
-    let told = move |event: calloop::signals::Event, _: &mut (), node: &mut Node| match event.signal() {
-        Signal::SIGHUP => node.reload(read()),
-        _ => node.stop(),
+    let told = |event: calloop::signals::Event, _: &mut (), wakes: &mut Wakes| match event.signal() {
+        Signal::SIGHUP => wakes.push(Wake::Reload),
+        _ => wakes.push(Wake::Stop),
     };
     handle.insert_source(signals, told).map_err(|e| format!("no signals: {e}"))?;
 
@@ -69,9 +71,16 @@
     let mut node = Node::new(handle.clone(), config, place)?;
     node.open_doors()?;
 
+    let mut wakes = Wakes::default();
     while !node.is_done() {
         let wait = node.turn();
-        events.dispatch(Some(wait), &mut node).map_err(failed("the event loop failed"))?;
+        events.dispatch(Some(wait), &mut wakes).map_err(failed("the event loop failed"))?;
+        while let Some(wake) = wakes.next() {
+            match wake {
+                Wake::Reload => node.reload(read()),
+                wake => node.woken(wake),
+            }
+        }
     }
     node.shut_down();
     Ok(())
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -1,20 +1,23 @@
 //! The node: one engine, the fronts before it, the hosts and the bus behind it, on one thread. It hands what
 //! each of them has learnt to the engine and carries out what the engine commands.
 
-use std::cell::Cell;
+mod life;
+mod news;
+mod operators;
+mod requests;
+
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::TcpListener;
 use std::rc::Rc;
 use std::time::Duration;
 
-use calloop::LoopHandle;
 use wheellink::engine::{AttemptId, Command, NewRequest, Verdict};
 use wheellink::{Effect, Engine, Legacy, ListKind, Micros, Outcome, Ticket, WorkerId};
 
 use crate::bus::{self, Bus, Frame, Gap};
 use crate::clock::Clock;
 use crate::config::{self, Config};
-use crate::conn::{Conn, ConnId};
+use crate::conn::{fresh_id, Conn, ConnId};
 use crate::control::{self, Control};
 use crate::dnssd::{Browser, DnsSd};
 use crate::door::{self, Door};
@@ -26,6 +29,7 @@
 use crate::http::Response;
 use crate::log::{Log, Reason};
 use crate::upgrade::{self, Message, News, Place, State, Upgrade};
+use crate::wake::{Handle, Wake};
 
 /// A client's time runs from when it wrote the last byte: the answer must have reached it before it ends.
 const DUE_MARGIN: Micros = 20_000;
@@ -52,15 +56,6 @@
 /// Between looks at connections that are idle or do not come up.
 const HOUSEKEEPING: Micros = 50_000;
 
-/// An id that no other connection has or had.
-pub fn fresh_id() -> ConnId {
-    thread_local!(static NEXT: Cell<ConnId> = const { Cell::new(0) });
-    NEXT.with(|next| {
-        next.set(next.get() + 1);
-        next.get()
-    })
-}
-
 /// A request that is owed an answer.
 struct Pending {
     call: Call,
@@ -95,7 +90,7 @@
 }
 
 pub struct Node {
-    handle: LoopHandle<'static, Node>,
+    handle: Handle,
     clock: Clock,
     log: Log,
     /// The configuration in force; what `side` holds of it is the fronts' and the bus's.
@@ -133,7 +128,7 @@
 }
 
 impl Node {
-    pub fn new(handle: LoopHandle<'static, Node>, mut config: Config, place: Place) -> Result<Self, String> {
+    pub fn new(handle: Handle, mut config: Config, place: Place) -> Result<Self, String> {
         let Place { listener, inheritance } = place;
         let state = inheritance.as_ref().map(|i| i.state.clone());
         let upgrade = Upgrade::new(&handle, config.listen, inheritance)
@@ -218,258 +213,6 @@
         Ok(node)
     }
 
-    /// Takes over what the process whose place this one takes was told by operators.
-    fn inherit(&mut self, state: &State) {
-        let now = self.clock.now();
-        for id in &state.out {
-            self.bar(now, &id.as_str().into(), true);
-        }
-        self.stand_by(now, state.standby);
-        if let (Side::Platform(_, bus), Some(place)) = (&mut self.side, state.bus) {
-            bus.read_elsewhere(place);
-        }
-    }
-
-    /// What this process may hold: all of the limits, or its part of them while two processes run.
-    fn resize(&mut self) {
-        let (sockets, memory) = (self.config.sockets, self.config.memory);
-        let (share, clients) = (memory / MEMORY_SHARE, (sockets / 3).max(1));
-        let (share, clients, most) = if self.upgrade.has_peer() {
-            let most = sockets.saturating_sub(clients + 2 * OWN_SOCKETS) / 2;
-            (share / 2, clients.saturating_sub(self.peer_clients).max(clients / 2), most)
-        } else {
-            // What hosts do not use is the clients' up to half of all; what these hold beyond their part is then
-            // not the hosts'.
-            let all = sockets.saturating_sub(OWN_SOCKETS);
-            let free = all.saturating_sub(self.hosts.held() + self.hosts.reserve());
-            (share, free.min(sockets / 2).max(clients), all.saturating_sub(self.clients().max(clients)))
-        };
-        self.most_bodies = share;
-        self.hosts.bound((most.max(1), share));
-        match &mut self.side {
-            Side::Platform(front, _) => front.bound((clients, share)),
-            Side::Operator { front, .. } => front.bound((clients, share)),
-        }
-    }
-
-    pub fn guests_ready(&mut self) {
-        self.upgrade.accept();
-        self.settle();
-    }
-
-    pub fn peer_ready(&mut self, id: ConnId) {
-        self.upgrade.ready(id);
-        self.settle();
-    }
-
-    /// What another process of this address says or wants.
-    fn hear_peer(&mut self, now: Micros, news: News) {
-        match news {
-            News::Arrived(id) => {
-                let socket = self.door.as_ref().map(Door::share);
-                let Some(Ok(socket)) = socket else { return };
-                self.log.line(now, "a new process comes to take this one's place");
-                let state = self.state();
-                self.upgrade.hand_over(id, state, socket);
-                self.resize();
-            }
-            News::Said(Message::Ready) => {
-                // Who is queued is taken by the new process, from the same socket.
-                self.log.line(now, "the new process takes clients");
-                self.succeeded = true;
-                self.door.iter_mut().for_each(|door| door.shut(Micros::MAX));
-                self.part(now);
-            }
-            News::Said(Message::Host { id, out }) => {
-                let way = if out { "out by hand" } else { "back in" };
-                self.log.line(now, format_args!("host {id} is {way}, the other process was told"));
-                self.bar(now, &id.as_str().into(), out)
-            }
-            News::Said(Message::Standby { on }) => self.stand_by(now, on),
-            News::Said(Message::Tally { clients, ration }) => {
-                self.peer_clients = clients;
-                self.resize();
-                let legacy = Legacy { tallies: upgrade::heard(&ration), ..Legacy::default() };
-                self.run_engine(|engine, out| engine.inherit(now, legacy, out));
-            }
-            News::Said(Message::Hello { .. } | Message::State(_) | Message::Other) => {}
-            News::Left => {
-                self.log.line(now, "the other process is gone");
-                self.peer_clients = 0;
-                self.resize();
-                if std::mem::take(&mut self.succeeded) {
-                    // The new one has failed: this one serves on.
-                    self.door.iter_mut().for_each(Door::reopen);
-                    self.part(now);
-                    self.shine(now);
-                }
-            }
-        }
-    }
-
-    /// Tells the successor what this process holds, and what counts for the ration of both.
-    fn tell_tally(&mut self, now: Micros) {
-        let ration = upgrade::told(self.engine.tallies(self.tallied));
-        self.tallied = now;
-        self.upgrade.tell(&Message::Tally { clients: self.clients(), ration });
-    }
-
-    fn state(&mut self) -> State {
-        self.tallied = self.clock.now();
-        let mut state = State {
-            out: self.hosts.barred().map(|h| h.0.to_string()).collect(),
-            standby: self.standby,
-            bus: match &self.side {
-                Side::Platform(_, bus) => Some(bus.place()),
-                Side::Operator { .. } => None,
-            },
-            ..State::default()
-        };
-        state.set_legacy(self.engine.legacy());
-        state
-    }
-
-    /// Takes clients: at once, or where another process runs when the host list is as new as can be told.
-    fn take_clients(&mut self) -> Result<(), String> {
-        let now = self.clock.now();
-        let Some(listener) = self.listener.take() else { return Ok(()) };
-        let door = Door::open(&self.handle, listener, Self::accept);
-        self.door = Some(door.map_err(|e| format!("cannot listen on {}: {e}", self.config.listen))?);
-        self.upgrade.tell(&Message::Ready);
-        self.log.line(now, "taking clients");
-        self.shine(now);
-        Ok(())
-    }
-
-    /// Is found by a new process from now on. Without that, an upgrade is a restart.
-    fn shine(&mut self, now: Micros) {
-        let address = self.door.as_ref().and_then(Door::address).unwrap_or(self.config.listen);
-        if let Err(e) = self.upgrade.shine(address) {
-            self.log.line(now, format_args!("new processes will not find this one: {e}"));
-        }
-    }
-
-    /// Begins to listen, for clients and for operators.
-    pub fn open_doors(&mut self) -> Result<(), String> {
-        let failed = |address| move |e| format!("cannot listen on {address}: {e}");
-        let (clients, control) = (self.config.listen, self.config.control);
-        if let Some(address) = control {
-            let listener = door::listen(address).map_err(failed(address))?;
-            let door = Door::open(&self.handle, listener, Self::accept_callers).map_err(failed(address))?;
-            self.control_door = Some(door);
-        }
-        // With port 0 in the configuration this is how the ports become known.
-        if let Some(address) = self.control_door.as_ref().and_then(Door::address) {
-            eprintln!("control on {address}");
-        }
-        let address = self.listener.as_ref().and_then(|l| l.local_addr().ok()).unwrap_or(clients);
-        eprintln!("listening on {address}");
-        if !self.upgrade.has_peer() {
-            self.take_clients()?;
-        }
-        Ok(())
-    }
-
-    /// Connections of clients wait to be accepted.
-    pub fn accept(&mut self) {
-        for _ in 0..ACCEPT_AT_ONCE {
-            let now = self.clock.now();
-            self.resize();
-            let Some(door) = &mut self.door else { break };
-            let room = match &mut self.side {
-                Side::Platform(front, _) => front.has_room(now, &mut self.log),
-                Side::Operator { front, .. } => front.has_room(now, &mut self.log),
-            };
-            if !room {
-                door.shut(now + NO_ROOM);
-                break;
-            }
-            match (door.next(), &mut self.side) {
-                (Ok(None), _) => break,
-                (Ok(Some((stream, peer))), Side::Platform(front, _)) => {
-                    front.accept(now, stream, peer, &mut self.log)
-                }
-                (Ok(Some((stream, peer))), Side::Operator { front, .. }) => {
-                    front.accept(now, stream, peer, &mut self.log)
-                }
-                (Err(e), _) => {
-                    // The listener stays ready, and trying again at once would keep the loop busy for nothing.
-                    door.shut(now + NO_DESCRIPTOR);
-                    self.log.line(now, format_args!("no connection can be accepted: {e}"));
-                    break;
-                }
-            }
-        }
-        self.settle();
-    }
-
-    /// Operators call.
-    pub fn accept_callers(&mut self) {
-        for _ in 0..ACCEPT_AT_ONCE {
-            let now = self.clock.now();
-            let Some(door) = &mut self.control_door else { break };
-            match door.next() {
-                Ok(None) => break,
-                Ok(Some((stream, peer))) => self.control.accept(now, stream, peer, &mut self.log),
-                Err(e) => {
-                    door.shut(now + NO_DESCRIPTOR);
-                    self.log.line(now, format_args!("no caller can be accepted: {e}"));
-                    break;
-                }
-            }
-        }
-        self.settle();
-    }
-
-    pub fn caller_ready(&mut self, id: ConnId) {
-        self.control.ready(self.clock.now(), id, &mut self.log);
-        self.settle();
-    }
-
-    /// Does what an operator asks for, and says whether that could be done.
-    fn operate(&mut self, now: Micros, call: control::Call) -> Response {
-        match call {
-            control::Call::Status => self.status(now),
-            control::Call::Host { id, out } => {
-                let host: WorkerId = id.as_str().into();
-                if !self.hosts.knows(&host) {
-                    return Response::problem(404, "no script host has this id");
-                }
-                if self.hosts.is_barred(&host) != out {
-                    if self.hosts.barred().count() >= MOST_BARRED && out {
-                        return Response::problem(409, "too many hosts are out by hand");
-                    }
-                    self.log.line(
-                        now,
-                        format_args!("host {id} is {}", if out { "out by hand" } else { "back in" }),
-                    );
-                    self.bar(now, &host, out);
-                    self.upgrade.tell(&Message::Host { id: id.clone(), out });
-                }
-                Response::json(200, serde_json::json!({"host": id, "out": out}))
-            }
-            control::Call::Standby(on) => {
-                if self.stopping.is_some() && !on {
-                    return Response::problem(409, "the program has been told to end");
-                }
-                self.stand_by(now, on);
-                self.upgrade.tell(&Message::Standby { on });
-                Response::json(200, serde_json::json!({"standby": on}))
-            }
-        }
-    }
-
-    /// Whether this process takes clients, and what an operator may want to know besides.
-    fn status(&mut self, now: Micros) -> Response {
-        let caught_up = self.is_caught_up(now);
-        let ready = self.door.is_some() && caught_up && !self.standby && self.stopping.is_none();
-        let clients = self.clients();
-        let out: Vec<&str> = self.hosts.barred().map(|h| &*h.0).collect();
-        let told = serde_json::json!({"ready": ready, "standby": self.standby, "stopping": self.stopping.is_some(),
-            "caught_up": caught_up, "out": out, "requests": self.engine.open(), "clients": clients});
-        Response::json(if ready { 200 } else { 503 }, told)
-    }
-
     fn clients(&self) -> usize {
         match &self.side {
             Side::Platform(front, _) => front.held(),
@@ -477,184 +220,11 @@
         }
     }
 
-    /// Whether the host list is as new as can be told.
-    fn is_caught_up(&mut self, now: Micros) -> bool {
-        match &self.side {
-            Side::Platform(_, bus) => {
-                self.caught_up |= bus.is_caught_up(now) || now - self.begun >= LONGEST_CATCH_UP;
-                self.caught_up
-            }
-            Side::Operator { hosts, .. } => hosts.browser.any_up(),
-        }
-    }
-
-    /// Takes a host out by hand, or back in. The pool is told first when it is to be used again, as the engine
-    /// may send at once, and after the engine else, so that what is withdrawn goes elsewhere.
-    fn bar(&mut self, now: Micros, host: &WorkerId, out: bool) {
-        if !out {
-            self.hosts.bar(now, host, out, &mut self.log);
-        }
-        self.run_engine(|engine, commands| engine.bar(now, host.clone(), out, commands));
-        if out {
-            self.hosts.bar(now, host, out, &mut self.log);
-        }
-    }
-
-    /// Sends clients away, or takes them again.
-    fn stand_by(&mut self, now: Micros, on: bool) {
-        if std::mem::replace(&mut self.standby, on) != on {
-            self.log.line(now, if on { "drained by an operator" } else { "taking clients again" });
-            self.part(now);
-        }
-    }
-
-    /// Clients are asked to open nothing new, or no longer so.
-    fn part(&mut self, now: Micros) {
-        let ready = !self.standby && self.stopping.is_none();
-        let parts = !ready || self.succeeded;
-        match &mut self.side {
-            Side::Platform(front, _) => {
-                front.ready = ready;
-                front.part(now, parts, &mut self.log)
-            }
-            Side::Operator { front, .. } => front.part(now, parts),
-        }
-    }
-
-    pub fn client_ready(&mut self, id: ConnId) {
-        let now = self.clock.now();
-        match &mut self.side {
-            Side::Platform(front, _) => front.ready(now, id, &mut self.log),
-            Side::Operator { front, .. } => front.ready(now, id, &mut self.log),
-        }
-        self.settle();
-    }
-
-    pub fn host_ready(&mut self, id: ConnId) {
+    fn host_ready(&mut self, id: ConnId) {
         self.hosts.ready(self.clock.now(), id, &mut self.log);
         self.settle();
     }
 
-    pub fn bus_ready(&mut self, _: ConnId) {
-        let now = self.clock.now();
-        if let Err(reason) = self.read_bus(now) {
-            self.end_bus(now, reason);
-        }
-        self.settle();
-    }
-
-    pub fn dns_ready(&mut self) {
-        let now = self.clock.now();
-        if let Side::Operator { hosts, .. } = &mut self.side {
-            let news = hosts.ready(now, &mut self.log);
-            self.list(ListKind::Delta, news);
-            self.settle();
-        }
-    }
-
-    pub fn dns_tcp_ready(&mut self, id: ConnId) {
-        let now = self.clock.now();
-        if let Side::Operator { hosts, .. } = &mut self.side {
-            let news = hosts.tcp_ready(now, id, &mut self.log);
-            self.list(ListKind::Delta, news);
-            self.settle();
-        }
-    }
-
-    /// SIGTERM: ask clients to open nothing new, answer what still comes, end when nothing is open.
-    pub fn stop(&mut self) {
-        if self.stopping.is_none() {
-            let now = self.clock.now();
-            self.log.line(now, format_args!("told to stop with {} requests open", self.engine.open()));
-            self.stopping = Some(now);
-            self.part(now);
-            self.settle();
-        }
-    }
-
-    /// SIGHUP: the file has been replaced. It is checked as a whole, and then taken up but for the addresses
-    /// where this process listens; requests, hosts and connections live on. A file that makes no sense is told
-    /// of, and all stays as it is.
-    pub fn reload(&mut self, config: Result<Config, String>) {
-        let now = self.clock.now();
-        let taken = config.and_then(|config| {
-            self.config.may_be_followed_by(&config)?;
-            self.take_up(now, config)
-        });
-        match taken {
-            Ok(what) => self.log.line(now, format_args!("configuration read again: {what}")),
-            Err(problem) => self.log.line(now, format_args!("the old configuration is kept: {problem}")),
-        }
-        self.settle();
-    }
-
-    /// Takes a checked configuration up. What can fail comes first.
-    fn take_up(&mut self, now: Micros, config: Config) -> Result<String, String> {
-        let d = &config.deployment;
-        let idle = d.transport.conn_idle;
-        let (source, moved) = match (&mut self.side, &config.side) {
-            (Side::Platform(front, bus), config::Side::Platform { bus: address, .. }) => {
-                front.conn_idle = idle;
-                (format!("bus {address}"), (bus.address != *address).then_some(*address))
-            }
-            (
-                Side::Operator { front, hosts, classes, .. },
-                config::Side::Operator { resolver, bounds, .. },
-            ) => {
-                let failed = |e| format!("no socket for queries to {resolver}: {e}");
-                hosts.moved(*resolver).map_err(failed)?;
-                front.retune(idle, *bounds, (d.classes.clone(), d.tenants.clone()));
-                if let config::Side::Operator { classes: new, .. } = &config.side {
-                    classes.clone_from(new);
-                }
-                (format!("resolver {resolver}"), None)
-            }
-            _ => return Err("it is of another kind".into()),
-        };
-        if let Some(address) = moved {
-            self.end_bus(now, Reason::Moved);
-            if let Side::Platform(_, bus) = &mut self.side {
-                bus.moved(address);
-            }
-        }
-        let what = format!("{source}, {} classes, {} attempts", d.classes.len(), d.settings.max_attempts);
-        let (settings, transport) = (d.settings.clone(), d.transport.clone());
-        let patience = transport.order_timeout;
-        self.hosts.retune(transport);
-        self.run_engine(|engine, out| engine.settings(now, settings, patience, out));
-        if (config.listen, config.control) != (self.config.listen, self.config.control) {
-            self.log.line(now, "addresses to listen on change with the next start only");
-        }
-        self.config = config;
-        self.resize();
-        Ok(what)
-    }
-
-    /// Whether it has been told to stop and owes nothing any more.
-    pub fn is_done(&mut self) -> bool {
-        let now = self.clock.now();
-        let quiet = match &self.side {
-            Side::Platform(front, _) => front.is_quiet(),
-            Side::Operator { front, .. } => front.is_quiet(),
-        };
-        self.stopping.is_some_and(|since| now - since >= STILL_COMING) && self.pending.is_empty() && quiet
-    }
-
-    pub fn shut_down(&mut self) {
-        let now = self.clock.now();
-        match &mut self.side {
-            Side::Platform(front, _) => front.shut_down(now, &mut self.log),
-            Side::Operator { front, hosts, .. } => {
-                front.shut_down(now, &mut self.log);
-                hosts.close(now, &mut self.log);
-            }
-        }
-        self.upgrade.shut_down();
-        self.control.shut_down(now, &mut self.log);
-        self.hosts.shut_down(now, &mut self.log);
-        self.end_bus(now, Reason::Shutdown);
-    }
-
     fn next_tick(&self) -> Micros {
         let news = match &self.side {
             Side::Platform(_, bus) => bus.next_tick(),
@@ -675,6 +245,24 @@
         }
     }
 
+    /// Looks at what the loop found ready. A reload is the caller's, who knows where the configuration lies.
+    pub fn woken(&mut self, wake: Wake) {
+        match wake {
+            Wake::Client(id) => self.client_ready(id),
+            Wake::Host(id) => self.host_ready(id),
+            Wake::Caller(id) => self.caller_ready(id),
+            Wake::Peer(id) => self.peer_ready(id),
+            Wake::Bus => self.bus_ready(),
+            Wake::Resolver => self.dns_ready(),
+            Wake::ResolverConn(id) => self.dns_tcp_ready(id),
+            Wake::Clients => self.accept(),
+            Wake::Callers => self.accept_callers(),
+            Wake::Guests => self.guests_ready(),
+            Wake::Stop => self.stop(),
+            Wake::Reload => {}
+        }
+    }
+
     /// What is due by now; how long nothing else will be.
     pub fn turn(&mut self) -> Duration {
         let now = self.clock.now();
@@ -711,8 +299,7 @@
                     if bus.wants_connection(now) {
                         let id = fresh_id();
                         let bounds = (BUS_RING, 64);
-                        let conn =
-                            Conn::connect(&self.handle, id, bus.address, bounds, |n, i| n.bus_ready(i));
+                        let conn = Conn::connect(&self.handle, id, bus.address, bounds, |_| Wake::Bus);
                         bus.begun(now, conn.ok());
                     } else if bus.is_silent(now) {
                         self.end_bus(now, Reason::Silent);
@@ -736,77 +323,6 @@
         Duration::from_micros(wait as u64)
     }
 
-    fn read_bus(&mut self, now: Micros) -> Result<(), Reason> {
-        loop {
-            let Side::Platform(_, bus) = &mut self.side else { return Ok(()) };
-            bus.greet(now)?;
-            let Some(conn) = bus.conn.as_mut().filter(|_| bus.standing) else { return Ok(()) };
-            conn.flush()?;
-            let before = conn.inbox.len();
-            let filled = conn.fill();
-            if conn.inbox.len() > before {
-                bus.moved_on(now);
-            }
-            while self.take_bus_frame(now)? {}
-            let more = filled?;
-            let Side::Platform(_, bus) = &self.side else { return Ok(()) };
-            if bus.conn.as_ref().is_some_and(|c| c.eof) {
-                return Err(Reason::PeerClosed);
-            }
-            if !more {
-                return Ok(());
-            }
-        }
-    }
-
-    /// Takes one frame; false when none is whole.
-    fn take_bus_frame(&mut self, now: Micros) -> Result<bool, Reason> {
-        let Side::Platform(_, bus) = &mut self.side else { return Ok(false) };
-        let Some(conn) = &mut bus.conn else { return Ok(false) };
-        let frame = match bus::next_frame(&mut conn.inbox, &self.config.deployment.zones) {
-            Ok(None) => return Ok(false),
-            Ok(Some(frame)) => frame,
-            Err(problem) => {
-                self.log.line(now, format_args!("the bus sent {problem}"));
-                return Err(Reason::Protocol);
-            }
-        };
-        bus.heard(now);
-        let Frame::Event(event) = frame else {
-            bus.told_all();
-            return Ok(true);
-        };
-        let number = event.number;
-        match bus.take(event) {
-            Ok(None) => {}
-            Ok(Some((kind, hosts))) => self.list(kind, hosts),
-            Err(Gap) => {
-                self.log.line(now, format_args!("the bus left a gap before {number}"));
-                return Err(Reason::Protocol);
-            }
-        }
-        Ok(true)
-    }
-
-    fn end_bus(&mut self, now: Micros, reason: Reason) {
-        let Side::Platform(_, bus) = &mut self.side else { return };
-        if let Some(conn) = bus.ended(now) {
-            self.log.ended(now, "bus", reason, "");
-            conn.close(&self.handle);
-        }
-    }
-
-    /// News of the host list. The pool is told first: the engine may send at once.
-    fn list(&mut self, kind: ListKind, hosts: Vec<bus::Host>) {
-        if kind == ListKind::Delta && hosts.is_empty() {
-            return;
-        }
-        let now = self.clock.now();
-        self.hosts.list(now, kind, &hosts, &mut self.log);
-        let entries = hosts.into_iter().map(|h| h.entry).collect();
-        self.run_engine(|engine, out| engine.hosts(now, kind, entries, out));
-    }
-
     fn run_engine<T>(&mut self, f: impl FnOnce(&mut Engine, &mut Vec<Command>) -> T) -> T {
         let mut out = std::mem::take(&mut self.scratch);
         let result = f(&mut self.engine, &mut out);
@@ -836,36 +352,6 @@
         }
     }
 
-    /// Hands on what the front has learnt; false if that is nothing.
-    fn hear_front(&mut self) -> bool {
-        match &mut self.side {
-            Side::Platform(front, _) => {
-                let notices = std::mem::take(&mut front.notices);
-                let any = !notices.is_empty();
-                for notice in notices {
-                    match notice {
-                        platform::Notice::Request { origin, request } => {
-                            self.platform_request(origin, *request)
-                        }
-                        platform::Notice::Left { ticket } => self.client_left(ticket),
-                    }
-                }
-                any
-            }
-            Side::Operator { front, .. } => {
-                let notices = std::mem::take(&mut front.notices);
-                let any = !notices.is_empty();
-                for notice in notices {
-                    match notice {
-                        invoke::Notice::Call { origin, call } => self.invoke_call(origin, *call),
-                        invoke::Notice::Left { ticket } => self.client_left(ticket),
-                    }
-                }
-                any
-            }
-        }
-    }
-
     fn carry_out(&mut self, command: Command) {
         let now = self.clock.now();
         match command {
@@ -898,133 +384,4 @@
             }
         }
     }
-
-    fn platform_request(&mut self, origin: platform::Origin, request: Request) {
-        let now = self.clock.now();
-        let Side::Platform(front, _) = &mut self.side else { return };
-        // Taken back in the same breath: nothing need hear of it.
-        if !front.waits(origin) {
-            return;
-        }
-        let class = self.config.deployment.class(&request.class);
-        let tenant = request.tenant.as_deref().and_then(|t| self.config.deployment.tenant(t));
-        let shared = !self.config.deployment.tenants.is_empty();
-        let wrong = match class {
-            None => Some("a class that is not known"),
-            _ if shared && tenant.is_none() => Some("a tenant that is not known"),
-            // Hosts tell answers apart by it.
-            _ if self.ids.contains(request.id.as_str()) => Some("the id of a request that is open"),
-            _ => None,
-        };
-        let (Some(class), None) = (class, wrong) else {
-            return front.error(now, origin, wrong.unwrap_or_default(), &mut self.log);
-        };
-        let incoming = Incoming {
-            id: request.id,
-            class,
-            tenant,
-            function: request.function,
-            // No client waits longer than its class says; what is open for a day would pile up.
-            timeout: (request.timeout * 1000).min(2 * self.config.deployment.settings.classes[class].give_up),
-            lanes: request.lanes,
-            repeat: request.repeat,
-            key: request.key,
-            body: request.body,
-        };
-        self.request(now, Origin::Platform(origin), incoming);
-    }
-
-    fn invoke_call(&mut self, origin: invoke::Origin, call: invoke::Call) {
-        let now = self.clock.now();
-        let Side::Operator { classes, ids, .. } = &mut self.side else { return };
-        let Some(settings) = self.config.deployment.settings.classes.get(call.class) else { return };
-        let (deferred, lanes) = classes[call.class];
-        let usual = match origin {
-            invoke::Origin::Waiting(_) => settings.give_up,
-            invoke::Origin::Deferred(_) => deferred,
-        };
-        let id = format!("{:016x}", ids.u64(..));
-        // Without a key of the client's, hosts can still drop the repeats of this activator.
-        let keyed = matches!(settings.effect, Effect::Keyed { .. });
-        let incoming = Incoming {
-            class: call.class,
-            tenant: call.tenant,
-            function: call.function,
-            timeout: call.timeout.unwrap_or(usual).min(settings.give_up.max(deferred)),
-            lanes: call.lanes.unwrap_or(lanes),
-            repeat: call.repeat,
-            key: call.key.or_else(|| keyed.then(|| id.clone())),
-            body: call.body,
-            id,
-        };
-        self.request(now, Origin::Invoke(origin), incoming);
-    }
-
-    fn request(&mut self, now: Micros, origin: Origin, incoming: Incoming) {
-        let size = incoming.body.len();
-        if self.bodies + size > self.most_bodies {
-            return self.reply(now, &origin, Reply::Refused(self.config.deployment.settings.max_retry_after));
-        }
-        let new = NewRequest {
-            class: incoming.class,
-            tenant: incoming.tenant,
-            function: incoming.function.as_str().into(),
-            due: now + (incoming.timeout - DUE_MARGIN).max(0),
-            lanes: incoming.lanes,
-            repeat: incoming.repeat,
-        };
-        self.bodies += size;
-        let call = Call {
-            id: incoming.id.into(),
-            class: self.config.deployment.classes[incoming.class].clone(),
-            function: new.function.clone(),
-            key: incoming.key,
-            body: Rc::from(incoming.body),
-        };
-        let ticket = self.run_engine(|engine, out| engine.request(now, new, out));
-        let waits = match (&mut self.side, &origin) {
-            (Side::Platform(front, _), Origin::Platform(origin)) => front.taken(*origin, ticket),
-            (Side::Operator { front, .. }, Origin::Invoke(origin)) => front.taken(origin, ticket),
-            _ => false,
-        };
-        self.ids.insert(call.id.clone());
-        self.pending.insert(ticket, Pending { call, origin, answer: None });
-        if !waits {
-            self.client_left(ticket);
-        }
-    }
-
-    fn client_left(&mut self, ticket: Ticket) {
-        let now = self.clock.now();
-        if let Some(pending) = self.pending.remove(&ticket) {
-            self.bodies -= pending.call.body.len();
-            self.ids.remove(&pending.call.id);
-        }
-        self.run_engine(|engine, out| engine.client_left(now, ticket, out));
-    }
-
-    fn answer(&mut self, now: Micros, ticket: Ticket, verdict: Verdict) {
-        let Some(pending) = self.pending.remove(&ticket) else { return };
-        self.bodies -= pending.call.body.len();
-        self.ids.remove(&pending.call.id);
-        let reply = match (verdict, pending.answer) {
-            (Verdict::Served(by), Some((attempt, body))) if by == attempt => Reply::Served(body),
-            (Verdict::Refused { retry_after }, _) => Reply::Refused(retry_after),
-            (Verdict::TimedOut, _) => Reply::TimedOut,
-            _ => Reply::Failed,
-        };
-        self.reply(now, &pending.origin, reply);
-    }
-
-    fn reply(&mut self, now: Micros, origin: &Origin, reply: Reply) {
-        match (&mut self.side, origin) {
-            (Side::Platform(front, _), Origin::Platform(origin)) => {
-                front.reply(now, *origin, reply, &mut self.log)
-            }
-            (Side::Operator { front, .. }, Origin::Invoke(origin)) => {
-                front.reply(now, origin, reply, &mut self.log)
-            }
-            _ => {}
-        }
-    }
 }
--- /dev/null
+++ b/node/src/node/life.rs
@@ -0,0 +1,298 @@
+//! The life of the process: start, doors, upgrade, reload, end.
+
+use super::*;
+
+impl Node {
+    /// Takes over what the process whose place this one takes was told by operators.
+    pub(super) fn inherit(&mut self, state: &State) {
+        let now = self.clock.now();
+        for id in &state.out {
+            self.bar(now, &id.as_str().into(), true);
+        }
+        self.stand_by(now, state.standby);
+        if let (Side::Platform(_, bus), Some(place)) = (&mut self.side, state.bus) {
+            bus.read_elsewhere(place);
+        }
+    }
+
+    /// What this process may hold: all of the limits, or its part of them while two processes run.
+    pub(super) fn resize(&mut self) {
+        let (sockets, memory) = (self.config.sockets, self.config.memory);
+        let (share, clients) = (memory / MEMORY_SHARE, (sockets / 3).max(1));
+        let (share, clients, most) = if self.upgrade.has_peer() {
+            let most = sockets.saturating_sub(clients + 2 * OWN_SOCKETS) / 2;
+            (share / 2, clients.saturating_sub(self.peer_clients).max(clients / 2), most)
+        } else {
+            // What hosts do not use is the clients' up to half of all; what these hold beyond their part is then
+            // not the hosts'.
+            let all = sockets.saturating_sub(OWN_SOCKETS);
+            let free = all.saturating_sub(self.hosts.held() + self.hosts.reserve());
+            (share, free.min(sockets / 2).max(clients), all.saturating_sub(self.clients().max(clients)))
+        };
+        self.most_bodies = share;
+        self.hosts.bound((most.max(1), share));
+        match &mut self.side {
+            Side::Platform(front, _) => front.bound((clients, share)),
+            Side::Operator { front, .. } => front.bound((clients, share)),
+        }
+    }
+
+    pub(super) fn guests_ready(&mut self) {
+        self.upgrade.accept();
+        self.settle();
+    }
+
+    pub(super) fn peer_ready(&mut self, id: ConnId) {
+        self.upgrade.ready(id);
+        self.settle();
+    }
+
+    /// What another process of this address says or wants.
+    pub(super) fn hear_peer(&mut self, now: Micros, news: News) {
+        match news {
+            News::Arrived(id) => {
+                let socket = self.door.as_ref().map(Door::share);
+                let Some(Ok(socket)) = socket else { return };
+                self.log.line(now, "a new process comes to take this one's place");
+                let state = self.state();
+                self.upgrade.hand_over(id, state, socket);
+                self.resize();
+            }
+            News::Said(Message::Ready) => {
+                // Who is queued is taken by the new process, from the same socket.
+                self.log.line(now, "the new process takes clients");
+                self.succeeded = true;
+                self.door.iter_mut().for_each(|door| door.shut(Micros::MAX));
+                self.part(now);
+            }
+            News::Said(Message::Host { id, out }) => {
+                let way = if out { "out by hand" } else { "back in" };
+                self.log.line(now, format_args!("host {id} is {way}, the other process was told"));
+                self.bar(now, &id.as_str().into(), out)
+            }
+            News::Said(Message::Standby { on }) => self.stand_by(now, on),
+            News::Said(Message::Tally { clients, ration }) => {
+                self.peer_clients = clients;
+                self.resize();
+                let legacy = Legacy { tallies: upgrade::heard(&ration), ..Legacy::default() };
+                self.run_engine(|engine, out| engine.inherit(now, legacy, out));
+            }
+            News::Said(Message::Hello { .. } | Message::State(_) | Message::Other) => {}
+            News::Left => {
+                self.log.line(now, "the other process is gone");
+                self.peer_clients = 0;
+                self.resize();
+                if std::mem::take(&mut self.succeeded) {
+                    // The new one has failed: this one serves on.
+                    self.door.iter_mut().for_each(Door::reopen);
+                    self.part(now);
+                    self.shine(now);
+                }
+            }
+        }
+    }
+
+    /// Tells the successor what this process holds, and what counts for the ration of both.
+    pub(super) fn tell_tally(&mut self, now: Micros) {
+        let ration = upgrade::told(self.engine.tallies(self.tallied));
+        self.tallied = now;
+        self.upgrade.tell(&Message::Tally { clients: self.clients(), ration });
+    }
+
+    pub(super) fn state(&mut self) -> State {
+        self.tallied = self.clock.now();
+        let mut state = State {
+            out: self.hosts.barred().map(|h| h.0.to_string()).collect(),
+            standby: self.standby,
+            bus: match &self.side {
+                Side::Platform(_, bus) => Some(bus.place()),
+                Side::Operator { .. } => None,
+            },
+            ..State::default()
+        };
+        state.set_legacy(self.engine.legacy());
+        state
+    }
+
+    /// Takes clients: at once, or where another process runs when the host list is as new as can be told.
+    pub(super) fn take_clients(&mut self) -> Result<(), String> {
+        let now = self.clock.now();
+        let Some(listener) = self.listener.take() else { return Ok(()) };
+        let door = Door::open(&self.handle, listener, Wake::Clients);
+        self.door = Some(door.map_err(|e| format!("cannot listen on {}: {e}", self.config.listen))?);
+        self.upgrade.tell(&Message::Ready);
+        self.log.line(now, "taking clients");
+        self.shine(now);
+        Ok(())
+    }
+
+    /// Is found by a new process from now on. Without that, an upgrade is a restart.
+    pub(super) fn shine(&mut self, now: Micros) {
+        let address = self.door.as_ref().and_then(Door::address).unwrap_or(self.config.listen);
+        if let Err(e) = self.upgrade.shine(address) {
+            self.log.line(now, format_args!("new processes will not find this one: {e}"));
+        }
+    }
+
+    /// Begins to listen, for clients and for operators.
+    pub fn open_doors(&mut self) -> Result<(), String> {
+        let failed = |address| move |e| format!("cannot listen on {address}: {e}");
+        let (clients, control) = (self.config.listen, self.config.control);
+        if let Some(address) = control {
+            let listener = door::listen(address).map_err(failed(address))?;
+            let door = Door::open(&self.handle, listener, Wake::Callers).map_err(failed(address))?;
+            self.control_door = Some(door);
+        }
+        // With port 0 in the configuration this is how the ports become known.
+        if let Some(address) = self.control_door.as_ref().and_then(Door::address) {
+            eprintln!("control on {address}");
+        }
+        let address = self.listener.as_ref().and_then(|l| l.local_addr().ok()).unwrap_or(clients);
+        eprintln!("listening on {address}");
+        if !self.upgrade.has_peer() {
+            self.take_clients()?;
+        }
+        Ok(())
+    }
+
+    /// Connections of clients wait to be accepted.
+    pub(super) fn accept(&mut self) {
+        for _ in 0..ACCEPT_AT_ONCE {
+            let now = self.clock.now();
+            self.resize();
+            // It may have been shut since it was found ready.
+            let Some(door) = self.door.as_mut().filter(|door| !door.is_shut()) else { break };
+            let room = match &mut self.side {
+                Side::Platform(front, _) => front.has_room(now, &mut self.log),
+                Side::Operator { front, .. } => front.has_room(now, &mut self.log),
+            };
+            if !room {
+                door.shut(now + NO_ROOM);
+                break;
+            }
+            match (door.next(), &mut self.side) {
+                (Ok(None), _) => break,
+                (Ok(Some((stream, peer))), Side::Platform(front, _)) => {
+                    front.accept(now, stream, peer, &mut self.log)
+                }
+                (Ok(Some((stream, peer))), Side::Operator { front, .. }) => {
+                    front.accept(now, stream, peer, &mut self.log)
+                }
+                (Err(e), _) => {
+                    // The listener stays ready, and trying again at once would keep the loop busy for nothing.
+                    door.shut(now + NO_DESCRIPTOR);
+                    self.log.line(now, format_args!("no connection can be accepted: {e}"));
+                    break;
+                }
+            }
+        }
+        self.settle();
+    }
+
+    /// Clients are asked to open nothing new, or no longer so.
+    pub(super) fn part(&mut self, now: Micros) {
+        let ready = !self.standby && self.stopping.is_none();
+        let parts = !ready || self.succeeded;
+        match &mut self.side {
+            Side::Platform(front, _) => {
+                front.ready = ready;
+                front.part(now, parts, &mut self.log)
+            }
+            Side::Operator { front, .. } => front.part(now, parts),
+        }
+    }
+
+    /// SIGTERM: ask clients to open nothing new, answer what still comes, end when nothing is open.
+    pub(super) fn stop(&mut self) {
+        if self.stopping.is_none() {
+            let now = self.clock.now();
+            self.log.line(now, format_args!("told to stop with {} requests open", self.engine.open()));
+            self.stopping = Some(now);
+            self.part(now);
+            self.settle();
+        }
+    }
+
+    /// SIGHUP: the file has been replaced. It is checked as a whole, and then taken up but for the addresses
+    /// where this process listens; requests, hosts and connections live on. A file that makes no sense is told
+    /// of, and all stays as it is.
+    pub fn reload(&mut self, config: Result<Config, String>) {
+        let now = self.clock.now();
+        let taken = config.and_then(|config| {
+            self.config.may_be_followed_by(&config)?;
+            self.take_up(now, config)
+        });
+        match taken {
+            Ok(what) => self.log.line(now, format_args!("configuration read again: {what}")),
+            Err(problem) => self.log.line(now, format_args!("the old configuration is kept: {problem}")),
+        }
+        self.settle();
+    }
+
+    /// Takes a checked configuration up. What can fail comes first.
+    pub(super) fn take_up(&mut self, now: Micros, config: Config) -> Result<String, String> {
+        let d = &config.deployment;
+        let idle = d.transport.conn_idle;
+        let (source, moved) = match (&mut self.side, &config.side) {
+            (Side::Platform(front, bus), config::Side::Platform { bus: address, .. }) => {
+                front.conn_idle = idle;
+                (format!("bus {address}"), (bus.address != *address).then_some(*address))
+            }
+            (
+                Side::Operator { front, hosts, classes, .. },
+                config::Side::Operator { resolver, bounds, .. },
+            ) => {
+                let failed = |e| format!("no socket for queries to {resolver}: {e}");
+                hosts.moved(*resolver).map_err(failed)?;
+                front.retune(idle, *bounds, (d.classes.clone(), d.tenants.clone()));
+                if let config::Side::Operator { classes: new, .. } = &config.side {
+                    classes.clone_from(new);
+                }
+                (format!("resolver {resolver}"), None)
+            }
+            _ => return Err("it is of another kind".into()),
+        };
+        if let Some(address) = moved {
+            self.end_bus(now, Reason::Moved);
+            if let Side::Platform(_, bus) = &mut self.side {
+                bus.moved(address);
+            }
+        }
+        let what = format!("{source}, {} classes, {} attempts", d.classes.len(), d.settings.max_attempts);
+        let (settings, transport) = (d.settings.clone(), d.transport.clone());
+        let patience = transport.order_timeout;
+        self.hosts.retune(transport);
+        self.run_engine(|engine, out| engine.settings(now, settings, patience, out));
+        if (config.listen, config.control) != (self.config.listen, self.config.control) {
+            self.log.line(now, "addresses to listen on change with the next start only");
+        }
+        self.config = config;
+        self.resize();
+        Ok(what)
+    }
+
+    /// Whether it has been told to stop and owes nothing any more.
+    pub fn is_done(&mut self) -> bool {
+        let now = self.clock.now();
+        let quiet = match &self.side {
+            Side::Platform(front, _) => front.is_quiet(),
+            Side::Operator { front, .. } => front.is_quiet(),
+        };
+        self.stopping.is_some_and(|since| now - since >= STILL_COMING) && self.pending.is_empty() && quiet
+    }
+
+    pub fn shut_down(&mut self) {
+        let now = self.clock.now();
+        match &mut self.side {
+            Side::Platform(front, _) => front.shut_down(now, &mut self.log),
+            Side::Operator { front, hosts, .. } => {
+                front.shut_down(now, &mut self.log);
+                hosts.close(now, &mut self.log);
+            }
+        }
+        self.upgrade.shut_down();
+        self.control.shut_down(now, &mut self.log);
+        self.hosts.shut_down(now, &mut self.log);
+        self.end_bus(now, Reason::Shutdown);
+    }
+}
--- /dev/null
+++ b/node/src/node/news.rs
@@ -0,0 +1,113 @@
+//! News of the host list: from the bus or from DNS-SD to pool and engine.
+
+use super::*;
+
+impl Node {
+    /// Whether the host list is as new as can be told.
+    pub(super) fn is_caught_up(&mut self, now: Micros) -> bool {
+        match &self.side {
+            Side::Platform(_, bus) => {
+                self.caught_up |= bus.is_caught_up(now) || now - self.begun >= LONGEST_CATCH_UP;
+                self.caught_up
+            }
+            Side::Operator { hosts, .. } => hosts.browser.any_up(),
+        }
+    }
+
+    pub(super) fn bus_ready(&mut self) {
+        let now = self.clock.now();
+        if let Err(reason) = self.read_bus(now) {
+            self.end_bus(now, reason);
+        }
+        self.settle();
+    }
+
+    pub(super) fn dns_ready(&mut self) {
+        let now = self.clock.now();
+        if let Side::Operator { hosts, .. } = &mut self.side {
+            let news = hosts.ready(now, &mut self.log);
+            self.list(ListKind::Delta, news);
+            self.settle();
+        }
+    }
+
+    pub(super) fn dns_tcp_ready(&mut self, id: ConnId) {
+        let now = self.clock.now();
+        if let Side::Operator { hosts, .. } = &mut self.side {
+            let news = hosts.tcp_ready(now, id, &mut self.log);
+            self.list(ListKind::Delta, news);
+            self.settle();
+        }
+    }
+
+    pub(super) fn read_bus(&mut self, now: Micros) -> Result<(), Reason> {
+        loop {
+            let Side::Platform(_, bus) = &mut self.side else { return Ok(()) };
+            bus.greet(now)?;
+            let Some(conn) = bus.conn.as_mut().filter(|_| bus.standing) else { return Ok(()) };
+            conn.flush()?;
+            let before = conn.inbox.len();
+            let filled = conn.fill();
+            if conn.inbox.len() > before {
+                bus.moved_on(now);
+            }
+            while self.take_bus_frame(now)? {}
+            let more = filled?;
+            let Side::Platform(_, bus) = &self.side else { return Ok(()) };
+            if bus.conn.as_ref().is_some_and(|c| c.eof) {
+                return Err(Reason::PeerClosed);
+            }
+            if !more {
+                return Ok(());
+            }
+        }
+    }
+
+    /// Takes one frame; false when none is whole.
+    pub(super) fn take_bus_frame(&mut self, now: Micros) -> Result<bool, Reason> {
+        let Side::Platform(_, bus) = &mut self.side else { return Ok(false) };
+        let Some(conn) = &mut bus.conn else { return Ok(false) };
+        let frame = match bus::next_frame(&mut conn.inbox, &self.config.deployment.zones) {
+            Ok(None) => return Ok(false),
+            Ok(Some(frame)) => frame,
+            Err(problem) => {
+                self.log.line(now, format_args!("the bus sent {problem}"));
+                return Err(Reason::Protocol);
+            }
+        };
+        bus.heard(now);
+        let Frame::Event(event) = frame else {
+            bus.told_all();
+            return Ok(true);
+        };
+        let number = event.number;
+        match bus.take(event) {
+            Ok(None) => {}
+            Ok(Some((kind, hosts))) => self.list(kind, hosts),
+            Err(Gap) => {
+                self.log.line(now, format_args!("the bus left a gap before {number}"));
+                return Err(Reason::Protocol);
+            }
+        }
+        Ok(true)
+    }
+
+    pub(super) fn end_bus(&mut self, now: Micros, reason: Reason) {
+        let Side::Platform(_, bus) = &mut self.side else { return };
+        if let Some(conn) = bus.ended(now) {
+            self.log.ended(now, "bus", reason, "");
+            conn.close(&self.handle);
+        }
+    }
+
+    /// News of the host list. The pool is told first: the engine may send at once.
+    pub(super) fn list(&mut self, kind: ListKind, hosts: Vec<bus::Host>) {
+        if kind == ListKind::Delta && hosts.is_empty() {
+            return;
+        }
+        let now = self.clock.now();
+        self.hosts.list(now, kind, &hosts, &mut self.log);
+        let entries = hosts.into_iter().map(|h| h.entry).collect();
+        self.run_engine(|engine, out| engine.hosts(now, kind, entries, out));
+    }
+}
--- /dev/null
+++ b/node/src/node/operators.rs
@@ -0,0 +1,92 @@
+//! What operators ask for at the control address.
+
+use super::*;
+
+impl Node {
+    /// Operators call.
+    pub(super) fn accept_callers(&mut self) {
+        for _ in 0..ACCEPT_AT_ONCE {
+            let now = self.clock.now();
+            let Some(door) = &mut self.control_door else { break };
+            match door.next() {
+                Ok(None) => break,
+                Ok(Some((stream, peer))) => self.control.accept(now, stream, peer, &mut self.log),
+                Err(e) => {
+                    door.shut(now + NO_DESCRIPTOR);
+                    self.log.line(now, format_args!("no caller can be accepted: {e}"));
+                    break;
+                }
+            }
+        }
+        self.settle();
+    }
+
+    pub(super) fn caller_ready(&mut self, id: ConnId) {
+        self.control.ready(self.clock.now(), id, &mut self.log);
+        self.settle();
+    }
+
+    /// Does what an operator asks for, and says whether that could be done.
+    pub(super) fn operate(&mut self, now: Micros, call: control::Call) -> Response {
+        match call {
+            control::Call::Status => self.status(now),
+            control::Call::Host { id, out } => {
+                let host: WorkerId = id.as_str().into();
+                if !self.hosts.knows(&host) {
+                    return Response::problem(404, "no script host has this id");
+                }
+                if self.hosts.is_barred(&host) != out {
+                    if self.hosts.barred().count() >= MOST_BARRED && out {
+                        return Response::problem(409, "too many hosts are out by hand");
+                    }
+                    self.log.line(
+                        now,
+                        format_args!("host {id} is {}", if out { "out by hand" } else { "back in" }),
+                    );
+                    self.bar(now, &host, out);
+                    self.upgrade.tell(&Message::Host { id: id.clone(), out });
+                }
+                Response::json(200, serde_json::json!({"host": id, "out": out}))
+            }
+            control::Call::Standby(on) => {
+                if self.stopping.is_some() && !on {
+                    return Response::problem(409, "the program has been told to end");
+                }
+                self.stand_by(now, on);
+                self.upgrade.tell(&Message::Standby { on });
+                Response::json(200, serde_json::json!({"standby": on}))
+            }
+        }
+    }
+
+    /// Whether this process takes clients, and what an operator may want to know besides.
+    pub(super) fn status(&mut self, now: Micros) -> Response {
+        let caught_up = self.is_caught_up(now);
+        let ready = self.door.is_some() && caught_up && !self.standby && self.stopping.is_none();
+        let clients = self.clients();
+        let out: Vec<&str> = self.hosts.barred().map(|h| &*h.0).collect();
+        let told = serde_json::json!({"ready": ready, "standby": self.standby, "stopping": self.stopping.is_some(),
+            "caught_up": caught_up, "out": out, "requests": self.engine.open(), "clients": clients});
+        Response::json(if ready { 200 } else { 503 }, told)
+    }
+
+    /// Takes a host out by hand, or back in. The pool is told first when it is to be used again, as the engine
+    /// may send at once, and after the engine else, so that what is withdrawn goes elsewhere.
+    pub(super) fn bar(&mut self, now: Micros, host: &WorkerId, out: bool) {
+        if !out {
+            self.hosts.bar(now, host, out, &mut self.log);
+        }
+        self.run_engine(|engine, commands| engine.bar(now, host.clone(), out, commands));
+        if out {
+            self.hosts.bar(now, host, out, &mut self.log);
+        }
+    }
+
+    /// Sends clients away, or takes them again.
+    pub(super) fn stand_by(&mut self, now: Micros, on: bool) {
+        if std::mem::replace(&mut self.standby, on) != on {
+            self.log.line(now, if on { "drained by an operator" } else { "taking clients again" });
+            self.part(now);
+        }
+    }
+}
--- /dev/null
+++ b/node/src/node/requests.rs
@@ -0,0 +1,173 @@
+//! Requests: from a front to the engine, and answers back.
+
+use super::*;
+
+impl Node {
+    pub(super) fn client_ready(&mut self, id: ConnId) {
+        let now = self.clock.now();
+        match &mut self.side {
+            Side::Platform(front, _) => front.ready(now, id, &mut self.log),
+            Side::Operator { front, .. } => front.ready(now, id, &mut self.log),
+        }
+        self.settle();
+    }
+
+    /// Hands on what the front has learnt; false if that is nothing.
+    pub(super) fn hear_front(&mut self) -> bool {
+        match &mut self.side {
+            Side::Platform(front, _) => {
+                let notices = std::mem::take(&mut front.notices);
+                let any = !notices.is_empty();
+                for notice in notices {
+                    match notice {
+                        platform::Notice::Request { origin, request } => {
+                            self.platform_request(origin, *request)
+                        }
+                        platform::Notice::Left { ticket } => self.client_left(ticket),
+                    }
+                }
+                any
+            }
+            Side::Operator { front, .. } => {
+                let notices = std::mem::take(&mut front.notices);
+                let any = !notices.is_empty();
+                for notice in notices {
+                    match notice {
+                        invoke::Notice::Call { origin, call } => self.invoke_call(origin, *call),
+                        invoke::Notice::Left { ticket } => self.client_left(ticket),
+                    }
+                }
+                any
+            }
+        }
+    }
+
+    pub(super) fn platform_request(&mut self, origin: platform::Origin, request: Request) {
+        let now = self.clock.now();
+        let Side::Platform(front, _) = &mut self.side else { return };
+        // Taken back in the same breath: nothing need hear of it.
+        if !front.waits(origin) {
+            return;
+        }
+        let class = self.config.deployment.class(&request.class);
+        let tenant = request.tenant.as_deref().and_then(|t| self.config.deployment.tenant(t));
+        let shared = !self.config.deployment.tenants.is_empty();
+        let wrong = match class {
+            None => Some("a class that is not known"),
+            _ if shared && tenant.is_none() => Some("a tenant that is not known"),
+            // Hosts tell answers apart by it.
+            _ if self.ids.contains(request.id.as_str()) => Some("the id of a request that is open"),
+            _ => None,
+        };
+        let (Some(class), None) = (class, wrong) else {
+            return front.error(now, origin, wrong.unwrap_or_default(), &mut self.log);
+        };
+        let incoming = Incoming {
+            id: request.id,
+            class,
+            tenant,
+            function: request.function,
+            // No client waits longer than its class says; what is open for a day would pile up.
+            timeout: (request.timeout * 1000).min(2 * self.config.deployment.settings.classes[class].give_up),
+            lanes: request.lanes,
+            repeat: request.repeat,
+            key: request.key,
+            body: request.body,
+        };
+        self.request(now, Origin::Platform(origin), incoming);
+    }
+
+    pub(super) fn invoke_call(&mut self, origin: invoke::Origin, call: invoke::Call) {
+        let now = self.clock.now();
+        let Side::Operator { classes, ids, .. } = &mut self.side else { return };
+        let Some(settings) = self.config.deployment.settings.classes.get(call.class) else { return };
+        let (deferred, lanes) = classes[call.class];
+        let usual = match origin {
+            invoke::Origin::Waiting(_) => settings.give_up,
+            invoke::Origin::Deferred(_) => deferred,
+        };
+        let id = format!("{:016x}", ids.u64(..));
+        // Without a key of the client's, hosts can still drop the repeats of this activator.
+        let keyed = matches!(settings.effect, Effect::Keyed { .. });
+        let incoming = Incoming {
+            class: call.class,
+            tenant: call.tenant,
+            function: call.function,
+            timeout: call.timeout.unwrap_or(usual).min(settings.give_up.max(deferred)),
+            lanes: call.lanes.unwrap_or(lanes),
+            repeat: call.repeat,
+            key: call.key.or_else(|| keyed.then(|| id.clone())),
+            body: call.body,
+            id,
+        };
+        self.request(now, Origin::Invoke(origin), incoming);
+    }
+
+    pub(super) fn request(&mut self, now: Micros, origin: Origin, incoming: Incoming) {
+        let size = incoming.body.len();
+        if self.bodies + size > self.most_bodies {
+            return self.reply(now, &origin, Reply::Refused(self.config.deployment.settings.max_retry_after));
+        }
+        let new = NewRequest {
+            class: incoming.class,
+            tenant: incoming.tenant,
+            function: incoming.function.as_str().into(),
+            due: now + (incoming.timeout - DUE_MARGIN).max(0),
+            lanes: incoming.lanes,
+            repeat: incoming.repeat,
+        };
+        self.bodies += size;
+        let call = Call {
+            id: incoming.id.into(),
+            class: self.config.deployment.classes[incoming.class].clone(),
+            function: new.function.clone(),
+            key: incoming.key,
+            body: Rc::from(incoming.body),
+        };
+        let ticket = self.run_engine(|engine, out| engine.request(now, new, out));
+        let waits = match (&mut self.side, &origin) {
+            (Side::Platform(front, _), Origin::Platform(origin)) => front.taken(*origin, ticket),
+            (Side::Operator { front, .. }, Origin::Invoke(origin)) => front.taken(origin, ticket),
+            _ => false,
+        };
+        self.ids.insert(call.id.clone());
+        self.pending.insert(ticket, Pending { call, origin, answer: None });
+        if !waits {
+            self.client_left(ticket);
+        }
+    }
+
+    pub(super) fn client_left(&mut self, ticket: Ticket) {
+        let now = self.clock.now();
+        if let Some(pending) = self.pending.remove(&ticket) {
+            self.bodies -= pending.call.body.len();
+            self.ids.remove(&pending.call.id);
+        }
+        self.run_engine(|engine, out| engine.client_left(now, ticket, out));
+    }
+
+    pub(super) fn answer(&mut self, now: Micros, ticket: Ticket, verdict: Verdict) {
+        let Some(pending) = self.pending.remove(&ticket) else { return };
+        self.bodies -= pending.call.body.len();
+        self.ids.remove(&pending.call.id);
+        let reply = match (verdict, pending.answer) {
+            (Verdict::Served(by), Some((attempt, body))) if by == attempt => Reply::Served(body),
+            (Verdict::Refused { retry_after }, _) => Reply::Refused(retry_after),
+            (Verdict::TimedOut, _) => Reply::TimedOut,
+            _ => Reply::Failed,
+        };
+        self.reply(now, &pending.origin, reply);
+    }
+
+    pub(super) fn reply(&mut self, now: Micros, origin: &Origin, reply: Reply) {
+        match (&mut self.side, origin) {
+            (Side::Platform(front, _), Origin::Platform(origin)) => {
+                front.reply(now, *origin, reply, &mut self.log)
+            }
+            (Side::Operator { front, .. }, Origin::Invoke(origin)) => {
+                front.reply(now, origin, reply, &mut self.log)
+            }
+            _ => {}
+        }
+    }
+}
--- a/node/src/upgrade.rs
+++ b/node/src/upgrade.rs
@@ -16,7 +16,7 @@
 use std::time::{Duration, Instant};
 
 use calloop::generic::Generic;
-use calloop::{Interest, LoopHandle, Mode, PostAction, RegistrationToken};
+use calloop::{Interest, Mode, PostAction, RegistrationToken};
 use rustix::net::{
     recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
     SendAncillaryMessage, SendFlags,
@@ -26,8 +26,8 @@
 
 use crate::conn::ConnId;
 use crate::door;
-use crate::node::Node;
 use crate::ring::Ring;
+use crate::wake::{Handle, Wake, Wakes};
 
 /// What the two say is told apart by this where it changes.
 const VERSION: u32 = 1;
@@ -235,7 +235,7 @@
 
 /// One connection between two processes.
 struct Wire {
-    handle: LoopHandle<'static, Node>,
+    handle: Handle,
     stream: Rc<UnixStream>,
     token: RegistrationToken,
     inbox: Ring,
@@ -245,12 +245,12 @@
 }
 
 impl Wire {
-    fn new(handle: &LoopHandle<'static, Node>, id: ConnId, stream: UnixStream) -> io::Result<Self> {
+    fn new(handle: &Handle, id: ConnId, stream: UnixStream) -> io::Result<Self> {
         stream.set_nonblocking(true)?;
         let stream = Rc::new(stream);
         let source = Generic::new(stream.clone(), Interest::BOTH, Mode::Edge);
-        let token = handle.insert_source(source, move |_, _, node: &mut Node| {
-            node.peer_ready(id);
+        let token = handle.insert_source(source, move |_, _, wakes: &mut Wakes| {
+            wakes.push(Wake::Peer(id));
             Ok(PostAction::Continue)
         });
         let token = token.map_err(|e| io::Error::other(e.error.to_string()))?;
@@ -340,7 +340,7 @@
 
 /// See the module's page.
 pub struct Upgrade {
-    handle: LoopHandle<'static, Node>,
+    handle: Handle,
     address: SocketAddr,
     path: PathBuf,
     beacon: Option<(Rc<UnixListener>, RegistrationToken)>,
@@ -351,11 +351,7 @@
 
 impl Upgrade {
     /// With the connection to the process whose place this one takes, if there is one.
-    pub fn new(
-        handle: &LoopHandle<'static, Node>,
-        address: SocketAddr,
-        inheritance: Option<Inheritance>,
-    ) -> io::Result<Self> {
+    pub fn new(handle: &Handle, address: SocketAddr, inheritance: Option<Inheritance>) -> io::Result<Self> {
         let mut upgrade = Self {
             handle: handle.clone(),
             address,
@@ -366,7 +362,7 @@
             news: Vec::new(),
         };
         if let Some(Inheritance { stream, rest, .. }) = inheritance {
-            let id = crate::node::fresh_id();
+            let id = crate::conn::fresh_id();
             let mut wire = Wire::new(handle, id, stream)?;
             let mut messages = Vec::new();
             wire.inbox.push(&rest);
@@ -390,8 +386,8 @@
         listener.set_nonblocking(true)?;
         let listener = Rc::new(listener);
         let source = Generic::new(listener.clone(), Interest::READ, Mode::Level);
-        let token = self.handle.insert_source(source, |_, _, node: &mut Node| {
-            node.guests_ready();
+        let token = self.handle.insert_source(source, |_, _, wakes: &mut Wakes| {
+            wakes.push(Wake::Guests);
             Ok(PostAction::Continue)
         });
         let token = token.map_err(|e| io::Error::other(e.error.to_string()))?;
@@ -412,7 +408,7 @@
         if !is_own(&stream) {
             return;
         }
-        let id = crate::node::fresh_id();
+        let id = crate::conn::fresh_id();
         if let Ok(wire) = Wire::new(&self.handle, id, stream) {
             self.wires.insert(id, wire);
             let guests: Vec<_> = self.wires.keys().copied().filter(|id| Some(*id) != self.peer).collect();
