--- /dev/null
+++ b/crates/rollout/src/terms.rs
@@ -0,0 +1,180 @@
+//! Two versions that disagree on a class: the stricter side binds, in both.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+use wheellink::{Effect, Micros, Scope};
+
+/// What a class allows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Terms {
+    /// How strictly, and where and for how long a repeat may go: see [`strictest`].
+    rank: Rank,
+    /// For keyed classes, microseconds; else 0.
+    window: Micros,
+    /// Attempts that a call may have.
+    pub attempts: u32,
+}
+
+/// From lenient to strict.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+enum Rank {
+    Safe,
+    KeyedAll,
+    KeyedZone,
+    KeyedCell,
+    Unsafe,
+}
+
+impl Terms {
+    /// Of this effect and number of attempts.
+    pub fn new(effect: Effect, attempts: u32) -> Self {
+        let (rank, window) = match effect {
+            Effect::Safe => (Rank::Safe, 0),
+            Effect::Keyed { scope: Scope::All, window } => (Rank::KeyedAll, window),
+            Effect::Keyed { scope: Scope::Zone, window } => (Rank::KeyedZone, window),
+            Effect::Keyed { scope: Scope::Cell, window } => (Rank::KeyedCell, window),
+            Effect::Unsafe => (Rank::Unsafe, 0),
+        };
+        Self { rank, window, attempts }
+    }
+
+    /// The effect in the library's words.
+    pub fn effect(&self) -> Effect {
+        let keyed = |scope| Effect::Keyed { scope, window: self.window };
+        match self.rank {
+            Rank::Safe => Effect::Safe,
+            Rank::KeyedAll => keyed(Scope::All),
+            Rank::KeyedZone => keyed(Scope::Zone),
+            Rank::KeyedCell => keyed(Scope::Cell),
+            Rank::Unsafe => Effect::Unsafe,
+        }
+    }
+
+    fn is_keyed(&self) -> bool {
+        !matches!(self.rank, Rank::Safe | Rank::Unsafe)
+    }
+
+    /// The stricter of both in everything: unsafe over keyed over safe, the narrower scope, the shorter window,
+    /// the fewer attempts.
+    pub fn stricter(self, other: Self) -> Self {
+        let rank = self.rank.max(other.rank);
+        let window = match (self.is_keyed(), other.is_keyed()) {
+            _ if rank == Rank::Unsafe => 0,
+            (true, true) => self.window.min(other.window),
+            (true, false) => self.window,
+            (false, true) => other.window,
+            (false, false) => 0,
+        };
+        Self { rank, window, attempts: self.attempts.min(other.attempts) }
+    }
+}
+
+impl fmt::Display for Terms {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let scope = match self.rank {
+            Rank::Safe => return write!(f, "safe, {} attempts", self.attempts),
+            Rank::Unsafe => return write!(f, "unsafe, {} attempts", self.attempts),
+            Rank::KeyedAll => "all",
+            Rank::KeyedZone => "zone",
+            Rank::KeyedCell => "cell",
+        };
+        write!(f, "keyed by {scope} for {} ms, {} attempts", self.window / 1000, self.attempts)
+    }
+}
+
+/// A class by its name, as one version knows it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClassTerms {
+    /// Its name.
+    pub name: String,
+    /// What it allows there.
+    pub terms: Terms,
+}
+
+/// Where the two versions differ, for operators.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Disagreement {
+    /// The class.
+    pub class: String,
+    /// What each knows of it, if anything.
+    pub old: Option<Terms>,
+    /// The candidate's side.
+    pub new: Option<Terms>,
+    /// What binds; `None` where only one knows the class, and calls of it stay there.
+    pub bound: Option<Terms>,
+}
+
+impl fmt::Display for Disagreement {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match (&self.old, &self.new, &self.bound) {
+            (Some(old), Some(new), Some(bound)) => {
+                write!(f, "class {}: old {old}; new {new}; bound to {bound}", self.class)
+            }
+            (Some(_), ..) => {
+                write!(f, "class {} stays with the old version, the only one to know it", self.class)
+            }
+            _ => write!(f, "class {} stays with the new version, the only one to know it", self.class),
+        }
+    }
+}
+
+/// What binds both versions for the classes that both know, and where they differ.
+pub fn strictest(old: &[ClassTerms], new: &[ClassTerms]) -> (Vec<ClassTerms>, Vec<Disagreement>) {
+    let find = |list: &[ClassTerms], name: &str| list.iter().find(|c| c.name == name).map(|c| c.terms);
+    let (mut bound, mut differ) = (Vec::new(), Vec::new());
+    for c in old {
+        let theirs = find(new, &c.name);
+        let both = theirs.map(|t| c.terms.stricter(t));
+        bound.extend(both.map(|terms| ClassTerms { name: c.name.clone(), terms }));
+        if theirs != Some(c.terms) {
+            differ.push(Disagreement { class: c.name.clone(), old: Some(c.terms), new: theirs, bound: both });
+        }
+    }
+    for c in new.iter().filter(|c| find(old, &c.name).is_none()) {
+        differ.push(Disagreement { class: c.name.clone(), old: None, new: Some(c.terms), bound: None });
+    }
+    (bound, differ)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rstest::rstest;
+
+    fn keyed(scope: Scope, window: Micros) -> Effect {
+        Effect::Keyed { scope, window }
+    }
+
+    #[rstest]
+    #[case(Effect::Safe, Effect::Safe, Effect::Safe)]
+    #[case(Effect::Safe, Effect::Unsafe, Effect::Unsafe)]
+    #[case(Effect::Safe, keyed(Scope::All, 5), keyed(Scope::All, 5))]
+    #[case(keyed(Scope::Cell, 5), Effect::Unsafe, Effect::Unsafe)]
+    #[case(keyed(Scope::Cell, 9), keyed(Scope::All, 5), keyed(Scope::Cell, 5))]
+    #[case(keyed(Scope::Zone, 4), keyed(Scope::All, 5), keyed(Scope::Zone, 4))]
+    fn the_stricter_side_binds(#[case] a: Effect, #[case] b: Effect, #[case] wanted: Effect) {
+        let (x, y) = (Terms::new(a, 3), Terms::new(b, 5));
+        assert_eq!((x.stricter(y).effect(), x.stricter(y).attempts), (wanted, 3));
+        assert_eq!(x.stricter(y), y.stricter(x));
+        assert_eq!(x.stricter(y).stricter(x), x.stricter(y));
+    }
+
+    #[test]
+    fn a_class_that_only_one_knows_is_bound_to_nothing() {
+        let class = |name: &str, effect| ClassTerms { name: name.into(), terms: Terms::new(effect, 5) };
+        let old = [class("a", Effect::Safe), class("b", Effect::Safe)];
+        let new = [class("b", Effect::Unsafe), class("c", Effect::Safe)];
+        let (bound, differ) = strictest(&old, &new);
+        assert_eq!(bound, [class("b", Effect::Unsafe)]);
+        let told: Vec<_> = differ.iter().map(ToString::to_string).collect();
+        assert_eq!(
+            told,
+            [
+                "class a stays with the old version, the only one to know it",
+                "class b: old safe, 5 attempts; new unsafe, 5 attempts; bound to unsafe, 5 attempts",
+                "class c stays with the new version, the only one to know it",
+            ]
+        );
+    }
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -276,7 +276,7 @@
 }
 
 /// How an attempt, a load order or a probe ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Outcome {
     /// Served, or the copies stand.
     Done,
