--- a/crates/rollout/src/ledger.rs
+++ b/crates/rollout/src/ledger.rs
@@ -152,24 +152,29 @@
         Some(entry)
     }
 
-    /// An attempt is about to leave. False for a call that is over here: its word crossed with the end.
+    /// An attempt is about to leave. False for a call that is over here: its word crossed with the end. One that
+    /// breaks the order counts all the same.
     ///
     /// # Errors
     /// A number out of turn, or an attempt beside another: two must never be out at once.
     pub fn told(&mut self, seq: u64, number: u32, host: &WorkerId, at: Micros) -> Result<bool, Fault> {
         let Some(entry) = self.calls.get_mut(&seq) else { return Ok(false) };
-        if number as usize != entry.attempts.len() || entry.attempts.len() >= MOST_ATTEMPTS {
-            return Err(Fault("an attempt out of turn"));
-        }
-        if entry.attempts.last().is_some_and(|last| last.end.is_none()) {
-            return Err(Fault("an attempt beside another"));
-        }
         let ran = entry.attempts.iter().any(Past::may_have_run);
-        if ran && entry.terms.kind == Kind::Unsafe {
-            return Err(Fault("a second attempt of an unsafe call that may have run"));
+        let in_turn = number as usize == entry.attempts.len();
+        let beside = entry.attempts.last().is_some_and(|last| last.end.is_none());
+        // Right or wrong, from now on it may have run.
+        if entry.attempts.len() < MOST_ATTEMPTS {
+            entry.attempts.push(Past { host: host.clone(), at, end: None });
+        }
+        if !in_turn || number as usize >= MOST_ATTEMPTS {
+            Err(Fault("an attempt out of turn"))
+        } else if beside {
+            Err(Fault("an attempt beside another"))
+        } else if ran && entry.terms.kind == Kind::Unsafe {
+            Err(Fault("a second attempt of an unsafe call that may have run"))
+        } else {
+            Ok(true)
         }
-        entry.attempts.push(Past { host: host.clone(), at, end: None });
-        Ok(true)
     }
 
     /// An attempt has ended. False for a call that is over here.
@@ -202,6 +207,18 @@
         Ok(true)
     }
 
+    /// The candidate gives it back, as one that it cannot decide. False for a call that is over here.
+    ///
+    /// # Errors
+    /// It has told of attempts: what it began it must bring to its end.
+    pub fn returned(&mut self, seq: u64) -> Result<bool, Fault> {
+        match self.calls.get(&seq) {
+            Some(entry) if !entry.attempts.is_empty() => Err(Fault("a call given back that was begun")),
+            Some(_) => Ok(self.drop_call(seq).is_some()),
+            None => Ok(false),
+        }
+    }
+
     /// Its client has left, or the holder has answered it: the candidate owes nothing more.
     pub fn left(&mut self, seq: u64) -> bool {
         self.drop_call(seq).is_some()
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -1,6 +1,7 @@
 //! What the program is started with: the platform's configuration, or an operator's file.
 
 mod operator;
+pub mod rollout;
 
 use std::hash::{BuildHasher, RandomState};
 use std::net::SocketAddr;
@@ -26,6 +27,8 @@
     pub memory: usize,
     pub deployment: Deployment,
     pub side: Side,
+    /// Gradual versions, where they are set up.
+    pub rollout: Option<rollout::Setup>,
     /// The file as it was read, but for the host list: what a new file must not lack.
     form: Value,
 }
@@ -78,6 +81,7 @@
     bus: String,
     known: Known,
     settings: Options,
+    rollout: Option<rollout::Setup>,
 }
 
 #[derive(Default, Deserialize)]
@@ -119,6 +123,7 @@
         .iter()
         .map(|e| bus::known(e, &deployment).map_err(|e| format!("known: {e}")))
         .collect();
+    file.rollout.as_ref().map_or(Ok(()), rollout::Setup::check)?;
     let limits = file.limits.unwrap_or_default();
     let control = control.or(file.control.as_deref());
     Ok(Config {
@@ -129,6 +134,7 @@
         memory: (limits.memory_mb.unwrap_or(MEMORY).max(16.0) * f64::from(1 << 20)) as usize,
         deployment,
         form,
+        rollout: file.rollout,
         side: Side::Platform { bus: address("bus", &file.bus)?, offset: file.known.offset, known: known? },
     })
 }
--- a/node/src/config/operator.rs
+++ b/node/src/config/operator.rs
@@ -22,6 +22,7 @@
     hosts: Hosts,
     #[serde(default)]
     results: Results,
+    rollout: Option<super::rollout::Setup>,
     #[serde(default)]
     class: Vec<ClassTable>,
     #[serde(default)]
@@ -159,6 +160,7 @@
     let times = [hosts.connect_timeout_ms, hosts.idle_ms, hosts.order_timeout_ms, file.results.keep_ms];
     wrong(times.iter().any(|t| *t <= 0), "a time that is not above 0")?;
     wrong(file.results.most == 0 || file.results.megabytes == 0, "results must leave room for one")?;
+    file.rollout.as_ref().map_or(Ok(()), super::rollout::Setup::check)?;
     let mut names: Vec<_> = file.class.iter().map(|c| &c.name).collect();
     names.sort();
     wrong(names.windows(2).any(|w| w[0] == w[1]), "two classes of one name")?;
@@ -234,6 +236,7 @@
         memory: file.memory_mb << 20,
         deployment,
         side,
+        rollout: file.rollout,
     })
 }
 
--- a/node/src/control.rs
+++ b/node/src/control.rs
@@ -4,8 +4,10 @@
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpStream};
 
+use serde::de::DeserializeOwned;
 use serde::Deserialize;
 use wheellink::Micros;
+use wheellink_rollout::Plan;
 
 use crate::conn::{Conn, ConnId};
 use crate::http::{self, Bad, Parsed, Request, Response};
@@ -15,7 +17,8 @@
 /// Callers at once. Who is not done makes room for a new one, longest first: calls are answered in the turn
 /// in which they are whole, so nobody who has called waits among them.
 pub const MOST: usize = 12;
-const LONGEST_BODY: usize = 4 << 10;
+/// The longest plan of a rollout, and more.
+const LONGEST_BODY: usize = 16 << 10;
 const INBOX: usize = LONGEST_BODY + http::LONGEST_HEAD;
 const OUTBOX: usize = 256 << 10;
 /// A call must be whole within this time.
@@ -32,6 +35,22 @@
     Host { id: String, out: bool },
     /// No new clients; or they are welcome again.
     Standby(bool),
+    /// Of a change of versions.
+    Rollout(RolloutCall),
+}
+
+/// What an operator asks of a rollout.
+#[derive(Debug, PartialEq)]
+pub enum RolloutCall {
+    /// Where it is.
+    Show,
+    /// Begin this plan, or the file's.
+    Begin(Option<Box<Plan>>),
+    /// To the next step, or to this one, counted from 1.
+    Step(Option<usize>),
+    Hold,
+    Back,
+    Complete,
 }
 
 #[derive(Deserialize)]
@@ -39,16 +58,57 @@
     host: String,
 }
 
+#[derive(Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Target {
+    to: Option<usize>,
+}
+
+/// Reads a body that may be empty, which stands for nothing said.
+fn said<T: DeserializeOwned>(request: &Request) -> Result<Option<T>, Response> {
+    if request.body.iter().all(u8::is_ascii_whitespace) {
+        return Ok(None);
+    }
+    serde_json::from_slice(&request.body)
+        .map(Some)
+        .map_err(|e| Response::problem(400, &format!("the body: {e}")))
+}
+
+fn rollout(request: &Request, path: &str) -> Result<RolloutCall, Response> {
+    let call = match path {
+        "/rollout" if request.method != "POST" => RolloutCall::Show,
+        "/rollout" => {
+            let plan = said::<Plan>(request)?;
+            if let Some(Err(problem)) = plan.as_ref().map(Plan::check) {
+                return Err(Response::problem(400, &format!("the plan: {problem}")));
+            }
+            RolloutCall::Begin(plan.map(Box::new))
+        }
+        "/rollout/step" => RolloutCall::Step(said::<Target>(request)?.unwrap_or_default().to),
+        "/rollout/hold" => RolloutCall::Hold,
+        "/rollout/back" => RolloutCall::Back,
+        "/rollout/complete" => RolloutCall::Complete,
+        _ => return Err(Response::problem(404, "no such call")),
+    };
+    Ok(call)
+}
+
 /// Reads a call; else the answer that says what is wrong with it.
 pub fn call(request: &Request) -> Result<Call, Response> {
     let path = request.path.split('?').next().unwrap_or_default();
-    let wanted = if path == "/status" { "GET" } else { "POST" };
+    let wanted = match (path, request.method.as_str()) {
+        ("/status", _) | ("/rollout", "GET" | "HEAD") => "GET",
+        _ => "POST",
+    };
     let call = match path {
         "/status" => Call::Status,
         "/maintenance/enter" | "/maintenance/exit" => {
             Call::Host { id: String::new(), out: path.ends_with("enter") }
         }
         "/standby" | "/active" => Call::Standby(path == "/standby"),
+        "/rollout" | "/rollout/step" | "/rollout/hold" | "/rollout/back" | "/rollout/complete" => {
+            Call::Rollout(RolloutCall::Show)
+        }
         _ => return Err(Response::problem(404, "no such call")),
     };
     if request.method != wanted && (wanted, request.method.as_str()) != ("GET", "HEAD") {
@@ -59,6 +119,7 @@
             Ok(Named { host }) if !host.is_empty() => Ok(Call::Host { id: host, out }),
             _ => Err(Response::problem(400, "the body must be {\"host\":\"ID\"}")),
         },
+        Call::Rollout(_) => rollout(request, path).map(Call::Rollout),
         call => Ok(call),
     }
 }
@@ -219,6 +280,17 @@
     #[case::no_host("POST", "/maintenance/enter", r#"{"id":"x"}"#, Err(400))]
     #[case::empty_host("POST", "/maintenance/exit", r#"{"host":""}"#, Err(400))]
     #[case::no_text("POST", "/maintenance/exit", r#"{"host":7}"#, Err(400))]
+    #[case::rollout("GET", "/rollout", "", Ok(Call::Rollout(RolloutCall::Show)))]
+    #[case::begin("POST", "/rollout", "", Ok(Call::Rollout(RolloutCall::Begin(None))))]
+    #[case::step("POST", "/rollout/step", "", Ok(Call::Rollout(RolloutCall::Step(None))))]
+    #[case::step_to("POST", "/rollout/step", r#"{"to":3}"#, Ok(Call::Rollout(RolloutCall::Step(Some(3)))))]
+    #[case::back("POST", "/rollout/back", " ", Ok(Call::Rollout(RolloutCall::Back)))]
+    #[case::no_plan("POST", "/rollout", r#"{"name":"x","step":[]}"#, Err(400))]
+    #[case::no_json("POST", "/rollout", "plan", Err(400))]
+    #[case::step_nowhere("POST", "/rollout/step", r#"{"to":-1}"#, Err(400))]
+    #[case::step_word("POST", "/rollout/step", r#"{"too":1}"#, Err(400))]
+    #[case::get_back("GET", "/rollout/back", "", Err(405))]
+    #[case::elsewhere("POST", "/rollout/forward", "", Err(404))]
     #[case::cut("POST", "/maintenance/exit", r#"{"host":"a"#, Err(400))]
     fn a_call_is_read_or_turned_down(
         #[case] method: &str,
--- /dev/null
+++ b/node/src/lane.rs
@@ -0,0 +1,208 @@
+//! What the two processes of a rollout say to each other: words in frames on the connection on which the hello
+//! was said. Length (4 bytes, little-endian, of what follows), then one [`Word`] in postcard. No decisions.
+
+use serde::{Deserialize, Serialize};
+use wheellink::{Micros, Outcome};
+
+use crate::ring::Ring;
+
+/// Protocols that this version speaks. The number changes where the meaning of a word does, and when one is
+/// added: who does not know a word takes the other side for broken.
+pub const PROTOCOLS: &[u32] = &[1];
+/// Longest word: an answer of a host, or the longest body that a front takes, and what goes with it.
+pub const MOST_FRAME: usize = 1 << 20;
+/// Bytes of the length before each.
+const HEAD: usize = 4;
+
+/// One word. New ones go to the end: postcard tells them apart by their place.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Word {
+    /// What is said in a plain upgrade too, as its line of JSON.
+    Say(String),
+    /// Holder: alive, and where the rollout is. Ten to twenty a second.
+    Holds { life: String, percent: f64 },
+    /// Candidate: alive, and whether its host list is as new as can be told.
+    Stands { caught_up: bool },
+    /// Holder: decide this call.
+    Call(Passed),
+    /// Holder: nobody waits for this call any more.
+    Left { seq: u64 },
+    /// Candidate: this attempt may run from now on. No byte of it has left before this word has.
+    Intent { seq: u64, number: u32, host: String, at: Micros },
+    /// Candidate: this attempt has ended, by its place in [`ENDS`].
+    Ended { seq: u64, number: u32, end: u8 },
+    /// Candidate: the final answer.
+    Answer { seq: u64, reply: Reply, body: Vec<u8> },
+    /// Candidate: it cannot decide this call, and has begun nothing of it.
+    Return { seq: u64 },
+    /// Candidate: may it give this order to load?
+    Ask { order: u64 },
+    /// Holder: it may, or may not. A grant counts as an order.
+    Grant { order: u64, granted: bool },
+    /// Holder: an attempt goes to a host that is not warm yet.
+    Sent { host: String, at: Micros },
+    /// Calls (and, of the holder, orders) that count for the ration: when, calls, orders.
+    Ration(Vec<(Micros, u32, u32)>),
+    /// Classes have changed with a new configuration.
+    Classes(Vec<wheellink_rollout::ClassTerms>),
+    /// Holder: take the clients.
+    TakeOver,
+    /// Holder: you are not wanted any more.
+    Dismiss { why: String },
+    /// Candidate: told to end.
+    Leaving,
+}
+
+/// A call as it is passed.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Passed {
+    pub seq: u64,
+    pub id: String,
+    pub class: String,
+    pub tenant: Option<String>,
+    pub function: String,
+    /// When its answer must be with the holder, in Unix microseconds: both run on one machine.
+    pub due: Micros,
+    pub lanes: u32,
+    pub repeat: bool,
+    pub key: Option<String>,
+    pub body: Vec<u8>,
+}
+
+/// How a call was answered.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Reply {
+    Served,
+    Refused(Micros),
+    Failed,
+    TimedOut,
+}
+
+/// Ends of attempts, by their number on the wire.
+pub const ENDS: [Outcome; 9] = [
+    Outcome::Done,
+    Outcome::Error,
+    Outcome::Full,
+    Outcome::TimedOut,
+    Outcome::ConnectFailed,
+    Outcome::Reset,
+    Outcome::Cancelled,
+    Outcome::NotSent,
+    Outcome::Miss,
+];
+
+/// The number of an end.
+pub fn number(end: Outcome) -> u8 {
+    ENDS.iter().position(|e| *e == end).unwrap_or(0) as u8
+}
+
+/// The word as it goes out; `None` for one that is too long.
+pub fn frame(word: &Word) -> Option<Vec<u8>> {
+    let mut bytes = vec![0; HEAD];
+    bytes.extend(postcard::to_stdvec(word).ok()?);
+    let length = bytes.len() - HEAD;
+    if length > MOST_FRAME {
+        return None;
+    }
+    bytes[..HEAD].copy_from_slice(&(length as u32).to_le_bytes());
+    Some(bytes)
+}
+
+/// Takes the next word; `None` when none is whole.
+///
+/// # Errors
+/// What came is no word: a length beyond the bound, or bytes that do not make one.
+pub fn next(ring: &mut Ring) -> Result<Option<Word>, String> {
+    let Some(head) = ring.copy(0, HEAD) else { return Ok(None) };
+    let length = u32::from_le_bytes([head[0], head[1], head[2], head[3]]) as usize;
+    if length == 0 || length > MOST_FRAME {
+        return Err(format!("a frame of {length} bytes"));
+    }
+    let Some(bytes) = ring.copy(HEAD, length) else { return Ok(None) };
+    ring.consume(HEAD + length);
+    match postcard::take_from_bytes(&bytes) {
+        Ok((word, [])) => Ok(Some(word)),
+        Ok(_) => Err("a frame with more than its word".into()),
+        Err(e) => Err(format!("a frame that is no word: {e}")),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rstest::rstest;
+
+    fn call(body: usize) -> Word {
+        let text = |t: &str| t.to_string();
+        Word::Call(Passed {
+            seq: 7,
+            id: text("9b1f03aa5c7e2d41"),
+            class: text("send-mail"),
+            tenant: Some(text("acme")),
+            function: text("f"),
+            due: 1_700_000_000_000_000,
+            lanes: 2,
+            repeat: false,
+            key: None,
+            body: vec![3; body],
+        })
+    }
+
+    #[rstest]
+    #[case(Word::Say("{}".into()))]
+    #[case(Word::Holds { life: "held".into(), percent: 0.25 })]
+    #[case(call(0))]
+    #[case(call(16 << 10))]
+    #[case(Word::Intent { seq: u64::MAX, number: 0, host: "s-1".into(), at: -1 })]
+    #[case(Word::Answer { seq: 1, reply: Reply::Refused(250_000), body: vec![0; 300] })]
+    #[case(Word::TakeOver)]
+    fn a_word_comes_as_it_left_in_pieces_of_any_size(#[case] word: Word) {
+        let bytes = frame(&word).unwrap();
+        let mut ring = Ring::new(MOST_FRAME + HEAD);
+        for byte in &bytes[..bytes.len() - 1] {
+            assert!(ring.push(&[*byte]));
+            assert_eq!(next(&mut ring), Ok(None));
+        }
+        ring.push(&bytes[bytes.len() - 1..]);
+        assert_eq!(next(&mut ring), Ok(Some(word)));
+        assert!(ring.is_empty());
+    }
+
+    #[rstest]
+    #[case::three_gigabytes(&[0, 0, 0, 0xc0, 1])]
+    #[case::nothing(&[0, 0, 0, 0])]
+    #[case::no_such_word(&[2, 0, 0, 0, 200, 1])]
+    #[case::cut_within(&[2, 0, 0, 0, 3, 9])]
+    #[case::more_than_a_word(&[2, 0, 0, 0, 14, 0])]
+    fn what_is_no_word_is_a_fault(#[case] bytes: &[u8]) {
+        let mut ring = Ring::new(64);
+        ring.push(bytes);
+        assert!(next(&mut ring).is_err());
+    }
+
+    /// Whatever bytes come: a word, a wait or a fault, and never a panic or storage beyond the bound.
+    #[test]
+    fn noise_is_survived() {
+        let mut rng = fastrand::Rng::with_seed(3);
+        for _ in 0..20_000 {
+            let mut bytes: Vec<u8> = (0..rng.usize(1..60)).map(|_| rng.u8(..)).collect();
+            if rng.bool() {
+                let length = (bytes.len() as u32).to_le_bytes();
+                bytes.splice(0..0, length);
+            }
+            let mut ring = Ring::new(128);
+            ring.push(&bytes);
+            while let Ok(Some(_)) = next(&mut ring) {}
+        }
+    }
+
+    #[test]
+    fn a_word_beyond_the_bound_is_not_sent() {
+        assert_eq!(frame(&call(MOST_FRAME)), None);
+    }
+
+    #[test]
+    fn every_end_has_its_number() {
+        assert!(ENDS.iter().all(|end| ENDS[usize::from(number(*end))] == *end));
+    }
+}
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -11,6 +11,7 @@
 mod front;
 mod hosts;
 mod http;
+mod lane;
 mod log;
 mod node;
 mod ring;
@@ -67,7 +68,7 @@
     };
     handle.insert_source(signals, told).map_err(|e| format!("no signals: {e}"))?;
 
-    let place = upgrade::claim(config.listen)?;
+    let place = upgrade::claim(config.listen, node::wish(&config).as_ref())?;
     let mut node = Node::new(handle.clone(), config, place)?;
     node.open_doors()?;
 
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -5,14 +5,20 @@
 mod news;
 mod operators;
 mod requests;
+mod rollout;
 
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::TcpListener;
 use std::rc::Rc;
 use std::time::Duration;
 
-use wheellink::engine::{AttemptId, Command, NewRequest, Verdict};
-use wheellink::{Effect, Engine, Legacy, ListKind, Micros, Outcome, Ticket, WorkerId};
+use wheellink::engine::{AttemptId, Command, NewRequest, OrderId, Verdict};
+use wheellink::{
+    Effect, Engine, FunctionId, Legacy, ListKind, Micros, Outcome, PastAttempt, Settings, Tally, Ticket,
+    WorkerId,
+};
+use wheellink_rollout::{Ledger, Version};
+use wheellink_settings::Deployment;
 
 use crate::bus::{self, Bus, Frame, Gap};
 use crate::clock::Clock;
@@ -31,6 +37,8 @@
 use crate::upgrade::{self, Message, News, Place, State, Upgrade};
 use crate::wake::{Handle, Wake};
 
+use rollout::{Gradual, Role};
+
 /// A client's time runs from when it wrote the last byte: the answer must have reached it before it ends.
 const DUE_MARGIN: Micros = 20_000;
 /// Descriptors that are neither clients' nor hosts': standard streams, the loop's own, listeners, bus,
@@ -62,18 +70,26 @@
     origin: Origin,
     /// What a host gave for it, between its arrival and the engine's verdict.
     answer: Option<(AttemptId, Vec<u8>)>,
+    /// What the engine was told of it; a class that only the other version of a rollout knows has no index here.
+    new: NewRequest,
+    arrived: Micros,
+    /// Which version decides it.
+    by: Version,
 }
 
 /// Who is owed it.
 enum Origin {
     Platform(platform::Origin),
     Invoke(invoke::Origin),
+    /// The other process of a rollout, by its number of the call.
+    Peer(u64),
 }
 
 /// A request in no front's words.
 struct Incoming {
     id: String,
     class: usize,
+    class_name: String,
     tenant: Option<usize>,
     function: String,
     timeout: Micros,
@@ -89,6 +105,17 @@
     Operator { front: Box<Invoke>, hosts: Box<DnsSd>, classes: Vec<(Micros, u32)>, ids: fastrand::Rng },
 }
 
+/// What a process of this configuration wants of one that runs at its address, where that is more than its place.
+pub fn wish(config: &Config) -> Option<upgrade::Wish> {
+    let setup = config.rollout.as_ref()?;
+    let hail = upgrade::Hail {
+        protocols: crate::lane::PROTOCOLS.to_vec(),
+        version: setup.version(),
+        classes: rollout::classes(&config.deployment),
+    };
+    Some(upgrade::Wish { hail, or_upgrade: setup.old_cannot == config::rollout::OldCannot::Upgrade })
+}
+
 pub struct Node {
     handle: Handle,
     clock: Clock,
@@ -110,6 +137,7 @@
     control_door: Option<Door>,
     control: Control,
     upgrade: Upgrade,
+    gradual: Gradual,
     /// The listening socket, until this process takes clients.
     listener: Option<TcpListener>,
     /// A new process takes the clients.
@@ -128,6 +156,7 @@
 }
 
 impl Node {
+    /// With its listening socket, and what the process tells that was there before.
     pub fn new(handle: Handle, mut config: Config, place: Place) -> Result<Self, String> {
         let Place { listener, inheritance } = place;
         let state = inheritance.as_ref().map(|i| i.state.clone());
@@ -173,6 +202,7 @@
             control_door: None,
             control: Control::new(handle.clone()),
             upgrade,
+            gradual: Gradual::new(config.memory),
             listener: Some(listener),
             succeeded: false,
             peer_clients: 0,
@@ -207,7 +237,13 @@
         if let Some(state) = &state {
             // Only now, as a whole list begins all beliefs anew.
             let now = node.clock.now();
-            node.run_engine(|engine, out| engine.inherit(now, state.legacy(), out));
+            let mut legacy = state.legacy();
+            if let Some(holder) = state.rollout.clone() {
+                // The ration stays the holder's.
+                let ration = std::mem::take(&mut legacy.tallies);
+                node.be_candidate(now, holder, ration);
+            }
+            node.run_engine(|engine, out| engine.inherit(now, legacy, out));
         }
         node.settle();
         Ok(node)
@@ -225,7 +261,7 @@
         self.settle();
     }
 
-    fn next_tick(&self) -> Micros {
+    fn next_tick(&self, now: Micros) -> Micros {
         let news = match &self.side {
             Side::Platform(_, bus) => bus.next_tick(),
             Side::Operator { hosts, .. } => hosts.browser.next_tick(),
@@ -234,7 +270,8 @@
         let hosts = self.hosts.next_tick().unwrap_or(Micros::MAX);
         let doors = self.door.iter().chain(&self.control_door).map(Door::next_tick).min();
         let doors = doors.unwrap_or(Micros::MAX);
-        engine.min(hosts).min(news).min(doors).min(self.kept_house + HOUSEKEEPING)
+        let house = self.kept_house + HOUSEKEEPING;
+        engine.min(hosts).min(news).min(doors).min(house).min(self.gradual.next_tick(now))
     }
 
     /// Whether a client was left with more to read, so that others had their turn.
@@ -273,7 +310,7 @@
             }
             self.settle();
         }
-        if self.next_tick() <= now {
+        if self.next_tick(now) <= now {
             self.run_engine(|engine, out| engine.tick(now, out));
             self.hosts.tick(now, &mut self.log);
             let keep_house = self.kept_house + HOUSEKEEPING <= now;
@@ -285,7 +322,9 @@
                     self.tell_tally(now);
                 }
             }
-            if self.listener.is_some() && self.is_caught_up(now) {
+            self.tick_rollout(now, keep_house);
+            let waits = self.gradual.role == Role::Candidate;
+            if self.listener.is_some() && !waits && self.is_caught_up(now) {
                 if let Err(problem) = self.take_clients() {
                     self.log.line(now, problem);
                 }
@@ -319,7 +358,8 @@
         if self.has_more() {
             return Duration::ZERO;
         }
-        let wait = (self.next_tick() - self.clock.now()).clamp(0, HOUSEKEEPING);
+        let now = self.clock.now();
+        let wait = (self.next_tick(now) - now).clamp(0, HOUSEKEEPING);
         Duration::from_micros(wait as u64)
     }
 
@@ -338,9 +378,8 @@
                 self.carry_out(command);
             } else if let Some(notice) = self.hosts.notices.pop_front() {
                 self.host_notice(notice);
-            } else if !self.upgrade.news.is_empty() {
+            } else if let Some(news) = self.upgrade.news.pop_front() {
                 let now = self.clock.now();
-                let news = self.upgrade.news.remove(0);
                 self.hear_peer(now, news);
             } else if let Some((caller, call)) = self.control.calls.pop() {
                 let now = self.clock.now();
@@ -355,14 +394,13 @@
     fn carry_out(&mut self, command: Command) {
         let now = self.clock.now();
         match command {
-            Command::Send { attempt, host, until } => match self.pending.get(&attempt.ticket) {
-                Some(pending) => self.hosts.send(now, attempt, &host, &pending.call, until, &mut self.log),
-                None => self.run_engine(|e, out| e.attempt_ended(now, attempt, Outcome::NotSent.into(), out)),
-            },
-            Command::Cancel { attempt } => self.hosts.cancel(now, attempt, &mut self.log),
-            Command::Load { order, host, function, copies } => {
-                self.hosts.load(now, order, &host, (&function, copies), &mut self.log)
+            Command::Send { attempt, host, until } => self.send(now, attempt, host, until),
+            Command::Cancel { attempt } => {
+                if !self.cancel_told(now, attempt) {
+                    self.hosts.cancel(now, attempt, &mut self.log)
+                }
             }
+            Command::Load { order, host, function, copies } => self.load(now, order, host, function, copies),
             Command::Unload { host, function } => self.hosts.unload(now, &host, &function, &mut self.log),
             Command::Probe { host } => self.hosts.probe(now, &host, &mut self.log),
             Command::Answer { ticket, verdict } => self.answer(now, ticket, verdict),
@@ -377,6 +415,7 @@
                 if let Some(pending) = self.pending.get_mut(&attempt.ticket) {
                     pending.answer = (end.outcome == Outcome::Done).then_some((attempt, body));
                 }
+                self.tell_end(attempt, end.outcome);
                 self.run_engine(|engine, out| engine.attempt_ended(now, attempt, end, out));
             }
             hosts::Notice::Order { order, outcome, copies } => {
--- a/node/src/node/life.rs
+++ b/node/src/node/life.rs
@@ -44,17 +44,30 @@
 
     pub(super) fn peer_ready(&mut self, id: ConnId) {
         self.upgrade.ready(id);
+        let now = self.clock.now();
+        self.send_told(now);
         self.settle();
     }
 
     /// What another process of this address says or wants.
     pub(super) fn hear_peer(&mut self, now: Micros, news: News) {
         match news {
-            News::Arrived(id) => {
+            News::Arrived(id, _) if self.gradual.is_busy() => {
+                self.log.line(now, "a further process came during a rollout and was turned away");
+                self.upgrade.turn_away(id, "a rollout is under way");
+            }
+            News::Arrived(id, hail) => {
+                let hail = hail.and_then(|hail| Some((self.may_be_candidate(&hail)?, hail)));
                 let socket = self.door.as_ref().map(Door::share);
                 let Some(Ok(socket)) = socket else { return };
-                self.log.line(now, "a new process comes to take this one's place");
-                let state = self.state();
+                let mut state = self.state();
+                match hail {
+                    None => self.log.line(now, "a new process comes to take this one's place"),
+                    Some((answer, theirs)) => {
+                        state.rollout = Some(answer);
+                        self.attach(now, theirs);
+                    }
+                }
                 self.upgrade.hand_over(id, state, socket);
                 self.resize();
             }
@@ -77,9 +90,13 @@
                 let legacy = Legacy { tallies: upgrade::heard(&ration), ..Legacy::default() };
                 self.run_engine(|engine, out| engine.inherit(now, legacy, out));
             }
-            News::Said(Message::Hello { .. } | Message::State(_) | Message::Other) => {}
-            News::Left => {
-                self.log.line(now, "the other process is gone");
+            News::Said(Message::Hello { .. } | Message::State(_) | Message::Busy { .. } | Message::Other) => {
+            }
+            News::Word(word) => self.hear_word(now, *word),
+            News::Left(why) => {
+                if !self.rollout_peer_left(now, &why) {
+                    self.log.line(now, "the other process is gone");
+                }
                 self.peer_clients = 0;
                 self.resize();
                 if std::mem::take(&mut self.succeeded) {
@@ -208,6 +225,7 @@
             let now = self.clock.now();
             self.log.line(now, format_args!("told to stop with {} requests open", self.engine.open()));
             self.stopping = Some(now);
+            self.end_rollout(now);
             self.part(now);
             self.settle();
         }
@@ -259,20 +277,25 @@
             }
         }
         let what = format!("{source}, {} classes, {} attempts", d.classes.len(), d.settings.max_attempts);
-        let (settings, transport) = (d.settings.clone(), d.transport.clone());
+        let transport = d.transport.clone();
         let patience = transport.order_timeout;
         self.hosts.retune(transport);
-        self.run_engine(|engine, out| engine.settings(now, settings, patience, out));
         if (config.listen, config.control) != (self.config.listen, self.config.control) {
             self.log.line(now, "addresses to listen on change with the next start only");
         }
         self.config = config;
+        let settings = self.binding();
+        self.run_engine(|engine, out| engine.settings(now, settings, patience, out));
+        self.rebind(now);
         self.resize();
         Ok(what)
     }
 
     /// Whether it has been told to stop and owes nothing any more.
     pub fn is_done(&mut self) -> bool {
+        if self.gradual.is_dismissed() {
+            return true;
+        }
         let now = self.clock.now();
         let quiet = match &self.side {
             Side::Platform(front, _) => front.is_quiet(),
--- a/node/src/node/operators.rs
+++ b/node/src/node/operators.rs
@@ -30,6 +30,7 @@
     pub(super) fn operate(&mut self, now: Micros, call: control::Call) -> Response {
         match call {
             control::Call::Status => self.status(now),
+            control::Call::Rollout(call) => self.operate_rollout(now, call),
             control::Call::Host { id, out } => {
                 let host: WorkerId = id.as_str().into();
                 if !self.hosts.knows(&host) {
--- a/node/src/node/requests.rs
+++ b/node/src/node/requests.rs
@@ -2,6 +2,9 @@
 
 use super::*;
 
+/// The longest that a client may wait for a call of a class that only the other version of a rollout knows.
+const LONGEST_UNKNOWN: Micros = 60_000_000;
+
 impl Node {
     pub(super) fn client_ready(&mut self, id: ConnId) {
         let now = self.clock.now();
@@ -52,23 +55,29 @@
         let class = self.config.deployment.class(&request.class);
         let tenant = request.tenant.as_deref().and_then(|t| self.config.deployment.tenant(t));
         let shared = !self.config.deployment.tenants.is_empty();
+        let theirs = class.is_none() && self.is_theirs(&request.class);
         let wrong = match class {
-            None => Some("a class that is not known"),
+            None if !theirs => Some("a class that is not known"),
             _ if shared && tenant.is_none() => Some("a tenant that is not known"),
             // Hosts tell answers apart by it.
             _ if self.ids.contains(request.id.as_str()) => Some("the id of a request that is open"),
             _ => None,
         };
-        let (Some(class), None) = (class, wrong) else {
-            return front.error(now, origin, wrong.unwrap_or_default(), &mut self.log);
-        };
+        let Side::Platform(front, _) = &mut self.side else { return };
+        if let Some(wrong) = wrong {
+            return front.error(now, origin, wrong, &mut self.log);
+        }
+        // No client waits longer than its class says; what is open for a day would pile up.
+        let class = class.unwrap_or(usize::MAX);
+        let known = self.config.deployment.settings.classes.get(class);
+        let longest = known.map_or(LONGEST_UNKNOWN, |c| 2 * c.give_up);
         let incoming = Incoming {
             id: request.id,
             class,
+            class_name: request.class,
             tenant,
             function: request.function,
-            // No client waits longer than its class says; what is open for a day would pile up.
-            timeout: (request.timeout * 1000).min(2 * self.config.deployment.settings.classes[class].give_up),
+            timeout: (request.timeout * 1000).min(longest),
             lanes: request.lanes,
             repeat: request.repeat,
             key: request.key,
@@ -91,6 +100,7 @@
         let keyed = matches!(settings.effect, Effect::Keyed { .. });
         let incoming = Incoming {
             class: call.class,
+            class_name: self.config.deployment.classes[call.class].clone(),
             tenant: call.tenant,
             function: call.function,
             timeout: call.timeout.unwrap_or(usual).min(settings.give_up.max(deferred)),
@@ -119,19 +129,41 @@
         self.bodies += size;
         let call = Call {
             id: incoming.id.into(),
-            class: self.config.deployment.classes[incoming.class].clone(),
+            class: incoming.class_name,
             function: new.function.clone(),
             key: incoming.key,
             body: Rc::from(incoming.body),
         };
-        let ticket = self.run_engine(|engine, out| engine.request(now, new, out));
-        let waits = match (&mut self.side, &origin) {
+        let class = new.class;
+        let mut pending = Pending { call, origin, answer: None, new, arrived: now, by: Version::Old };
+        let ticket = match self.pass(now, &pending) {
+            Some(ticket) => {
+                pending.by = Version::New;
+                ticket
+            }
+            // A class that only the candidate knows, and no room on the way to it.
+            None if class == usize::MAX => {
+                self.bodies -= size;
+                let retry_after = self.config.deployment.settings.max_retry_after;
+                return self.reply(now, &pending.origin, Reply::Refused(retry_after));
+            }
+            None => {
+                let new = pending.new.clone();
+                self.run_engine(|engine, out| engine.request(now, new, out))
+            }
+        };
+        self.ids.insert(pending.call.id.clone());
+        self.admit(ticket, pending);
+    }
+
+    /// The request goes by this ticket from now on.
+    pub(super) fn admit(&mut self, ticket: Ticket, pending: Pending) {
+        let waits = match (&mut self.side, &pending.origin) {
             (Side::Platform(front, _), Origin::Platform(origin)) => front.taken(*origin, ticket),
             (Side::Operator { front, .. }, Origin::Invoke(origin)) => front.taken(origin, ticket),
             _ => false,
         };
-        self.ids.insert(call.id.clone());
-        self.pending.insert(ticket, Pending { call, origin, answer: None });
+        self.pending.insert(ticket, pending);
         if !waits {
             self.client_left(ticket);
         }
@@ -143,19 +175,22 @@
             self.bodies -= pending.call.body.len();
             self.ids.remove(&pending.call.id);
         }
-        self.run_engine(|engine, out| engine.client_left(now, ticket, out));
+        if !self.passed_left(ticket) {
+            self.run_engine(|engine, out| engine.client_left(now, ticket, out));
+        }
     }
 
     pub(super) fn answer(&mut self, now: Micros, ticket: Ticket, verdict: Verdict) {
-        let Some(pending) = self.pending.remove(&ticket) else { return };
+        let Some(mut pending) = self.pending.remove(&ticket) else { return };
         self.bodies -= pending.call.body.len();
         self.ids.remove(&pending.call.id);
-        let reply = match (verdict, pending.answer) {
+        let reply = match (verdict, pending.answer.take()) {
             (Verdict::Served(by), Some((attempt, body))) if by == attempt => Reply::Served(body),
             (Verdict::Refused { retry_after }, _) => Reply::Refused(retry_after),
             (Verdict::TimedOut, _) => Reply::TimedOut,
             _ => Reply::Failed,
         };
+        self.count(now, &pending, &reply);
         self.reply(now, &pending.origin, reply);
     }
 
@@ -167,6 +202,7 @@
             (Side::Operator { front, .. }, Origin::Invoke(origin)) => {
                 front.reply(now, origin, reply, &mut self.log)
             }
+            (_, Origin::Peer(seq)) => self.answer_holder(*seq, reply),
             _ => {}
         }
     }
--- a/node/src/upgrade.rs
+++ b/node/src/upgrade.rs
@@ -4,10 +4,10 @@
 //! there and gets what it cannot learn elsewhere, and the listening socket itself: what is queued on it is
 //! lost by neither. Until the old one is gone, each tells the other what operators say.
 
-use std::collections::BTreeMap;
-use std::io::{self, BufRead, ErrorKind, IoSlice, IoSliceMut};
+use std::collections::{BTreeMap, VecDeque};
+use std::io::{self, ErrorKind, IoSlice, IoSliceMut};
 use std::mem::MaybeUninit;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Shutdown, SocketAddr, TcpListener};
 use std::os::fd::{AsFd, OwnedFd};
 use std::os::unix::net::{UnixListener, UnixStream};
 use std::path::PathBuf;
@@ -17,15 +17,19 @@
 
 use calloop::generic::Generic;
 use calloop::{Interest, Mode, PostAction, RegistrationToken};
+use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use rustix::net::{
     recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
     SendAncillaryMessage, SendFlags,
 };
+use rustix::process::{pidfd_open, pidfd_send_signal, PidfdFlags, Signal};
 use serde::{Deserialize, Serialize};
 use wheellink::{Legacy, Loaded, Micros, Tally};
+use wheellink_rollout::ClassTerms;
 
 use crate::conn::ConnId;
 use crate::door;
+use crate::lane::{self, Word};
 use crate::ring::Ring;
 use crate::wake::{Handle, Wake, Wakes};
 
@@ -42,6 +46,9 @@
 const MOST_LOADED: usize = 4000;
 /// Processes that have connected and said nothing valid so far.
 const GUESTS: usize = 4;
+/// What may wait each way between the processes of a rollout.
+const LANE_INBOX: usize = lane::MOST_FRAME + 4;
+const LANE_OUTBOX: usize = 8 << 20;
 
 /// What the two processes say to each other, as one line of JSON each.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -51,6 +58,13 @@
     Hello {
         version: u32,
         listen: SocketAddr,
+        /// It asks to be a candidate beside the old one. Old versions pass over this.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        rollout: Option<Hail>,
+    },
+    /// Old to new: not now, for this reason.
+    Busy {
+        why: String,
     },
     /// Old to new, with the listening socket.
     State(State),
@@ -75,6 +89,18 @@
     Other,
 }
 
+/// How two versions meet for a rollout.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Hail {
+    /// Protocols that it speaks; in the answer, the one that is spoken.
+    pub protocols: Vec<u32>,
+    /// Its name for operators.
+    pub version: String,
+    /// The classes that it knows, and what they allow.
+    pub classes: Vec<ClassTerms>,
+}
+
 /// What counts for the ration of orders: when, calls, orders.
 pub type Ration = Vec<(Micros, u32, u32)>;
 
@@ -102,12 +128,15 @@
     pub served: f64,
     /// Attempts sent to cold hosts lately: host, when.
     pub sends: Vec<(String, Vec<Micros>)>,
+    /// The new one is a candidate: it takes no clients, and frames follow on both sides.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub rollout: Option<Hail>,
 }
 
 impl State {
     /// Takes in what the module passes on.
     pub fn set_legacy(&mut self, legacy: Legacy) {
-        let Legacy { mut loaded, tallies, served, sends } = legacy;
+        let Legacy { mut loaded, tallies, served, sends, .. } = legacy;
         loaded.sort_by(|a, b| b.calls.total_cmp(&a.calls));
         let most = loaded.into_iter().take(MOST_LOADED);
         self.loaded = most
@@ -121,7 +150,7 @@
     pub fn legacy(&self) -> Legacy {
         let sends = self.sends.iter().map(|(host, times)| (host.as_str().into(), times.clone()));
         let (tallies, served) = (heard(&self.ration), self.served);
-        Legacy { loaded: self.loaded(), tallies, served, sends: sends.collect() }
+        Legacy { loaded: self.loaded(), tallies, served, sends: sends.collect(), beside: false }
     }
 
     fn loaded(&self) -> Vec<Loaded> {
@@ -143,6 +172,44 @@
     stream: UnixStream,
     /// Bytes that came behind the state.
     rest: Vec<u8>,
+    process: Option<Process>,
+}
+
+/// The other process: no other one can be hit or asked about by this, whatever its number is used for later.
+pub struct Process(OwnedFd);
+
+impl Process {
+    /// That at the other end of this connection, if the system tells.
+    fn behind(stream: &UnixStream) -> Option<Self> {
+        let pid = rustix::net::sockopt::socket_peercred(stream).ok()?.pid;
+        pidfd_open(pid, PidfdFlags::empty()).ok().map(Self)
+    }
+
+    /// Ends it at once.
+    pub fn kill(&self) {
+        let _ = pidfd_send_signal(&self.0, Signal::KILL);
+    }
+
+    /// Whether it has ended, and with it all its connections.
+    pub fn is_dead(&self) -> bool {
+        let mut fds = [PollFd::new(&self.0, PollFlags::IN)];
+        poll(&mut fds, Some(&Timespec::default())).is_ok_and(|n| n > 0)
+    }
+}
+
+/// What a new process wants that is to be a candidate.
+pub struct Wish {
+    pub hail: Hail,
+    /// Where the old version cannot take part, a plain upgrade will do.
+    pub or_upgrade: bool,
+}
+
+/// Why a process did not get another's place.
+enum Unmet {
+    /// Nobody is there who gives it.
+    Nobody(String),
+    /// Somebody is there, and it cannot be.
+    No(String),
 }
 
 /// The clients' address, from now on this process's.
@@ -154,12 +221,13 @@
 
 /// Gets the place of the process that runs at this address, or listens there itself. An address that is taken
 /// by somebody who gives nothing may be one that is just being left.
-pub fn claim(address: SocketAddr) -> Result<Place, String> {
+pub fn claim(address: SocketAddr, wish: Option<&Wish>) -> Result<Place, String> {
     let begun = Instant::now();
     loop {
-        match greet(address) {
+        match greet(address, wish) {
             Ok(place) => return Ok(place),
-            Err(problem) => eprintln!("nobody gives its place: {problem}"),
+            Err(Unmet::Nobody(problem)) => eprintln!("nobody gives its place: {problem}"),
+            Err(Unmet::No(why)) => return Err(why),
         }
         match door::listen(address) {
             Ok(listener) => return Ok(Place { listener, inheritance: None }),
@@ -177,15 +245,17 @@
 
 /// Asks the process that runs at this address, if one does, for its place. A socket that a dead process left
 /// behind takes no connection; whoever answers with another address is not the one.
-fn greet(address: SocketAddr) -> Result<Place, String> {
-    let problem = |e: io::Error| e.to_string();
+fn greet(address: SocketAddr, wish: Option<&Wish>) -> Result<Place, Unmet> {
+    let nobody = |why: &str| Unmet::Nobody(why.into());
+    let problem = |e: io::Error| Unmet::Nobody(e.to_string());
     let stream = UnixStream::connect(meeting_place(address)).map_err(problem)?;
     stream.set_read_timeout(Some(PATIENCE)).map_err(problem)?;
     stream.set_write_timeout(Some(PATIENCE)).map_err(problem)?;
     if !is_own(&stream) {
-        return Err("it runs for another user".into());
+        return Err(nobody("it runs for another user"));
     }
-    let mut bytes = line(&Message::Hello { version: VERSION, listen: address });
+    let rollout = wish.map(|w| w.hail.clone());
+    let mut bytes = line(&Message::Hello { version: VERSION, listen: address, rollout });
     io::Write::write_all(&mut &stream, &bytes).map_err(problem)?;
     bytes.clear();
     let (begun, mut socket, mut piece) = (Instant::now(), None, vec![0; 64 << 10]);
@@ -201,7 +271,7 @@
             }
         }
         if got.bytes == 0 || bytes.len() > LONGEST || begun.elapsed() > PATIENCE {
-            return Err("it did not tell its state".into());
+            return Err(nobody("it did not tell its state"));
         }
         bytes.extend(&piece[..got.bytes]);
         if let Some(end) = bytes.iter().position(|b| *b == b'\n') {
@@ -209,16 +279,23 @@
         }
     };
     let rest = bytes.split_off(end + 1);
-    let Ok(Message::State(state)) = serde_json::from_slice(&bytes) else {
-        return Err("what it told is no state".into());
+    let state = match serde_json::from_slice(&bytes) {
+        Ok(Message::State(state)) => state,
+        Ok(Message::Busy { why }) => return Err(Unmet::No(format!("the running process says: {why}"))),
+        _ => return Err(nobody("what it told is no state")),
     };
-    let socket: OwnedFd = socket.ok_or("it gave no listening socket")?;
+    if wish.is_some_and(|w| state.rollout.is_none() && !w.or_upgrade) {
+        let why = "the running version takes no part in a rollout; with old_cannot = \"upgrade\" a plain upgrade is done";
+        return Err(Unmet::No(why.into()));
+    }
+    let socket: OwnedFd = socket.ok_or_else(|| nobody("it gave no listening socket"))?;
     let listener = TcpListener::from(socket);
     match listener.local_addr() {
         Ok(at) if at == address => {
-            Ok(Place { listener, inheritance: Some(Inheritance { state, stream, rest }) })
+            let process = Process::behind(&stream);
+            Ok(Place { listener, inheritance: Some(Inheritance { state, stream, rest, process }) })
         }
-        at => Err(format!("it listens elsewhere: {at:?}")),
+        at => Err(Unmet::Nobody(format!("it listens elsewhere: {at:?}"))),
     }
 }
 
@@ -242,6 +319,20 @@
     outbox: Ring,
     /// To go with the first byte that leaves.
     socket: Option<OwnedFd>,
+    /// Frames are spoken instead of lines.
+    lane: bool,
+    /// The other side takes nothing more; what it said before may still be read.
+    deaf: bool,
+    /// Bytes that were given to be written, and bytes that the system has taken.
+    given: u64,
+    taken: u64,
+}
+
+/// What came whole.
+#[derive(Debug)]
+enum Heard {
+    Line(Message),
+    Word(Word),
 }
 
 impl Wire {
@@ -255,18 +346,51 @@
         });
         let token = token.map_err(|e| io::Error::other(e.error.to_string()))?;
         let (inbox, outbox) = (Ring::new(64 << 10), Ring::new(LONGEST));
-        Ok(Self { handle: handle.clone(), stream, token, inbox, outbox, socket: None })
+        let (lane, deaf, given, taken) = (false, false, 0, 0);
+        Ok(Self {
+            handle: handle.clone(),
+            stream,
+            token,
+            inbox,
+            outbox,
+            socket: None,
+            lane,
+            deaf,
+            given,
+            taken,
+        })
     }
 
-    fn send(&mut self, message: &Message) -> io::Result<()> {
-        if !self.outbox.push(&line(message)) {
+    /// Frames from now on, both ways: what came behind the last line is one already.
+    fn speak_frames(&mut self) {
+        let rest = self.inbox.copy(0, self.inbox.len()).unwrap_or_default();
+        self.inbox = Ring::new(LANE_INBOX);
+        self.inbox.push(&rest);
+        let rest = self.outbox.copy(0, self.outbox.len()).unwrap_or_default();
+        self.outbox = Ring::new(LANE_OUTBOX);
+        self.outbox.push(&rest);
+        self.lane = true;
+    }
+
+    /// Gives bytes to be written; where the other side is not seen to take them, they are dropped.
+    fn give(&mut self, bytes: &[u8]) -> io::Result<()> {
+        if self.deaf {
+            return Ok(());
+        }
+        if !self.outbox.push(bytes) {
             return Err(ErrorKind::OutOfMemory.into());
         }
+        self.given += bytes.len() as u64;
         self.flush()
     }
 
+    fn send(&mut self, message: &Message) -> io::Result<()> {
+        self.give(&line(message))
+    }
+
     fn flush(&mut self) -> io::Result<()> {
         while !self.outbox.is_empty() {
+            let before = self.outbox.len();
             let sent = match self.socket.take() {
                 None => self.outbox.write_to(&mut &*self.stream).map(drop),
                 Some(socket) => {
@@ -283,41 +407,58 @@
                     sent.map(drop).map_err(io::Error::from)
                 }
             };
+            self.taken += (before - self.outbox.len()) as u64;
             match sent {
                 Ok(()) => {}
                 Err(e) if e.kind() == ErrorKind::WouldBlock => break,
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                // Whoever shuts its ear may have something to say before it goes.
+                Err(_) if self.lane => {
+                    self.deaf = true;
+                    self.outbox.consume(usize::MAX);
+                }
                 Err(e) => return Err(e),
             }
         }
         Ok(())
     }
 
-    /// What has come whole; whether the other side has ended.
-    fn read(&mut self) -> io::Result<(Vec<Message>, bool)> {
-        let (mut messages, mut ended) = (Vec::new(), false);
-        while !ended {
+    /// What has come whole, and why nothing more will where that is so.
+    fn read(&mut self) -> (Vec<Heard>, Option<String>) {
+        let mut heard = Vec::new();
+        loop {
             match self.inbox.read_from(&mut &*self.stream) {
-                Ok(0) => ended = true,
-                Ok(_) => self.take(&mut messages)?,
-                Err(e) if e.kind() == ErrorKind::WouldBlock => break,
+                Ok(0) => return (heard, Some("its connection has ended".into())),
+                Ok(_) => {
+                    if let Err(problem) = self.take(&mut heard) {
+                        return (heard, Some(problem));
+                    }
+                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return (heard, None),
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Err(e) if e.kind() == ErrorKind::ConnectionReset => ended = true,
-                Err(e) => return Err(e),
+                Err(e) => return (heard, Some(format!("its connection broke: {e}"))),
             }
         }
-        Ok((messages, ended))
     }
 
-    fn take(&mut self, messages: &mut Vec<Message>) -> io::Result<()> {
+    fn take(&mut self, heard: &mut Vec<Heard>) -> Result<(), String> {
+        while self.lane {
+            match lane::next(&mut self.inbox)? {
+                Some(word) => heard.push(Heard::Word(word)),
+                None => return Ok(()),
+            }
+        }
+        // One line at a time: frames may follow the next.
         let bytes = self.inbox.copy(0, self.inbox.len()).unwrap_or_default();
-        let whole = bytes.iter().rposition(|b| *b == b'\n').map_or(0, |end| end + 1);
-        for line in bytes[..whole].lines() {
-            messages.push(serde_json::from_str(&line?)?);
+        let mut rest = &bytes[..];
+        while let Some(end) = rest.iter().position(|b| *b == b'\n') {
+            let message = serde_json::from_slice(&rest[..end]);
+            heard.push(Heard::Line(message.map_err(|e| format!("a line that is no message: {e}"))?));
+            rest = &rest[end + 1..];
         }
-        self.inbox.consume(whole);
+        self.inbox.consume(bytes.len() - rest.len());
         if self.inbox.room() == 0 {
-            return Err(ErrorKind::InvalidData.into());
+            return Err("a line that does not end".into());
         }
         Ok(())
     }
@@ -330,12 +471,14 @@
 /// What happened at the meeting place.
 #[derive(Debug, PartialEq)]
 pub enum News {
-    /// A new process wants this one's place: it is to be told the state.
-    Arrived(ConnId),
+    /// A new process wants this one's place: it is to be told the state. Or it wants to be a candidate.
+    Arrived(ConnId, Option<Hail>),
     /// The peer said so.
     Said(Message),
-    /// The peer is gone.
-    Left,
+    /// The peer of a rollout said so.
+    Word(Box<Word>),
+    /// The peer is gone or cannot be understood, for this reason.
+    Left(String),
 }
 
 /// See the module's page.
@@ -346,7 +489,8 @@
     beacon: Option<(Rc<UnixListener>, RegistrationToken)>,
     wires: BTreeMap<ConnId, Wire>,
     peer: Option<ConnId>,
-    pub news: Vec<News>,
+    process: Option<Process>,
+    pub news: VecDeque<News>,
 }
 
 impl Upgrade {
@@ -359,17 +503,21 @@
             beacon: None,
             wires: BTreeMap::new(),
             peer: None,
-            news: Vec::new(),
+            process: None,
+            news: VecDeque::new(),
         };
-        if let Some(Inheritance { stream, rest, .. }) = inheritance {
+        if let Some(Inheritance { stream, rest, process, state }) = inheritance {
             let id = crate::conn::fresh_id();
             let mut wire = Wire::new(handle, id, stream)?;
-            let mut messages = Vec::new();
+            if state.rollout.is_some() {
+                wire.speak_frames();
+            }
             wire.inbox.push(&rest);
-            wire.take(&mut messages)?;
-            upgrade.news.extend(messages.into_iter().map(News::Said));
+            let mut heard = Vec::new();
+            let fault = wire.take(&mut heard).err();
             upgrade.wires.insert(id, wire);
-            upgrade.peer = Some(id);
+            (upgrade.peer, upgrade.process) = (Some(id), process);
+            upgrade.hear(id, heard, fault);
         }
         Ok(upgrade)
     }
@@ -413,7 +561,7 @@
             self.wires.insert(id, wire);
             let guests: Vec<_> = self.wires.keys().copied().filter(|id| Some(*id) != self.peer).collect();
             if guests.len() > GUESTS {
-                self.drop_wire(guests[0]);
+                self.drop_wire(guests[0], "it said nothing");
             }
             self.ready(id);
         }
@@ -422,29 +570,107 @@
     /// The connection has something to say, or may take more.
     pub fn ready(&mut self, id: ConnId) {
         let Some(wire) = self.wires.get_mut(&id) else { return };
-        let heard = wire.flush().and_then(|()| wire.read());
-        let (messages, ended) = heard.unwrap_or((Vec::new(), true));
-        for message in messages {
-            match message {
-                Message::Hello { version: VERSION, listen } if listen == self.address => {
-                    self.news.push(News::Arrived(id))
+        let failed = wire.flush().err().map(|e| format!("it takes nothing: {e}"));
+        let (heard, end) = wire.read();
+        self.hear(id, heard, failed.or(end));
+    }
+
+    fn hear(&mut self, id: ConnId, heard: Vec<Heard>, end: Option<String>) {
+        for heard in heard {
+            let is_peer = self.peer == Some(id);
+            match heard {
+                Heard::Line(Message::Hello { version: VERSION, listen, rollout })
+                    if listen == self.address =>
+                {
+                    self.news.push_back(News::Arrived(id, rollout))
                 }
-                message if self.peer == Some(id) => self.news.push(News::Said(message)),
-                _ => return self.drop_wire(id),
+                Heard::Line(message) if is_peer => self.news.push_back(News::Said(message)),
+                Heard::Word(Word::Say(text)) if is_peer => match serde_json::from_str(&text) {
+                    Ok(message) => self.news.push_back(News::Said(message)),
+                    Err(e) => return self.drop_wire(id, &format!("a message that cannot be read: {e}")),
+                },
+                Heard::Word(word) if is_peer => self.news.push_back(News::Word(Box::new(word))),
+                _ => return self.drop_wire(id, "it spoke out of turn"),
             }
         }
-        if ended {
-            self.drop_wire(id);
+        if let Some(why) = end {
+            self.drop_wire(id, &why);
         }
     }
 
-    fn drop_wire(&mut self, id: ConnId) {
+    fn drop_wire(&mut self, id: ConnId, why: &str) {
         if let Some(wire) = self.wires.remove(&id) {
             wire.close();
         }
         if self.peer == Some(id) {
             self.peer = None;
-            self.news.push(News::Left);
+            self.news.push_back(News::Left(why.into()));
+        }
+    }
+
+    /// Looks whether the peer has said anything that the loop has not told of yet.
+    pub fn poll_peer(&mut self) {
+        if let Some(id) = self.peer {
+            self.ready(id);
+        }
+    }
+
+    /// The peer's process, where the system told of it: whoever takes it asks whether it has ended.
+    pub fn take_process(&mut self) -> Option<Process> {
+        self.process.take()
+    }
+
+    /// Tells one that arrived why it cannot be, and lets it go.
+    pub fn turn_away(&mut self, id: ConnId, why: &str) {
+        if let Some(wire) = self.wires.get_mut(&id) {
+            let _ = wire.send(&Message::Busy { why: why.into() });
+        }
+        if self.peer != Some(id) {
+            self.drop_wire(id, why);
+        }
+    }
+
+    fn lane(&mut self) -> Option<&mut Wire> {
+        self.peer.and_then(|id| self.wires.get_mut(&id)).filter(|wire| wire.lane)
+    }
+
+    /// Says a word to the peer of a rollout. By which byte it will have left, for [`Upgrade::taken`]; `None`
+    /// where it never will.
+    pub fn say(&mut self, word: &Word) -> Option<u64> {
+        let bytes = lane::frame(word);
+        let wire = self.lane().filter(|wire| !wire.deaf)?;
+        if wire.give(&bytes?).is_err() {
+            let id = self.peer?;
+            self.drop_wire(id, "it does not read what it is told");
+            return None;
+        }
+        Some(wire.given)
+    }
+
+    /// Bytes that the system has taken for the peer: from then on they reach it, even if this process ends.
+    pub fn taken(&mut self) -> u64 {
+        self.lane().map_or(0, |wire| wire.taken)
+    }
+
+    /// Bytes that the peer has not made room for yet.
+    pub fn backlog(&mut self) -> usize {
+        self.lane().map_or(0, |wire| wire.outbox.len())
+    }
+
+    /// Ends what the peer can tell: what the system has taken by now can be read, and nothing more will be
+    /// taken (unix(7): a write fails with EPIPE once the reader has shut down). Then reads all of it.
+    pub fn cut(&mut self) {
+        let Some(id) = self.peer else { return };
+        if let Some(wire) = self.wires.get(&id) {
+            let _ = wire.stream.shutdown(Shutdown::Read);
+        }
+        self.ready(id);
+    }
+
+    /// The peer is not wanted any more.
+    pub fn drop_peer(&mut self, why: &str) {
+        if let Some(id) = self.peer {
+            self.drop_wire(id, why);
         }
     }
 
@@ -452,13 +678,18 @@
     pub fn hand_over(&mut self, id: ConnId, state: State, socket: OwnedFd) {
         let Some(wire) = self.wires.get_mut(&id) else { return };
         wire.socket = Some(socket);
+        let lane = state.rollout.is_some();
         let sent = wire.send(&Message::State(state));
+        if lane {
+            wire.speak_frames();
+        }
+        self.process = Process::behind(&wire.stream);
         let before = self.peer.replace(id).filter(|before| *before != id);
         if let Some(wire) = before.and_then(|id| self.wires.remove(&id)) {
             wire.close();
         }
         if sent.is_err() {
-            self.drop_wire(id);
+            self.drop_wire(id, "it does not take the state");
         }
     }
 
@@ -471,8 +702,11 @@
         let Some((id, wire)) = self.peer.and_then(|id| self.wires.get_mut(&id).map(|wire| (id, wire))) else {
             return;
         };
-        if wire.send(message).is_err() {
-            self.drop_wire(id);
+        if wire.lane {
+            let text = serde_json::to_string(message).expect("a message has a form in JSON");
+            self.say(&Word::Say(text));
+        } else if wire.send(message).is_err() {
+            self.drop_wire(id, "it does not read what it is told");
         }
     }
 
@@ -484,7 +718,7 @@
             let _ = std::fs::remove_file(&self.path);
         }
         let ids: Vec<_> = self.wires.keys().copied().collect();
-        ids.into_iter().for_each(|id| self.drop_wire(id));
+        ids.into_iter().for_each(|id| self.drop_wire(id, "this process ends"));
     }
 }
 
@@ -504,7 +738,7 @@
         });
         let tallies = vec![Tally { at: 100_000, calls: 7, orders: 2 }];
         let sends = vec![("s-2".into(), vec![5, 6])];
-        let mut legacy = Legacy { loaded: loaded.collect(), tallies, served: 12.5, sends };
+        let mut legacy = Legacy { loaded: loaded.collect(), tallies, served: 12.5, sends, beside: false };
         let mut state = State { out: vec!["s-9".into()], ..State::default() };
         state.set_legacy(legacy.clone());
         let Message::State(heard) = serde_json::from_slice(&line(&Message::State(state))).unwrap() else {
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -200,12 +200,30 @@
 
     /// Takes a request. One final answer follows, now or later.
     pub fn request(&mut self, now: Micros, new: NewRequest, out: &mut Vec<Command>) -> Ticket {
+        self.request_again(now, new, Vec::new(), out)
+    }
+
+    /// Takes a request that had attempts in a process that is gone, all of which have ended. They count as this
+    /// engine's own: for the number that it may have, and for where and whether it may be repeated or refused.
+    pub fn request_again(
+        &mut self,
+        now: Micros,
+        new: NewRequest,
+        past: Vec<PastAttempt>,
+        out: &mut Vec<Command>,
+    ) -> Ticket {
         self.advance(now);
         let ticket = Ticket(self.fresh());
         let id: RequestId = format!("{:016x}", ticket.0).as_str().into();
-        let open = Open { id: id.clone(), due: new.due, answered: false, attempts: Vec::new() };
+        let ended =
+            |p: &PastAttempt| Attempt { host: p.worker.clone(), sent: p.sent, called_off: None, ended: true };
+        let attempts = past.iter().map(ended).collect();
+        let open = Open { id: id.clone(), due: new.due, answered: false, attempts };
         self.open.insert(ticket, open);
         self.timers.push(Reverse((new.due, Timer::Due(ticket))));
+        if !past.is_empty() {
+            self.tell(Event::Attempted(past), out);
+        }
         let NewRequest { class, tenant, function, due, lanes, repeat } = new;
         self.tell(Event::Arrival { request: id, class, tenant, function, due, lanes, repeat }, out);
         ticket
@@ -306,6 +324,22 @@
         self.router.tallies(since)
     }
 
+    /// Whether the ration has room for an order of a process beside this one. If so, it is counted.
+    pub fn grant_order(&mut self, now: Micros) -> bool {
+        self.advance(now);
+        self.router.grant_order(self.now)
+    }
+
+    /// The process beside this one is gone: what it took and ordered counts as this one's own from now on.
+    pub fn alone(&mut self) {
+        self.router.alone();
+    }
+
+    /// Whether the host is not known to have all of its capacity yet.
+    pub fn is_cold(&self, host: &WorkerId) -> bool {
+        self.router.is_cold(host)
+    }
+
     /// What the process knew whose place this one takes.
     pub fn inherit(&mut self, now: Micros, legacy: Legacy, out: &mut Vec<Command>) {
         self.advance(now);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -273,6 +273,19 @@
     pub served: f64,
     /// When it sent attempts to starting workers lately: what these can stand counts both routers as one.
     pub sends: Vec<(WorkerId, Vec<Micros>)>,
+    /// It goes on beside this one: what it told is not told on as this one's own.
+    pub beside: bool,
+}
+
+/// An attempt that a request had at a router that is gone. It has ended.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PastAttempt {
+    /// Where.
+    pub worker: WorkerId,
+    /// When it was sent.
+    pub sent: Micros,
+    /// How it ended; [`Outcome::never_ran`] only with proof.
+    pub outcome: Outcome,
 }
 
 /// How an attempt, a load order or a probe ended.
@@ -398,6 +411,8 @@
     Settings(Box<Settings>),
     /// What the router knew whose place this one takes.
     Inherited(Legacy),
+    /// The next [`Event::Arrival`] has had these attempts elsewhere: they count as this router's own.
+    Attempted(Vec<PastAttempt>),
     /// Time has passed; asked for by [`Action::Wake`].
     Woken,
 }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -128,6 +128,7 @@
         match event {
             Event::List { kind, entries } => self.list(kind, entries),
             Event::Arrival { request, class, tenant, function, due, lanes, repeat } => {
+                let tries = std::mem::take(&mut self.past);
                 if class >= self.settings.classes.len() || self.requests.contains_key(&request) {
                     return;
                 }
@@ -141,7 +142,7 @@
                     worth: self.worth(class, tenant, repeat),
                     function: function.clone(),
                     due,
-                    tries: Vec::new(),
+                    tries,
                     answered: false,
                     held: false,
                     counted,
@@ -190,6 +191,7 @@
             Event::Barred { worker, out } => self.bar(&worker, out),
             Event::Settings(settings) => self.retune(*settings),
             Event::Inherited(legacy) => self.inherit(legacy),
+            Event::Attempted(past) => self.attempted(past),
             Event::Woken => {}
         }
         if self.wake_at <= self.now {
@@ -558,10 +560,7 @@
             return;
         }
         if let Some(b) = self.settings.load_budget {
-            self.orders.retain(|t| *t >= now - b.period);
-            let gone = self.arrivals.partition_point(|t| *t <= now - b.period);
-            let taken = (self.arrivals.len() - gone) as f64;
-            let spare = b.free + b.share * taken - self.orders.len() as f64;
+            let spare = spare_orders(&b, now, &self.arrivals, &mut self.orders);
             if spare < if ahead { 1.0 + RESERVED_ORDERS } else { 1.0 } {
                 return;
             }
--- a/src/state.rs
+++ b/src/state.rs
@@ -161,6 +161,23 @@
     pub(crate) lost: f64,
     pub(crate) done_rate: f64,
     pub(crate) held_worth: f64,
+    /// Attempts elsewhere of the request that arrives next.
+    pub(crate) past: Vec<Try>,
+    /// Calls and orders among those above that a router beside this one told of.
+    pub(crate) beside: (VecDeque<Micros>, VecDeque<Micros>),
+}
+
+/// Orders that the ration leaves now; below 1 none may be given.
+pub(crate) fn spare_orders(
+    budget: &LoadBudget,
+    now: Micros,
+    arrivals: &VecDeque<Micros>,
+    orders: &mut VecDeque<Micros>,
+) -> f64 {
+    orders.retain(|t| *t >= now - budget.period);
+    let gone = arrivals.partition_point(|t| *t <= now - budget.period);
+    let taken = (arrivals.len() - gone) as f64;
+    budget.free + budget.share * taken - orders.len() as f64
 }
 
 /// What is told to a router that takes another's place.
@@ -169,12 +186,36 @@
     pub fn legacy(&self) -> Legacy {
         let sends = self.0.workers.iter().filter(|(_, w)| self.0.warmth(w) < 1.0);
         let sends = sends.map(|(n, w)| (n.clone(), w.cold_sends.iter().copied().collect())).collect();
-        Legacy { loaded: self.0.loaded(), tallies: self.0.tallies(0), served: self.0.done_rate, sends }
+        let (loaded, tallies) = (self.0.loaded(), self.0.tallies(0, false));
+        Legacy { loaded, tallies, served: self.0.done_rate, sends, beside: false }
     }
 
-    /// Calls and orders since then that count for the ration, for such a router.
+    /// Calls and orders of its own since then that count for the ration, for such a router.
     pub fn tallies(&self, since: Micros) -> Vec<Tally> {
-        self.0.tallies(since)
+        self.0.tallies(since, true)
+    }
+
+    /// Whether the ration has room for an order of a router beside this one. If so, it is counted.
+    pub fn grant_order(&mut self, now: Micros) -> bool {
+        let core = &mut self.0;
+        core.now = now.max(core.now);
+        let Some(budget) = core.settings.load_budget else { return true };
+        let granted = spare_orders(&budget, core.now, &core.arrivals, &mut core.orders) >= 1.0;
+        if granted {
+            core.orders.push_back(core.now);
+            core.beside.1.push_back(core.now);
+        }
+        granted
+    }
+
+    /// The router beside this one is gone: what it told counts as this one's own from now on.
+    pub fn alone(&mut self) {
+        self.0.beside = Default::default();
+    }
+
+    /// Whether the worker is not known to have all of its capacity yet.
+    pub fn is_cold(&self, worker: &WorkerId) -> bool {
+        self.0.workers.get(worker).is_some_and(|w| self.0.warmth(w) < 1.0)
     }
 }
 
@@ -245,32 +286,61 @@
         told.collect()
     }
 
-    /// Calls and orders since then, for a router that takes this one's place.
-    pub(crate) fn tallies(&self, since: Micros) -> Vec<Tally> {
+    /// Calls and orders since then, for a router that takes this one's place: all of them, or its own.
+    pub(crate) fn tallies(&self, since: Micros, own: bool) -> Vec<Tally> {
         let mut all: BTreeMap<Micros, Tally> = BTreeMap::new();
+        let slot = |t: &Micros| t - t.rem_euclid(Tally::LENGTH);
         let calls = self.arrivals.iter().map(|t| (*t, 1, 0));
         for (t, calls, orders) in calls.chain(self.orders.iter().map(|t| (*t, 0, 1))).filter(|t| t.0 > since)
         {
-            let at = t - t.rem_euclid(Tally::LENGTH);
+            let at = slot(&t);
             let tally = all.entry(at).or_insert(Tally { at, ..Tally::default() });
             (tally.calls, tally.orders) = (tally.calls + calls, tally.orders + orders);
         }
-        all.into_values().collect()
+        if own {
+            for t in self.beside.0.iter().filter(|t| **t > since) {
+                all.entry(slot(t)).and_modify(|tally| tally.calls = tally.calls.saturating_sub(1));
+            }
+            for t in self.beside.1.iter().filter(|t| **t > since) {
+                all.entry(slot(t)).and_modify(|tally| tally.orders = tally.orders.saturating_sub(1));
+            }
+        }
+        all.into_values().filter(|t| t.calls > 0 || t.orders > 0).collect()
+    }
+
+    /// The request that arrives next has had these attempts.
+    pub(crate) fn attempted(&mut self, past: Vec<PastAttempt>) {
+        let past = past.into_iter();
+        self.past = past
+            .map(|p| Try { worker: p.worker, sent: p.sent, warm: false, ended: Some(p.outcome) })
+            .collect();
     }
 
     /// Believes what another router believed, as far as this one has not learnt better, and counts what it
     /// took and ordered as its own: calls as early as they may have been, orders as late.
     pub(crate) fn inherit(&mut self, legacy: Legacy) {
-        let Legacy { loaded, tallies, served, sends } = legacy;
+        let Legacy { loaded, tallies, served, sends, beside } = legacy;
         self.done_rate = self.done_rate.max(if served.is_finite() { served } else { 0.0 });
         for (n, times) in sends {
-            self.workers.entry(n).and_modify(|w| w.cold_sends.extend(times));
+            let (now, window) = (self.now, self.settings.fall_window);
+            self.workers.entry(n).and_modify(|w| {
+                w.cold_sends.extend(times);
+                w.cold_sends.retain(|t| now - t <= window);
+            });
         }
         let period = self.settings.load_budget.map_or(0, |b| b.period);
-        for t in tallies.into_iter().filter(|t| t.at > self.now - period) {
+        let start = self.now - period;
+        let told = &mut self.beside;
+        [&mut told.0, &mut told.1].into_iter().for_each(|times| times.retain(|t| *t > start));
+        for t in tallies.into_iter().filter(|t| t.at > start) {
             let at = self.arrivals.partition_point(|a| *a < t.at);
             (0..t.calls).for_each(|_| self.arrivals.insert(at, t.at));
-            self.orders.extend((0..t.orders).map(|_| t.at + Tally::LENGTH));
+            let late = (0..t.orders).map(|_| t.at + Tally::LENGTH);
+            if beside {
+                self.beside.0.extend((0..t.calls).map(|_| t.at));
+                self.beside.1.extend(late.clone());
+            }
+            self.orders.extend(late);
         }
         for l in loaded.into_iter().filter(|l| l.until > self.now && l.calls.is_finite()) {
             let f = self.functions.entry(l.function).or_default();
