--- a/node/src/node/rollout.rs
+++ b/node/src/node/rollout.rs
@@ -22,6 +22,8 @@
 const PASS_MARGIN: Micros = 10_000;
 /// Where no plan says how long a candidate may be silent: it may be starting, or an operator may look at it.
 const IDLE_SILENCE: Micros = 5_000_000;
+/// A process whose connection has ended by itself is given so long to come to its own end.
+const LAST_WORDS: Micros = 100_000;
 /// A process that was ended is gone within this; then it is taken to be cut off somewhere.
 const BURIAL: Micros = 300_000;
 /// How often a process that is being ended is asked about.
@@ -404,6 +406,7 @@
         self.upgrade.say(&Word::Dismiss { why: why.into() });
         self.upgrade.drop_peer(why);
         self.upgrade.news.retain(|news| !matches!(news, News::Left(_)));
+        process.iter().for_each(Process::kill);
         self.bury(now, process, Cause::Lost(why));
     }
 
@@ -431,7 +434,6 @@
     }
 
     fn bury(&mut self, now: Micros, process: Option<Process>, cause: Cause) {
-        process.iter().for_each(Process::kill);
         self.gradual.role = Role::Alone;
         self.gradual.burial = Some(Burial { process, since: now });
         self.gradual.machine.detach(now, cause);
@@ -443,6 +445,9 @@
     fn look_at_burial(&mut self, now: Micros) {
         let Some(burial) = &self.gradual.burial else { return };
         let dead = burial.process.as_ref().is_some_and(Process::is_dead);
+        if !dead && now - burial.since >= LAST_WORDS {
+            burial.process.iter().for_each(Process::kill);
+        }
         let over = burial.process.is_none() || now - burial.since >= BURIAL;
         if !dead && !over {
             return;
@@ -832,6 +837,8 @@
     fn tend_candidate(&mut self, now: Micros) {
         let (life, percent) = (self.gradual.machine.life(), self.gradual.machine.share().percent());
         self.upgrade.say(&Word::Holds { life: life.word().into(), percent });
+        let due = if life == Life::Complete { 0.0 } else { percent / 100.0 };
+        self.engine.set_beside(due);
         if !self.succeeded {
             self.tell_ration(now);
         }
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -145,6 +145,14 @@
         status
     }
 
+    /// An operator's call: its answer, read as JSON.
+    pub fn ask(&self, method: &str, path: &str, body: &str) -> (u16, serde_json::Value) {
+        let mut stream = self.connect_control();
+        stream.write_all(request(method, path, &[], body).as_bytes()).unwrap();
+        let reply = read_reply(&mut stream).expect("an answer");
+        (reply.status, serde_json::from_slice(&reply.body).unwrap_or_default())
+    }
+
     pub fn status(&self) -> u16 {
         self.operate("GET", "/status", "")
     }
@@ -177,6 +185,11 @@
         self.child.wait().unwrap();
     }
 
+    /// Has it stop without ending, or go on.
+    pub fn stop(&self, stopped: bool) {
+        self.signal(if stopped { "-STOP" } else { "-CONT" });
+    }
+
     fn signal(&self, signal: &str) {
         let id = self.child.id().to_string();
         assert!(Command::new("kill").args([signal, &id]).status().unwrap().success());
@@ -659,15 +672,26 @@
 
 /// A request frame; each stream's request has an id of its own.
 pub fn call_frame(stream: u32, class: &str, timeout: u32, body: &[u8]) -> Vec<u8> {
-    let (id, timeout) = (format!("{stream:016x}"), timeout.to_string());
+    let id = format!("{stream:016x}");
+    whole_call_frame(stream, [&id, class, "5c0f6e1a", "7f3a9c21e0b4d655"], timeout, body)
+}
+
+/// The same of this id, class, key and function.
+pub fn whole_call_frame(
+    stream: u32,
+    [id, class, key, function]: [&str; 4],
+    timeout: u32,
+    body: &[u8],
+) -> Vec<u8> {
+    let timeout = timeout.to_string();
     let fields = [
         ("kind", class),
-        ("req", &id),
+        ("req", id),
         ("timeout", &timeout),
         ("owner", "acme"),
         ("ms", "8.2"),
-        ("subject", "7f3a9c21e0b4d655"),
-        ("opkey", "5c0f6e1a"),
+        ("subject", function),
+        ("opkey", key),
         ("props", "memory_mb:512;lanes:2"),
     ];
     let mut payload = vec![fields.len() as u8];
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -330,6 +330,11 @@
         self.router.grant_order(self.now)
     }
 
+    /// The process beside this one decides this share of the calls, and is due as much of the ration of orders.
+    pub fn set_beside(&mut self, share: f64) {
+        self.router.set_beside(share);
+    }
+
     /// The process beside this one is gone: what it took and ordered counts as this one's own from now on.
     pub fn alone(&mut self) {
         self.router.alone();
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -560,7 +560,7 @@
             return;
         }
         if let Some(b) = self.settings.load_budget {
-            let spare = spare_orders(&b, now, &self.arrivals, &mut self.orders);
+            let spare = spare_orders(&b, now, &self.arrivals, &mut self.orders, &self.beside).0;
             if spare < if ahead { 1.0 + RESERVED_ORDERS } else { 1.0 } {
                 return;
             }
--- a/src/state.rs
+++ b/src/state.rs
@@ -163,21 +163,44 @@
     pub(crate) held_worth: f64,
     /// Attempts elsewhere of the request that arrives next.
     pub(crate) past: Vec<Try>,
-    /// Calls and orders among those above that a router beside this one told of.
-    pub(crate) beside: (VecDeque<Micros>, VecDeque<Micros>),
+    pub(crate) beside: Beside,
 }
 
-/// Orders that the ration leaves now; below 1 none may be given.
+/// A router beside this one, with which it shares the ration of orders.
+#[derive(Default)]
+pub(crate) struct Beside {
+    /// Calls that it told of, which are among this one's arrivals.
+    calls: VecDeque<Micros>,
+    /// Orders that it told of or was granted, which are among this one's.
+    orders: VecDeque<Micros>,
+    /// Its share of the calls; 0: it may have none.
+    share: f64,
+}
+
+/// Orders at the most that either of two routers leaves to the other of what that is due: neither is kept from
+/// what it needs first by the other's burst, and little lies unused.
+const LEFT_TO_OTHER: f64 = 2.0;
+
+/// Orders that the ration leaves now to this router, and to one beside it; below 1 none may be given.
 pub(crate) fn spare_orders(
     budget: &LoadBudget,
     now: Micros,
     arrivals: &VecDeque<Micros>,
     orders: &mut VecDeque<Micros>,
-) -> f64 {
+    beside: &Beside,
+) -> (f64, f64) {
     orders.retain(|t| *t >= now - budget.period);
     let gone = arrivals.partition_point(|t| *t <= now - budget.period);
     let taken = (arrivals.len() - gone) as f64;
-    budget.free + budget.share * taken - orders.len() as f64
+    let ration = budget.free + budget.share * taken;
+    let spare = ration - orders.len() as f64;
+    if beside.share <= 0.0 {
+        return (spare, spare);
+    }
+    let theirs = beside.orders.iter().filter(|t| **t >= now - budget.period).count() as f64;
+    let own = (orders.len() as f64 - theirs).max(0.0);
+    let left = |share: f64, had: f64| ((share * ration).max(1.0) - had).clamp(0.0, LEFT_TO_OTHER);
+    (spare - left(beside.share, theirs), spare - left(1.0 - beside.share, own))
 }
 
 /// What is told to a router that takes another's place.
@@ -200,12 +223,19 @@
         let core = &mut self.0;
         core.now = now.max(core.now);
         let Some(budget) = core.settings.load_budget else { return true };
-        let granted = spare_orders(&budget, core.now, &core.arrivals, &mut core.orders) >= 1.0;
-        if granted {
+        let start = core.now - budget.period;
+        core.beside.orders.retain(|t| *t >= start);
+        let (_, spare) = spare_orders(&budget, core.now, &core.arrivals, &mut core.orders, &core.beside);
+        if spare >= 1.0 {
             core.orders.push_back(core.now);
-            core.beside.1.push_back(core.now);
+            core.beside.orders.push_back(core.now);
         }
-        granted
+        spare >= 1.0
+    }
+
+    /// The router beside this one has this share of the calls, and is due as much of the ration.
+    pub fn set_beside(&mut self, share: f64) {
+        self.0.beside.share = if share.is_finite() { share.clamp(0.0, 1.0) } else { 0.0 };
     }
 
     /// The router beside this one is gone: what it told counts as this one's own from now on.
@@ -298,10 +328,10 @@
             (tally.calls, tally.orders) = (tally.calls + calls, tally.orders + orders);
         }
         if own {
-            for t in self.beside.0.iter().filter(|t| **t > since) {
+            for t in self.beside.calls.iter().filter(|t| **t > since) {
                 all.entry(slot(t)).and_modify(|tally| tally.calls = tally.calls.saturating_sub(1));
             }
-            for t in self.beside.1.iter().filter(|t| **t > since) {
+            for t in self.beside.orders.iter().filter(|t| **t > since) {
                 all.entry(slot(t)).and_modify(|tally| tally.orders = tally.orders.saturating_sub(1));
             }
         }
@@ -331,14 +361,14 @@
         let period = self.settings.load_budget.map_or(0, |b| b.period);
         let start = self.now - period;
         let told = &mut self.beside;
-        [&mut told.0, &mut told.1].into_iter().for_each(|times| times.retain(|t| *t > start));
+        [&mut told.calls, &mut told.orders].into_iter().for_each(|times| times.retain(|t| *t > start));
         for t in tallies.into_iter().filter(|t| t.at > start) {
             let at = self.arrivals.partition_point(|a| *a < t.at);
             (0..t.calls).for_each(|_| self.arrivals.insert(at, t.at));
             let late = (0..t.orders).map(|_| t.at + Tally::LENGTH);
             if beside {
-                self.beside.0.extend((0..t.calls).map(|_| t.at));
-                self.beside.1.extend(late.clone());
+                self.beside.calls.extend((0..t.calls).map(|_| t.at));
+                self.beside.orders.extend(late.clone());
             }
             self.orders.extend(late);
         }
