--- a/node/src/node/life.rs
+++ b/node/src/node/life.rs
@@ -30,6 +30,7 @@
             (share, free.min(sockets / 2).max(clients), all.saturating_sub(self.clients().max(clients)))
         };
         self.most_bodies = share;
+        self.gradual.bound(share);
         self.hosts.bound((most.max(1), share));
         match &mut self.side {
             Side::Platform(front, _) => front.bound((clients, share)),
--- /dev/null
+++ b/node/src/node/rollout/candidate.rs
@@ -0,0 +1,240 @@
+//! The candidate's side: it decides what is passed, tells before it sends, and serves on when the holder dies.
+
+use super::*;
+
+impl Node {
+    /// This process begins as a candidate.
+    pub(in crate::node) fn be_candidate(&mut self, now: Micros, holder: Hail, ration: Vec<Tally>) {
+        self.log.line(now, format_args!("rollout: a candidate beside version {}", holder.version));
+        let g = &mut self.gradual;
+        (g.role, g.peer, g.ration, g.heard) = (Role::Candidate, holder, ration, now);
+        self.bind(now);
+    }
+
+    pub(super) fn candidate_hears(&mut self, now: Micros, word: Word) -> Result<(), String> {
+        let successor = self.gradual.role == Role::Successor;
+        match word {
+            Word::Holds { life, percent } => self.gradual.told = (life, percent),
+            Word::Call(call) => self.take_passed(now, call),
+            Word::Left { seq } => {
+                if let Some(ticket) = self.gradual.calls.remove(&seq) {
+                    self.client_left(ticket);
+                }
+            }
+            Word::Grant { order, granted } => self.granted(now, OrderId(order), granted),
+            Word::Sent { host, at } => self.note_sent(now, host.as_str().into(), at),
+            Word::Ration(told) if successor => {
+                let legacy = Legacy { tallies: upgrade::heard(&told), ..Legacy::default() };
+                self.run_engine(|engine, out| engine.inherit(now, legacy, out));
+            }
+            Word::Ration(told) => {
+                let period = self.config.deployment.settings.load_budget.map_or(0, |b| b.period);
+                self.gradual.ration.extend(upgrade::heard(&told));
+                self.gradual.ration.retain(|t| t.at > now - period);
+            }
+            Word::Classes(classes) => {
+                self.gradual.peer.classes = classes;
+                self.bind(now);
+            }
+            Word::TakeOver => {
+                self.gradual.role = Role::Successor;
+                self.inherit_ration(now);
+                self.log.line(now, "rollout: complete, this version takes the clients");
+            }
+            Word::Dismiss { why } => {
+                self.log.line(now, format_args!("rollout: the old version wants this one no more: {why}"));
+                self.gradual.dismissed = Some(why);
+            }
+            _ => return Err("a word that is the candidate's".into()),
+        }
+        Ok(())
+    }
+
+    pub(super) fn inherit_ration(&mut self, now: Micros) {
+        let tallies = std::mem::take(&mut self.gradual.ration);
+        let legacy = Legacy { tallies, ..Legacy::default() };
+        self.run_engine(|engine, out| engine.inherit(now, legacy, out));
+    }
+
+    /// A call is passed to this process.
+    pub(super) fn take_passed(&mut self, now: Micros, passed: Passed) {
+        let seq = passed.seq;
+        let d = &self.config.deployment;
+        let class = d.class(&passed.class);
+        let tenant = passed.tenant.as_deref().map(|t| d.tenant(t));
+        let size = passed.body.len();
+        let known = tenant != Some(None) && !self.ids.contains(passed.id.as_str());
+        let (Some(class), true, true) = (class, known, self.bodies + size <= self.most_bodies) else {
+            self.upgrade.say(&Word::Return { seq });
+            return;
+        };
+        let new = NewRequest {
+            class,
+            tenant: tenant.flatten(),
+            function: passed.function.as_str().into(),
+            due: passed.due,
+            lanes: passed.lanes,
+            repeat: passed.repeat,
+        };
+        self.bodies += size;
+        let call = Call {
+            id: passed.id.into(),
+            class: passed.class,
+            function: new.function.clone(),
+            key: passed.key,
+            body: Rc::from(passed.body),
+        };
+        let origin = Origin::Peer(seq);
+        let pending =
+            Pending { call, origin, answer: None, new: new.clone(), arrived: now, by: Version::New };
+        let ticket = self.run_engine(|engine, out| engine.request(now, new, out));
+        self.gradual.calls.insert(seq, ticket);
+        self.ids.insert(pending.call.id.clone());
+        self.pending.insert(ticket, pending);
+    }
+
+    /// Answers a call that was passed to this process.
+    pub(in crate::node) fn answer_holder(&mut self, seq: u64, reply: Reply) {
+        self.gradual.calls.remove(&seq);
+        let (reply, body) = match reply {
+            Reply::Served(body) => (lane::Reply::Served, body),
+            Reply::Refused(wait) => (lane::Reply::Refused(wait), Vec::new()),
+            Reply::Failed => (lane::Reply::Failed, Vec::new()),
+            Reply::TimedOut => (lane::Reply::TimedOut, Vec::new()),
+        };
+        self.upgrade.say(&Word::Answer { seq, reply, body });
+    }
+
+    /// Sends an attempt. That of a passed call leaves once the system has taken all of its word.
+    pub(in crate::node) fn send(&mut self, now: Micros, attempt: AttemptId, host: WorkerId, until: Micros) {
+        let Some(pending) = self.pending.get(&attempt.ticket) else {
+            return self.run_engine(|e, out| e.attempt_ended(now, attempt, Outcome::NotSent.into(), out));
+        };
+        if let Origin::Peer(seq) = pending.origin {
+            let AttemptId { number, .. } = attempt;
+            let word = Word::Intent { seq, number, host: host.0.to_string(), at: now };
+            let left = match self.upgrade.say(&word) {
+                Some(by) if self.gradual.waiting.len() < MOST_WAITING => by,
+                _ => return self.never_left(now, attempt),
+            };
+            self.gradual.waiting.push_back((left, attempt, host, until));
+            return self.send_told(now);
+        }
+        if self.gradual.role == Role::Holder && self.engine.is_cold(&host) {
+            self.upgrade.say(&Word::Sent { host: host.0.to_string(), at: now });
+        }
+        if let Some(pending) = self.pending.get(&attempt.ticket) {
+            self.hosts.send(now, attempt, &host, &pending.call, until, &mut self.log);
+        }
+    }
+
+    pub(super) fn never_left(&mut self, now: Micros, attempt: AttemptId) {
+        self.tell_end(attempt, Outcome::NotSent);
+        self.run_engine(|engine, out| engine.attempt_ended(now, attempt, Outcome::NotSent.into(), out));
+    }
+
+    /// Sends the attempts whose words have left by now.
+    pub(in crate::node) fn send_told(&mut self, now: Micros) {
+        let taken = self.upgrade.taken();
+        while self.gradual.waiting.front().is_some_and(|(by, ..)| *by <= taken) {
+            let Some((_, attempt, host, until)) = self.gradual.waiting.pop_front() else { return };
+            match self.pending.get(&attempt.ticket) {
+                Some(pending) => self.hosts.send(now, attempt, &host, &pending.call, until, &mut self.log),
+                None => self.never_left(now, attempt),
+            }
+        }
+    }
+
+    /// Takes back an attempt whose word has not left. False where it is not one of these.
+    pub(in crate::node) fn cancel_told(&mut self, now: Micros, attempt: AttemptId) -> bool {
+        let Some(at) = self.gradual.waiting.iter().position(|(_, a, ..)| *a == attempt) else { return false };
+        self.gradual.waiting.remove(at);
+        self.never_left(now, attempt);
+        true
+    }
+
+    /// An attempt of a passed call has ended.
+    pub(in crate::node) fn tell_end(&mut self, attempt: AttemptId, end: Outcome) {
+        let origin = self.pending.get(&attempt.ticket).map(|p| &p.origin);
+        if let (Some(Origin::Peer(seq)), true) = (origin, end != Outcome::Done) {
+            let word = Word::Ended { seq: *seq, number: attempt.number, end: lane::number(end) };
+            self.upgrade.say(&word);
+        }
+    }
+
+    /// Gives an order to load. A candidate's is asked for first: the ration is the holder's.
+    pub(in crate::node) fn load(
+        &mut self,
+        now: Micros,
+        order: OrderId,
+        host: WorkerId,
+        function: FunctionId,
+        copies: u32,
+    ) {
+        if self.gradual.role != Role::Candidate {
+            return self.hosts.load(now, order, &host, (&function, copies), &mut self.log);
+        }
+        let asked = self.gradual.asked.len() < MOST_ASKED
+            && self.upgrade.say(&Word::Ask { order: order.0 }).is_some();
+        if asked {
+            self.gradual.asked.insert(order, (host, function, copies));
+        } else {
+            self.run_engine(|engine, out| engine.order_ended(now, order, Outcome::NotSent, 0, out));
+        }
+    }
+
+    pub(super) fn granted(&mut self, now: Micros, order: OrderId, granted: bool) {
+        let Some((host, function, copies)) = self.gradual.asked.remove(&order) else { return };
+        if granted {
+            self.hosts.load(now, order, &host, (&function, copies), &mut self.log);
+        } else {
+            self.run_engine(|engine, out| engine.order_ended(now, order, Outcome::NotSent, 0, out));
+        }
+    }
+
+    /// The holder is gone, and its clients with it: nothing that it passed is owed any more. What was told but
+    /// has not left is taken back.
+    pub(super) fn holder_left(&mut self, now: Micros) {
+        let mut calls: Vec<_> = std::mem::take(&mut self.gradual.calls).into_values().collect();
+        calls.sort();
+        for ticket in calls {
+            self.client_left(ticket);
+        }
+        for (_, attempt, ..) in std::mem::take(&mut self.gradual.waiting) {
+            self.run_engine(|engine, out| engine.attempt_ended(now, attempt, Outcome::NotSent.into(), out));
+        }
+        let mut asked: Vec<_> = std::mem::take(&mut self.gradual.asked).into_keys().collect();
+        asked.sort();
+        for order in asked {
+            self.run_engine(|engine, out| engine.order_ended(now, order, Outcome::NotSent, 0, out));
+        }
+        if self.gradual.role == Role::Candidate && self.gradual.dismissed.is_none() {
+            self.gradual.burial = Some(Burial { process: self.upgrade.take_process(), since: now });
+            self.succeed_holder(now);
+        } else {
+            self.gradual.role = Role::Alone;
+            self.bind(now);
+        }
+    }
+
+    /// A holder that died leaves its place to this process; one that lives has cut it off.
+    pub(super) fn succeed_holder(&mut self, now: Micros) {
+        let Some(burial) = &self.gradual.burial else { return };
+        let dead = burial.process.as_ref().is_none_or(Process::is_dead);
+        if !dead && now - burial.since < BURIAL {
+            return;
+        }
+        self.gradual.burial = None;
+        if dead {
+            self.log.line(now, "rollout: the old version is gone, this one serves on alone");
+            self.gradual.role = Role::Alone;
+            self.inherit_ration(now);
+            self.bind(now);
+            self.resize();
+        } else {
+            let why = "the old version lives and has cut this one off";
+            self.log.line(now, format_args!("rollout: {why}"));
+            self.gradual.dismissed = Some(why.into());
+        }
+    }
+}
--- /dev/null
+++ b/node/src/node/rollout/operate.rs
@@ -0,0 +1,97 @@
+//! What operators ask of a rollout, and what they are shown.
+
+use super::*;
+
+impl Node {
+    pub(in crate::node) fn operate_rollout(&mut self, now: Micros, call: RolloutCall) -> Response {
+        let conflict = |why: &str| Response::problem(409, why);
+        let Some(setup) = &self.config.rollout else {
+            return Response::problem(404, "rollouts are not set up: the configuration has no [rollout]");
+        };
+        if call == RolloutCall::Show {
+            return Response::json(200, self.show_rollout(now));
+        }
+        if matches!(self.gradual.role, Role::Candidate | Role::Successor) {
+            return conflict("this is the new version: call the old one, which has the clients");
+        }
+        if self.stopping.is_some() {
+            return conflict("the program has been told to end");
+        }
+        let done = match call {
+            RolloutCall::Begin(plan) => {
+                let Some(plan) = plan.map(|p| *p).or_else(|| setup.plan.clone()) else {
+                    return Response::problem(400, "there is no plan: neither in the call nor in the file");
+                };
+                if self.gradual.role == Role::Holder && !self.gradual.caught_up {
+                    return conflict("the new version does not know its script hosts yet");
+                }
+                self.gradual.machine.begin(now, plan, Cause::Operator("begin")).map(|()| None)
+            }
+            RolloutCall::Step(to) => self.gradual.machine.step(now, to).map(|()| None),
+            RolloutCall::Hold => self.gradual.machine.hold(now).map(|()| None),
+            RolloutCall::Back => self.gradual.machine.back(now).map(|()| None),
+            RolloutCall::Complete => self.gradual.machine.complete(now),
+            RolloutCall::Show => Ok(None),
+        };
+        match done {
+            Err(refusal) => conflict(&refusal.0),
+            Ok(act) => {
+                if act == Some(Act::Complete) {
+                    self.hand_clients_over(now);
+                }
+                self.tick_rollout(now, true);
+                let m = &self.gradual.machine;
+                let told = serde_json::json!({"life": m.life().word(), "percent": m.share().percent()});
+                Response::json(200, told)
+            }
+        }
+    }
+
+    /// What an operator may want to know. Bounded: the gates' rows, the history and the plan are.
+    pub(super) fn show_rollout(&self, now: Micros) -> serde_json::Value {
+        let (g, m) = (&self.gradual, &self.gradual.machine);
+        let count = |c: wheellink_rollout::Count| serde_json::json!({"calls": c.calls, "hits": c.hits});
+        let gates = m.gates().all().into_iter().map(|gate| {
+            serde_json::json!({"class": gate.class, "kind": gate.kind.word(), "old": count(gate.old),
+            "new": count(gate.new), "evidence": (gate.log_e * 100.0).round() / 100.0,
+            "verdict": match gate.verdict {
+                wheellink_rollout::Verdict::NotKnown => "not_known",
+                wheellink_rollout::Verdict::Holds => "holds",
+                wheellink_rollout::Verdict::Fails => "fails",
+            }})
+        });
+        let gates: Vec<_> = gates.collect();
+        let history: Vec<_> = m
+            .history()
+            .map(|c| {
+                serde_json::json!({"at_ms": c.at / 1000, "from": c.from.word(), "to": c.to.word(),
+                    "percent": c.share.percent(), "cause": c.cause.to_string()})
+            })
+            .collect();
+        let [old, new] = m.gates().times();
+        let ms = |(p50, p99): (u64, u64)| serde_json::json!({"p50": p50 as f64 / 1000.0, "p99": p99 as f64 / 1000.0});
+        let c = &g.counts;
+        let differ: Vec<_> = g.differ.iter().map(ToString::to_string).collect();
+        let role = match g.role {
+            Role::Alone => "alone",
+            Role::Holder => "holder",
+            Role::Candidate => "candidate",
+            Role::Successor => "successor",
+        };
+        let (life, percent) = match g.role {
+            Role::Candidate | Role::Successor => g.told.clone(),
+            _ => (m.life().word().to_string(), m.share().percent()),
+        };
+        serde_json::json!({"role": role, "life": life, "percent": percent,
+            "version": self.config.rollout.as_ref().map(|r| r.version()), "other_version": g.peer.version,
+            "plan": m.plan().map(|(plan, _)| plan), "step": m.plan().map(|(_, step)| step + 1),
+            "candidate": {"attached": m.attached(), "caught_up": g.caught_up,
+                "heard_ms_ago": if g.role == Role::Alone { None } else { Some((now - g.heard) / 1000) }},
+            "calls_out": g.ledger.len(), "bytes_out": g.ledger.bytes(), "calls_in": g.calls.len(),
+            "counts": {"passed": c.passed, "kept_for_want_of_room": c.kept, "given_back": c.given_back,
+                "run_anew": c.anew, "failed_by_loss": c.failed, "refused_by_loss": c.refused,
+                "orders_granted": c.granted, "orders_denied": c.denied},
+            "keys_pinned": m.split().pins(), "keys_forgotten": m.split().forgotten,
+            "classes": differ, "times_ms": {"old": ms(old), "new": ms(new)}, "gates": gates, "history": history})
+    }
+}
--- a/node/src/upgrade.rs
+++ b/node/src/upgrade.rs
@@ -748,6 +748,35 @@
         assert_eq!((heard.legacy(), heard.out), (legacy, vec!["s-9".to_string()]), "most called first");
     }
 
+    /// What the fence rests on: up to the reader's shutdown what the system took can be read, and nothing is
+    /// taken after it.
+    #[test]
+    fn a_reader_that_shuts_down_has_all_that_was_taken_and_nothing_more() {
+        let (reader, writer) = UnixStream::pair().unwrap();
+        writer.set_nonblocking(true).unwrap();
+        let mut taken = 0;
+        while let Ok(n) = io::Write::write(&mut &writer, &[7; 1000]) {
+            taken += n;
+        }
+        reader.shutdown(Shutdown::Read).unwrap();
+        let refused = io::Write::write(&mut &writer, &[8]).unwrap_err();
+        assert_eq!(refused.kind(), ErrorKind::BrokenPipe);
+        let mut read = Vec::new();
+        io::Read::read_to_end(&mut &reader, &mut read).unwrap();
+        assert_eq!((read.len(), read.iter().all(|b| *b == 7)), (taken, true));
+    }
+
+    /// The same if the writer has died meanwhile.
+    #[test]
+    fn what_was_taken_outlives_its_writer() {
+        let (reader, writer) = UnixStream::pair().unwrap();
+        io::Write::write_all(&mut &writer, b"told").unwrap();
+        drop(writer);
+        let mut read = Vec::new();
+        io::Read::read_to_end(&mut &reader, &mut read).unwrap();
+        assert_eq!(read, b"told");
+    }
+
     #[test]
     fn a_later_version_may_say_more() {
         let read = |text: &str| serde_json::from_str::<Message>(text).unwrap();
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! The shared helper: starts the program, and stands in for script hosts, resolver, bus and clients.
 #![allow(dead_code)]
 
+pub mod rollout;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket};
@@ -257,6 +259,8 @@
     /// SPAWN lines.
     pub orders: Vec<String>,
     pub probes: usize,
+    /// When the last call came.
+    pub last: Option<Instant>,
     pub loaded: BTreeSet<String>,
     pub loading: BTreeSet<String>,
     connections: Vec<TcpStream>,
@@ -334,6 +338,7 @@
                 let text = String::from_utf8_lossy(&body).into_owned();
                 let mut s = seen.lock().unwrap();
                 s.calls.push((line.trim_end().to_string(), body.clone()));
+                s.last = Some(Instant::now());
                 let Ways { does, work, load } = *ways.lock().unwrap();
                 if does == Does::HangUp {
                     return stream.shutdown(std::net::Shutdown::Both).unwrap();
--- a/node/tests/rollout.rs
+++ b/node/tests/rollout.rs
@@ -4,12 +4,13 @@
 mod common;
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{BufRead, BufReader, Write};
 use std::net::TcpStream;
 use std::os::unix::net::UnixStream;
 use std::os::unix::process::ExitStatusExt;
 use std::process::Command;
 
+use common::rollout::*;
 use common::*;
 use rstest::rstest;
 use serde_json::{json, Value};
@@ -18,166 +19,8 @@
 const SERVED: u8 = 79;
 const REFUSED: u8 = 66;
 const FAILED: u8 = 69;
-const CLASSES: [&str; 3] = ["check-score", "save-answers", "send-mail"];
 const WINDOW: i64 = 8_000_000;
 
-/// A configuration with this in place of what it had: keys as paths.
-fn edited(text: &str, edits: &[(&str, Value)]) -> String {
-    let mut value: Value = serde_json::from_str(text).unwrap();
-    for (path, new) in edits {
-        *path.split('/').fold(&mut value, |v, key| match key.parse::<usize>() {
-            Ok(i) => &mut v[i],
-            Err(_) => &mut v[key],
-        }) = new.clone();
-    }
-    value.to_string()
-}
-
-fn plan(steps: &[f64]) -> String {
-    let steps: Vec<_> = steps.iter().map(|p| json!({"percent": p})).collect();
-    json!({"name": "v2", "step": steps, "on_fail": "hold", "silent_ms": 1500}).to_string()
-}
-
-/// An old version and a candidate beside it.
-struct Pair {
-    old: Platform,
-    new: Program,
-    _feed: TcpStream,
-}
-
-fn pair_of(hosts: &[&Host], edits: &[(&str, Value)], new_edits: &[(&str, Value)]) -> Pair {
-    let bus = Bus::start();
-    let text = edited(&config(bus.address, hosts), &[("rollout", json!({"version": "one"}))]);
-    let text = edited(&text, edits);
-    let program = Program::start(&text, false);
-    let (_, feed) = bus.greeted();
-    let old = Platform { program, bus, feed };
-    let listen = json!(old.program.address.to_string());
-    let text = edited(&text, &[("listen", listen), ("rollout", json!({"version": "two"}))]);
-    let new = Program::start(&edited(&text, new_edits), false);
-    let (_, _feed) = old.bus.greeted();
-    let pair = Pair { old, new, _feed };
-    wait_for("the candidate", || pair.show()["candidate"]["caught_up"] == json!(true));
-    pair
-}
-
-fn pair(hosts: &[&Host]) -> Pair {
-    pair_of(hosts, &[], &[])
-}
-
-impl Pair {
-    fn show(&self) -> Value {
-        self.old.program.ask("GET", "/rollout", "").1
-    }
-
-    fn call(&self, what: &str, body: &str) -> u16 {
-        let path = if what.is_empty() { "/rollout".to_string() } else { format!("/rollout/{what}") };
-        self.old.program.operate("POST", &path, body)
-    }
-
-    /// Everything is decided by the candidate.
-    fn whole(self) -> Self {
-        assert_eq!(self.call("", &plan(&[100.0])), 200);
-        self
-    }
-
-    fn count(&self, what: &str) -> u64 {
-        self.show()["counts"][what].as_u64().unwrap()
-    }
-
-    fn wait_life(&self, life: &str) {
-        wait_for(life, || self.show()["life"] == json!(life));
-    }
-}
-
-/// A client that numbers its calls. Call `n` has id, key and body made of it.
-struct Client {
-    stream: TcpStream,
-    next: u32,
-    answers: BTreeMap<u32, Vec<u8>>,
-}
-
-fn id(n: u32) -> String {
-    format!("{:016x}", 0x9e37_79b9_7f4a_7c15u64.wrapping_mul(u64::from(n) + 1))
-}
-
-fn key(n: u32) -> String {
-    format!("{:032x}", 0x9e37_79b9_7f4a_7c15_f39c_c060_5ced_c834u128.wrapping_mul(u128::from(n) + 1))
-}
-
-fn body(n: u32) -> String {
-    format!("call-{n}")
-}
-
-impl Client {
-    fn new(program: &Program, first: u32) -> Self {
-        Self { stream: program.connect(), next: first, answers: BTreeMap::new() }
-    }
-
-    fn send_frame(&mut self, class: &str, function: &str) -> u32 {
-        let n = self.next;
-        self.next += 1;
-        let frame = whole_call_frame(n + 1, [&id(n), class, &key(n), function], 4000, body(n).as_bytes());
-        self.stream.write_all(&frame).unwrap();
-        n
-    }
-
-    fn send(&mut self, class: &str) -> u32 {
-        self.send_frame(class, "7f3a9c21e0b4d655")
-    }
-
-    /// One of each class.
-    fn send_each(&mut self) -> [u32; 3] {
-        CLASSES.map(|class| self.send(class))
-    }
-
-    fn read(&mut self) {
-        let frame = read_frame(&mut self.stream).expect("an answer");
-        if frame.kind == 2 {
-            self.answers.entry(frame.stream - 1).or_default().push(frame.code);
-        }
-    }
-
-    /// The code of a call's answer, which must be its only one.
-    fn code(&mut self, n: u32) -> u8 {
-        while !self.answers.contains_key(&n) {
-            self.read();
-        }
-        assert_eq!(self.answers[&n].len(), 1, "one final answer");
-        self.answers[&n][0]
-    }
-
-    fn codes(&mut self, calls: &[u32]) -> Vec<u8> {
-        calls.iter().map(|n| self.code(*n)).collect()
-    }
-
-    /// Sends a call and waits for its answer.
-    fn one(&mut self, class: &str) -> u8 {
-        let n = self.send(class);
-        self.code(n)
-    }
-
-    /// No call has had a second answer.
-    fn end(mut self) {
-        std::thread::sleep(ms(100));
-        self.stream.set_nonblocking(true).unwrap();
-        let mut more = [0; 1];
-        if matches!(self.stream.read(&mut more), Ok(n) if n > 0) {
-            self.stream.set_nonblocking(false).unwrap();
-            panic!("a further answer");
-        }
-        assert!(self.answers.values().all(|a| a.len() == 1));
-    }
-}
-
-fn slow(work: u64) -> Host {
-    Host::start(Ways { does: Does::Answer("200"), work: ms(work), load: None })
-}
-
-fn runs(hosts: &[&Host], n: u32) -> u32 {
-    hosts.iter().map(|h| h.runs(&body(n))).sum()
-}
-
 // ------------------------------------------------------------------------------------------ the share
 
 /// From 1% to 100% and back under mixed classes: who decides is exactly who the split names, every call has one
@@ -707,7 +550,7 @@
     let broken = Host::start(Ways { does: Does::Answer("500"), work: ms(1), load: None });
     let plan = json!({"name": "bad", "step": [{"percent": 50}], "silent_ms": 1500}).to_string();
     assert_eq!(p.call("", &plan), 200);
-    let mut feed = p._feed.try_clone().unwrap();
+    let mut feed = p.feed.try_clone().unwrap();
     feed.write_all(&event(2, false, &[(0, host.address, 2), (7, broken.address, 0)])).unwrap();
     wait_for("the other host", || p.new.ask("GET", "/status", "").0 != 0 && broken_is_used(&p, &broken));
     let mut client = Client::new(&p.old.program, 1000);
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -606,7 +606,7 @@
         }
         // Held requests are looked at once a tick; answer while the client surely still waits.
         let most = r.attempts.min(self.settings.max_attempts);
-        if r.tries.len() as u32 >= most || self.now + 2 * TICK >= r.due {
+        if r.tries.len() as u32 >= most || self.now + 2 * TICK >= r.due || !self.may_repeat(r) {
             return self.give_up(id, out);
         }
         let route = self.route(id, out);
