--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # What a developer does here, each in one word.
 
-.PHONY: build test lint doc run run-invoke check
+.PHONY: build test lint doc run run-invoke check measure
 
 build:
 	cargo build --locked --release
@@ -23,5 +23,10 @@
 run-invoke: build
 	exec target/release/wheellink-node deploy/invoke.toml
 
+# One measurement, WHAT=rollout: `name value unit`, one a line. Takes minutes; not part of CI.
+measure:
+	@cargo test --locked --release -p wheellink-node --test measure -- --ignored --exact $(WHAT) --nocapture \
+		| sed -n 's/^.*measure \([a-z]*\.\)/\1/p'
+
 check:
 	bash .ci/run
--- a/node/src/node/rollout.rs
+++ b/node/src/node/rollout.rs
@@ -36,6 +36,8 @@
 const PASSED: u64 = 1 << 63;
 /// Orders of a candidate that wait for a grant; the engine ends each after its own time.
 const MOST_ASKED: usize = 256;
+/// After an order was denied none is asked for so long: the ration moves by calls and seconds.
+const DENIED: Micros = 100_000;
 /// Attempts that wait for their word to leave. Each belongs to a passed call.
 const MOST_WAITING: usize = MOST_PASSED;
 
@@ -92,6 +94,7 @@
     /// Attempts whose word has not left: by which byte it will have.
     waiting: VecDeque<(u64, AttemptId, WorkerId, Micros)>,
     asked: HashMap<OrderId, (WorkerId, FunctionId, u32)>,
+    ask_again: Micros,
     /// What the holder counts for the ration of orders.
     ration: Vec<Tally>,
     /// Where the holder says that the rollout is.
@@ -116,6 +119,7 @@
             calls: HashMap::new(),
             waiting: VecDeque::new(),
             asked: HashMap::new(),
+            ask_again: 0,
             ration: Vec::new(),
             told: (Life::Idle.word().into(), 0.0),
             dismissed: None,
--- a/node/src/node/rollout/candidate.rs
+++ b/node/src/node/rollout/candidate.rs
@@ -174,8 +174,8 @@
         if self.gradual.role != Role::Candidate {
             return self.hosts.load(now, order, &host, (&function, copies), &mut self.log);
         }
-        let asked = self.gradual.asked.len() < MOST_ASKED
-            && self.upgrade.say(&Word::Ask { order: order.0 }).is_some();
+        let may_ask = self.gradual.asked.len() < MOST_ASKED && now >= self.gradual.ask_again;
+        let asked = may_ask && self.upgrade.say(&Word::Ask { order: order.0 }).is_some();
         if asked {
             self.gradual.asked.insert(order, (host, function, copies));
         } else {
@@ -188,6 +188,7 @@
         if granted {
             self.hosts.load(now, order, &host, (&function, copies), &mut self.log);
         } else {
+            self.gradual.ask_again = now + DENIED;
             self.run_engine(|engine, out| engine.order_ended(now, order, Outcome::NotSent, 0, out));
         }
     }
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -124,6 +124,11 @@
         self.log.lock().unwrap().iter().filter(|l| l.contains(part)).count()
     }
 
+    /// The log so far.
+    pub fn lines(&self) -> Vec<String> {
+        self.log.lock().unwrap().clone()
+    }
+
     pub fn connect(&self) -> TcpStream {
         let stream = TcpStream::connect(self.address).unwrap();
         stream.set_read_timeout(Some(LONG)).unwrap();
--- a/node/tests/common/rollout.rs
+++ b/node/tests/common/rollout.rs
@@ -23,7 +23,8 @@
 }
 
 pub fn plan(steps: &[f64]) -> String {
-    let steps: Vec<_> = steps.iter().map(|p| json!({"percent": p})).collect();
+    // No step is done by itself while a test runs.
+    let steps: Vec<_> = steps.iter().map(|p| json!({"percent": p, "least_ms": 600_000})).collect();
     json!({"name": "v2", "step": steps, "on_fail": "hold", "silent_ms": 1500}).to_string()
 }
 
--- /dev/null
+++ b/node/tests/measure.rs
@@ -0,0 +1,241 @@
+//! Measurements, one ignored test each: `make measure WHAT=name` runs one and prints `name value unit` lines.
+//! They take long and tell of this machine; nothing here is asserted but what must be 0.
+
+mod common;
+
+use std::time::Instant;
+
+use common::rollout::*;
+use common::*;
+use wheellink_rollout::{GateTable, Gates, Outcome, Share, Split, Verdict, Version};
+
+fn tell(name: &str, value: impl std::fmt::Display, unit: &str) {
+    println!("measure {name} {value} {unit}");
+}
+
+fn quantile(times: &mut [f64], q: f64) -> f64 {
+    times.sort_by(f64::total_cmp);
+    times.get(((times.len() as f64 - 1.0) * q) as usize).copied().unwrap_or(f64::NAN)
+}
+
+/// Calls of mixed classes, so many open at once: each one's number, time in microseconds, and code.
+fn load(client: &mut Client, calls: u32, at_once: usize) -> Vec<(u32, f64, u8)> {
+    let (mut open, mut done) = (std::collections::BTreeMap::new(), Vec::new());
+    let mut left = calls;
+    while left > 0 || !open.is_empty() {
+        while left > 0 && open.len() < at_once {
+            open.insert(client.next, Instant::now());
+            client.send(CLASSES[(left % 3) as usize]);
+            left -= 1;
+        }
+        client.read();
+        for n in open.keys().copied().filter(|n| client.answers.contains_key(n)).collect::<Vec<_>>() {
+            let begun = open.remove(&n).unwrap();
+            done.push((n, begun.elapsed().as_secs_f64() * 1e6, client.answers[&n][0]));
+        }
+    }
+    done
+}
+
+fn lost(client: &Client) -> usize {
+    (0..client.next).filter(|n| client.answers.get(n).is_none_or(|a| a.len() != 1)).count()
+}
+
+fn run_twice(hosts: &[&Host], done: &[(u32, f64, u8)]) -> usize {
+    done.iter().filter(|(n, ..)| runs(hosts, *n) > 1).count()
+}
+
+#[test]
+#[ignore = "a measurement"]
+fn rollout() {
+    shares();
+    costs();
+    back();
+    losses();
+    gates();
+}
+
+/// Hosts enough that no call waits for a lane: what is measured is the activator.
+fn fleet() -> Vec<Host> {
+    (0..8).map(|_| Host::warm()).collect()
+}
+
+/// Share seen against share stated, over 20,000 calls each.
+fn shares() {
+    let hosts = fleet();
+    let hosts: Vec<&Host> = hosts.iter().collect();
+    let p = pair(&hosts);
+    assert_eq!(p.call("", &plan(&[1.0, 10.0, 50.0])), 200);
+    let mut client = Client::new(&p.old.program, 0);
+    let (mut passed, mut all) = (0, Vec::new());
+    for (step, percent) in [1, 10, 50].into_iter().enumerate() {
+        assert_eq!(p.call("step", &format!("{{\"to\":{}}}", step + 1)), 200);
+        all.extend(load(&mut client, 20_000, 8));
+        let now = p.count("passed");
+        tell(&format!("rollout.share_seen_at_{percent}"), (now - passed) as f64 / 200.0, "percent");
+        passed = now;
+    }
+    tell("rollout.share_calls", 20_000, "calls");
+    tell("rollout.share_calls_without_one_answer", lost(&client), "calls");
+    tell("rollout.share_calls_run_twice", run_twice(&hosts, &all), "calls");
+    let served = all.iter().filter(|(.., code)| *code == 79).count();
+    tell("rollout.share_calls_served", served, "calls of 60000");
+}
+
+/// What a passed call costs against an own one, in one run: half and half for the times, then each alone for the
+/// processor.
+fn costs() {
+    let hosts = fleet();
+    let p = pair(&hosts.iter().collect::<Vec<_>>());
+    assert_eq!(p.call("", &plan(&[50.0, 100.0])), 200);
+    let mut split = Split::new("v2");
+    split.set(Share::from_percent(50.0));
+    let mut client = Client::new(&p.old.program, 0);
+    load(&mut client, 2_000, 8);
+    let first = client.next;
+    let mut times = [Vec::new(), Vec::new()];
+    for (n, time, _) in load(&mut client, 10_000, 8) {
+        // Classes go round by what is left, 10,000 at the first.
+        let keyed = (10_000 - (n - first)) % 3 == 1;
+        let name = if keyed { key(n) } else { id(n) };
+        let version = split.decide(0, None, &name);
+        times[usize::from(version == Version::New)].push(time);
+    }
+    for (who, times) in ["own", "passed"].into_iter().zip(&mut times) {
+        tell(&format!("rollout.{who}_p50"), quantile(times, 0.5).round(), "us");
+        tell(&format!("rollout.{who}_p99"), quantile(times, 0.99).round(), "us");
+    }
+    let mut used = |percent: u32| {
+        let before = (p.old.program.used(), p.new.used());
+        load(&mut client, 10_000, 8);
+        let per_call = |ticks: u64| ticks as f64 * 10_000.0 / 10_000.0;
+        let (old, new) = (p.old.program.used() - before.0, p.new.used() - before.1);
+        tell(&format!("rollout.cpu_a_call_at_{percent}_old"), per_call(old), "us");
+        tell(&format!("rollout.cpu_a_call_at_{percent}_new"), per_call(new), "us");
+    };
+    assert_eq!(p.call("step", "{\"to\":2}"), 200);
+    used(100);
+    assert_eq!(p.call("back", ""), 200);
+    used(0);
+}
+
+/// From the call back to the last call begun on the new version, which alone has one of the hosts.
+fn back() {
+    let mut times = Vec::new();
+    for round in 0..20 {
+        let (a, b) = (Host::warm(), Host::warm());
+        let p = pair(&[&a]);
+        let mut feed = p.feed.try_clone().unwrap();
+        std::io::Write::write_all(&mut feed, &event(2, false, &[(0, a.address, 2), (7, b.address, 0)]))
+            .unwrap();
+        assert_eq!(p.call("", &plan(&[100.0])), 200);
+        let mut client = Client::new(&p.old.program, 0);
+        client.one("check-score");
+        let address = p.old.program.address;
+        let flood = std::thread::spawn(move || {
+            let stream = std::net::TcpStream::connect(address).unwrap();
+            stream.set_read_timeout(Some(LONG)).unwrap();
+            let mut client = Client { stream, next: 0, answers: Default::default() };
+            load(&mut client, 2_000, 8);
+        });
+        wait_for("the flood", || b.calls() > 200);
+        let asked = Instant::now();
+        assert_eq!(p.call("back", ""), 200);
+        let answered = Instant::now();
+        flood.join().unwrap();
+        let last = b.seen.lock().unwrap().last.unwrap();
+        times.push(last.saturating_duration_since(asked).as_secs_f64() * 1e3);
+        if round == 0 {
+            tell("rollout.back_answered_after", (answered - asked).as_secs_f64() * 1e3, "ms");
+        }
+    }
+    tell("rollout.back_to_last_call_begun_p50", quantile(&mut times, 0.5), "ms");
+    tell("rollout.back_to_last_call_begun_max", quantile(&mut times, 1.0), "ms");
+}
+
+/// The candidate is killed or stopped in the middle of a load, again and again.
+fn losses() {
+    let (mut calls, mut lost_calls, mut mails_twice, mut served, mut anew, mut failed) = (0, 0, 0, 0, 0, 0);
+    let mut longest: f64 = 0.0;
+    for round in 0..20u64 {
+        let host =
+            || Host::start(Ways { does: Does::Answer("200"), work: ms(5 + round % 7 * 10), load: None });
+        let (a, b) = (host(), host());
+        let mut p = pair(&[&a, &b]);
+        assert_eq!(p.call("", &plan(&[50.0])), 200);
+        let address = p.old.program.address;
+        let flood = std::thread::spawn(move || {
+            let stream = std::net::TcpStream::connect(address).unwrap();
+            stream.set_read_timeout(Some(LONG)).unwrap();
+            let mut client = Client { stream, next: 0, answers: Default::default() };
+            let done = load(&mut client, 1_000, 24);
+            (client, done)
+        });
+        wait_for("the load", || p.count("passed") > 50 + round * 10);
+        if round % 2 == 0 {
+            p.new.kill();
+        } else {
+            p.new.stop(true);
+        }
+        let (client, done) = flood.join().unwrap();
+        calls += done.len();
+        lost_calls += lost(&client);
+        // Classes go round by what is left of 1,000: mails have a remainder of 2.
+        let mail = |n: u32| (1_000 - n) % 3 == 2;
+        mails_twice += done.iter().filter(|(n, ..)| mail(*n) && runs(&[&a, &b], *n) > 1).count();
+        served += done.iter().filter(|(.., code)| *code == 79).count();
+        longest = done.iter().map(|(_, time, _)| time / 1e3).fold(longest, f64::max);
+        anew += p.count("run_anew");
+        failed += p.count("failed_by_loss");
+    }
+    tell("rollout.loss_rounds", 20, "candidates killed or stopped");
+    tell("rollout.loss_calls", calls, "calls");
+    tell("rollout.loss_calls_without_one_answer", lost_calls, "calls");
+    tell("rollout.loss_mails_run_twice", mails_twice, "calls");
+    tell("rollout.loss_calls_served", served, "calls");
+    tell("rollout.loss_calls_run_anew", anew, "calls");
+    tell("rollout.loss_calls_failed", failed, "calls");
+    tell("rollout.loss_longest_answer", longest.round(), "ms");
+    assert_eq!((lost_calls, mails_twice), (0, 0));
+}
+
+/// Simulated rollouts: calls of the new version until the gates fail, if they do.
+fn simulate(seed: u64, share: f64, (old, new): (f64, f64), most: u64) -> Option<u64> {
+    let (mut rng, mut gates, mut passed, mut n) =
+        (fastrand::Rng::with_seed(seed), Gates::new(GateTable::default()), 0, 0u64);
+    while passed < most {
+        n += 1;
+        let version = if rng.f64() < share { Version::New } else { Version::Old };
+        passed += u64::from(version == Version::New);
+        let fails = rng.f64() < if version == Version::New { new } else { old };
+        let outcome = if fails { Outcome::Failed } else { Outcome::Served };
+        let class = CLASSES[rng.usize(0..3)];
+        // Exponential times, as the platform's work is.
+        let took = (-rng.f64().max(1e-9).ln() * 250_000.0) as i64;
+        gates.call(version, class, outcome, took, 1_500_000);
+        if n.is_multiple_of(25) {
+            gates.close();
+            if gates.verdict().0 == Verdict::Fails {
+                return Some(passed);
+            }
+        }
+    }
+    None
+}
+
+fn gates() {
+    let false_alarms = (0..1_000).filter(|s| simulate(*s, 0.25, (0.02, 0.02), 2_000).is_some()).count();
+    tell("rollout.gate_false_roll_backs_of_1000_equal", false_alarms, "rollouts of 2000 new calls");
+    for (name, rates, share) in [
+        ("1_to_6", (0.01, 0.06), 0.25),
+        ("5_to_10", (0.05, 0.10), 0.25),
+        ("1_to_6_at_1_percent", (0.01, 0.06), 0.01),
+    ] {
+        let caught: Vec<_> = (0..200).map(|s| simulate(s, share, rates, 5_000)).collect();
+        let mut calls: Vec<f64> = caught.iter().flatten().map(|c| *c as f64).collect();
+        tell(&format!("rollout.gate_caught_{name}"), calls.len(), "of 200");
+        tell(&format!("rollout.gate_calls_until_caught_{name}_p50"), quantile(&mut calls, 0.5), "new calls");
+        tell(&format!("rollout.gate_calls_until_caught_{name}_p95"), quantile(&mut calls, 0.95), "new calls");
+        tell(&format!("rollout.gate_calls_until_caught_{name}_max"), quantile(&mut calls, 1.0), "new calls");
+    }
+}
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -581,7 +581,13 @@
         self.preloads.remove(&(n.clone(), id.clone()));
         let (now, keep) = (self.now, self.settings.keep);
         let Some(p) = self.functions.get_mut(id).and_then(|f| f.places.get_mut(n)) else { return };
-        (p.ordered, p.loading, p.copies) = (false, None, copies);
+        (p.ordered, p.loading) = (false, None);
+        if end == Outcome::NotSent {
+            // It tells nothing of the worker; to try again at once would be to ask for ever.
+            self.orders.pop_back();
+            return;
+        }
+        p.copies = copies;
         p.warm_until = if copies > 0 { now + keep } else { 0 };
         match end {
             // An order that has come whole stands, also when its connection ends: calls wait for its load.
--- a/tests/beside.rs
+++ b/tests/beside.rs
@@ -177,3 +177,20 @@
     let (sends, _) = again(SAFE, &past[..3], &["w0", "w1", "w2"]);
     assert_eq!(sends.len(), 1);
 }
+
+/// An order that was never given tells nothing of the worker: what is believed there stays, and it is not asked
+/// for again at once.
+#[test]
+fn an_order_that_was_not_given_changes_no_belief() {
+    let mut bed = Bed::new(rationed(), 1);
+    let worker = bed.serve(SAFE, "f");
+    // Two lanes of the one copy are taken: the next call has another copy ordered.
+    let outs: Vec<_> = (0..4).map(|_| bed.call(SAFE, "f").1).collect();
+    let wanted: usize = outs.iter().map(|out| loads(out).len()).sum();
+    assert_eq!(wanted, 1, "{outs:?}");
+    let ended = Event::LoadEnded { worker, function: "f".into(), outcome: Outcome::NotSent, copies: 0 };
+    let out = bed.event(ended);
+    assert!(loads(&out).is_empty() && sent(&out).is_none(), "{out:?}");
+    assert_eq!(bed.router.legacy().loaded.len(), 1, "the copy that stands is still believed in");
+    assert_eq!(loads(&bed.call(SAFE, "f").1).len(), 1, "the next call wants it again");
+}
