crates/admission: caps, heavy hitters, penalties, ledgers and an adaptive limit

Property tests found two faults: a known client within its reserve took what is kept for hosts while others had its place on loan, and after a jump of the clock back a rate stayed shut as long as it was asked.

--- /dev/null
+++ b/crates/admission/src/gate.rs
@@ -0,0 +1,543 @@
+//! The gate: what of all that is known lets somebody in, and what is remembered of those that it turned away.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::IpAddr;
+
+use serde::{Deserialize, Serialize};
+use wheellink::Micros;
+
+use crate::adaptive::{Adaptive, Refused};
+use crate::prefix::Prefix;
+use crate::rules::{Caps, Rules, MOST_PREFIXES};
+use crate::table::{Entry, Table};
+
+/// Weights of a connection or request, and of a refusal: what misbehaves stays in the table.
+const COME: f64 = 1.0;
+const TURNED_AWAY: f64 = 10.0;
+/// Refused prefixes that are told apart in one window; the rest are counted together.
+pub const MOST_TOLD: usize = 20;
+/// How long a window of the log is.
+pub const WINDOW: Micros = 1_000_000;
+/// Penalties double this often at the most: beyond that the cap holds anyway.
+const MOST_LEVELS: u32 = 40;
+/// Entries that are told to a successor, heaviest first.
+const MOST_PASSED: usize = 2_000;
+/// Tenants whose open requests are told apart.
+const MOST_TENANTS: usize = 1_024;
+
+/// Why somebody was turned away.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Reason {
+    /// By hand.
+    Blocked,
+    /// Turned away too often lately.
+    Penalty,
+    /// Connections at once.
+    Connections,
+    /// New connections a second.
+    ConnectRate,
+    /// Requests a second.
+    RequestRate,
+    /// Requests open.
+    Open,
+    /// Bytes of open requests.
+    OpenBytes,
+    /// The tenant's caps.
+    Tenant,
+    /// The adaptive limit.
+    Busy,
+    /// The adaptive limit, where the tenant is above its share of it.
+    Share,
+    /// The table holds active entries only.
+    Table,
+}
+
+impl Reason {
+    /// As it stands in log and answers.
+    pub fn word(self) -> &'static str {
+        match self {
+            Reason::Blocked => "blocked",
+            Reason::Penalty => "penalty",
+            Reason::Connections => "connections",
+            Reason::ConnectRate => "connect_rate",
+            Reason::RequestRate => "request_rate",
+            Reason::Open => "open",
+            Reason::OpenBytes => "open_bytes",
+            Reason::Tenant => "tenant",
+            Reason::Busy => "busy",
+            Reason::Share => "share",
+            Reason::Table => "table",
+        }
+    }
+
+    /// Whether it is the client's own doing, and not that the service is full.
+    pub fn is_own_doing(self) -> bool {
+        !matches!(self, Reason::Busy | Reason::Share | Reason::Table | Reason::Tenant)
+    }
+}
+
+/// How a client stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// By the file or by hand, or by what it was served.
+    Known,
+    /// Nothing speaks for it.
+    Other,
+}
+
+/// Who asks: an address.
+pub type Origin = IpAddr;
+
+/// A request that asks to be taken.
+#[derive(Clone, Copy, Debug)]
+pub struct Asking {
+    /// Whose.
+    pub from: Origin,
+    /// Its tenant and that one's share of the service.
+    pub tenant: Option<usize>,
+    /// In parts of 1.
+    pub share: f64,
+    /// Its class's worth in parts of the highest.
+    pub worth: f64,
+    /// Bytes of its body.
+    pub size: u64,
+}
+
+/// Who was turned away within a window, for one line of the log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Window {
+    /// Whom, why, how often; most often first.
+    pub told: Vec<(Prefix, Reason, u64)>,
+    /// Refusals of whoever is not told.
+    pub others: u64,
+}
+
+/// What a successor is told of one address.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Passed {
+    prefix: Prefix,
+    served: f64,
+    served_at: Micros,
+    spoilt_until: Micros,
+    closed_until: Micros,
+    level: u32,
+    refused: u64,
+}
+
+/// What a successor is told.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct State {
+    blocked: Vec<Prefix>,
+    known: Vec<Prefix>,
+    entries: Vec<Passed>,
+}
+
+#[derive(Debug, Default)]
+struct TenantState {
+    open: u32,
+    bytes: u64,
+    rate: crate::rate::Tat,
+}
+
+/// See the module's page.
+pub struct Admission {
+    rules: Rules,
+    near: Table,
+    wide: Table,
+    tenants: BTreeMap<Option<usize>, TenantState>,
+    blocked: BTreeSet<Prefix>,
+    known: BTreeSet<Prefix>,
+    adaptive: Option<Adaptive>,
+    window: Micros,
+    refused: BTreeMap<(Prefix, Reason), u64>,
+    others: u64,
+    /// All refusals since the start.
+    pub total: u64,
+}
+
+fn capped(entry: &Entry, caps: &Caps, factor: f64) -> Option<Reason> {
+    let most = |cap: u32| (f64::from(cap) * factor) as u64;
+    (caps.connections.is_some_and(|cap| u64::from(entry.connections) >= most(cap)))
+        .then_some(Reason::Connections)
+}
+
+fn request_capped(entry: &Entry, caps: &Caps, factor: f64, size: u64) -> Option<Reason> {
+    let most = |cap: f64| (cap * factor) as u64;
+    if caps.open.is_some_and(|cap| u64::from(entry.open) >= most(cap.into())) {
+        Some(Reason::Open)
+    } else if caps.open_bytes.is_some_and(|cap| entry.bytes.saturating_add(size) > most(cap as f64)) {
+        Some(Reason::OpenBytes)
+    } else {
+        None
+    }
+}
+
+impl Admission {
+    /// With rules that were checked.
+    pub fn new(rules: Rules) -> Self {
+        Self {
+            near: Table::new(rules.entries),
+            wide: Table::new(rules.entries),
+            tenants: BTreeMap::new(),
+            blocked: BTreeSet::new(),
+            known: rules.known.iter().copied().collect(),
+            adaptive: rules.adaptive.clone().map(Adaptive::new),
+            window: 0,
+            refused: BTreeMap::new(),
+            others: 0,
+            total: 0,
+            rules,
+        }
+    }
+
+    /// Other rules from now on: counts, penalties and what was learnt stay. What the old file knew and the new one
+    /// does not is known no more, and what was made known by hand stays so.
+    pub fn retune(&mut self, rules: Rules) {
+        for prefix in &self.rules.known {
+            self.known.remove(prefix);
+        }
+        self.known.extend(rules.known.iter().copied());
+        self.near.bound(rules.entries);
+        self.wide.bound(rules.entries);
+        match (&mut self.adaptive, &rules.adaptive) {
+            (Some(adaptive), Some(rules)) => adaptive.retune(rules.clone()),
+            (slot, rules) => *slot = rules.clone().map(Adaptive::new),
+        }
+        self.rules = rules;
+    }
+
+    /// The rules in force.
+    pub fn rules(&self) -> &Rules {
+        &self.rules
+    }
+
+    /// Whether this is a proxy whose word on its clients' addresses is taken.
+    pub fn trusts(&self, from: Origin) -> bool {
+        self.rules.proxies.iter().any(|p| p.contains(from))
+    }
+
+    fn served_lately(&self, now: Micros, entry: &Entry) -> f64 {
+        let half = self.rules.learn_half_ms as f64 * 1000.0;
+        entry.served * (-((now - entry.served_at).max(0) as f64) / half).exp2()
+    }
+
+    /// How a client stands.
+    pub fn standing(&self, now: Micros, from: Origin) -> Standing {
+        if self.known.iter().any(|p| p.contains(from)) {
+            return Standing::Known;
+        }
+        let learns = self.rules.learn_calls > 0.0;
+        let entry = self.near.get(&Prefix::near(from)).filter(|_| learns);
+        let spoilt = |e: &Entry| e.spoilt_until > now && e.spoilt_until <= now + self.rules.spoilt();
+        match entry {
+            Some(e) if !spoilt(e) && self.served_lately(now, e) >= self.rules.learn_calls => Standing::Known,
+            _ => Standing::Other,
+        }
+    }
+
+    fn factor(&self, standing: Standing) -> f64 {
+        match standing {
+            Standing::Known => self.rules.known_factor,
+            Standing::Other => 1.0,
+        }
+    }
+
+    /// A connection has come. It counts from now on, until [`Admission::gone`].
+    ///
+    /// # Errors
+    /// Why it is to be closed, unread; then it does not count.
+    pub fn connect(&mut self, now: Micros, from: Origin) -> Result<Standing, Reason> {
+        let standing = self.standing(now, from);
+        match self.try_connect(now, from, standing) {
+            Ok(()) => Ok(standing),
+            Err(reason) => {
+                self.turn_away(now, from, reason);
+                Err(reason)
+            }
+        }
+    }
+
+    fn try_connect(&mut self, now: Micros, from: Origin, standing: Standing) -> Result<(), Reason> {
+        if self.blocked.iter().any(|p| p.contains(from)) {
+            return Err(Reason::Blocked);
+        }
+        let (near, wide) = (Prefix::near(from), Prefix::wide(from));
+        let longest = self.rules.penalty.longest_ms as Micros * 1000;
+        let closed = |e: &Entry| e.closed_until > now && e.closed_until <= now + longest;
+        if self.near.get(&near).is_some_and(closed) {
+            return Err(Reason::Penalty);
+        }
+        let factor = self.factor(standing);
+        // All caps first, so that whoever is turned away by one has not used up another.
+        let (a, n) = (&self.rules.address, &self.rules.neighbourhood);
+        let over = self.near.get(&near).and_then(|e| capped(e, a, factor));
+        let over = over.or_else(|| self.wide.get(&wide).and_then(|e| capped(e, n, factor)));
+        if let Some(reason) = over {
+            return Err(reason);
+        }
+        for (table, key, rate) in
+            [(&mut self.near, near, &a.connect_rate), (&mut self.wide, wide, &n.connect_rate)]
+        {
+            let scaled = rate
+                .map(|r| crate::rate::Rate { per_second: r.per_second * factor, burst: r.burst * factor });
+            let took =
+                table.change(now, key, COME, |e| scaled.is_none_or(|r| e.connect.take(now, &r).is_ok()));
+            match took {
+                Some(true) => {}
+                Some(false) => return Err(Reason::ConnectRate),
+                None => return Err(Reason::Table),
+            }
+        }
+        self.near.change(now, near, 0.0, |e| e.connections += 1);
+        self.wide.change(now, wide, 0.0, |e| e.connections += 1);
+        Ok(())
+    }
+
+    /// A connection that was let in has ended.
+    pub fn gone(&mut self, now: Micros, from: Origin) {
+        let less = |e: &mut Entry| e.connections = e.connections.saturating_sub(1);
+        self.near.change(now, Prefix::near(from), 0.0, less);
+        self.wide.change(now, Prefix::wide(from), 0.0, less);
+    }
+
+    /// A request asks to go on to the module. It counts from now on, until [`Admission::done`].
+    ///
+    /// # Errors
+    /// Why not, and how long to wait before trying again; then it does not count.
+    pub fn request(&mut self, now: Micros, asking: &Asking) -> Result<(), (Reason, Micros)> {
+        let taken = self.try_request(now, asking);
+        if let Err((reason, _)) = taken {
+            self.turn_away(now, asking.from, reason);
+        }
+        taken
+    }
+
+    fn try_request(&mut self, now: Micros, asking: &Asking) -> Result<(), (Reason, Micros)> {
+        const SOON: Micros = 1_000_000;
+        let (near, wide) = (Prefix::near(asking.from), Prefix::wide(asking.from));
+        if self.blocked.iter().any(|p| p.contains(asking.from)) {
+            return Err((Reason::Blocked, 60 * SOON));
+        }
+        let factor = self.factor(self.standing(now, asking.from));
+        let (a, n, t) = (&self.rules.address, &self.rules.neighbourhood, &self.rules.tenant);
+        let over = self.near.get(&near).and_then(|e| request_capped(e, a, factor, asking.size));
+        let over =
+            over.or_else(|| self.wide.get(&wide).and_then(|e| request_capped(e, n, factor, asking.size)));
+        if let Some(reason) = over {
+            return Err((reason, SOON));
+        }
+        let told_apart = self.tenants.len() < MOST_TENANTS || self.tenants.contains_key(&asking.tenant);
+        if told_apart {
+            let tenant = self.tenants.entry(asking.tenant).or_default();
+            let open = t.open.is_some_and(|cap| tenant.open >= cap);
+            let bytes = t.open_bytes.is_some_and(|cap| tenant.bytes.saturating_add(asking.size) > cap);
+            if open || bytes {
+                return Err((Reason::Tenant, SOON));
+            }
+        }
+        for (table, key, rate) in
+            [(&mut self.near, near, &a.request_rate), (&mut self.wide, wide, &n.request_rate)]
+        {
+            let scaled = rate
+                .map(|r| crate::rate::Rate { per_second: r.per_second * factor, burst: r.burst * factor });
+            let took = table.change(now, key, COME, |e| scaled.map_or(Ok(()), |r| e.request.take(now, &r)));
+            match took {
+                Some(Ok(())) => {}
+                Some(Err(wait)) => return Err((Reason::RequestRate, wait)),
+                None => return Err((Reason::Table, SOON)),
+            }
+        }
+        if let (Some(rate), Some(tenant)) = (&t.request_rate, self.tenants.get_mut(&asking.tenant)) {
+            tenant.rate.take(now, rate).map_err(|wait| (Reason::Tenant, wait))?;
+        }
+        if let Some(adaptive) = &mut self.adaptive {
+            adaptive.take(now, asking.worth, asking.tenant, asking.share).map_err(
+                |refused| match refused {
+                    Refused::Full => (Reason::Busy, SOON),
+                    Refused::Share => (Reason::Share, SOON),
+                },
+            )?;
+        }
+        let more = |e: &mut Entry| {
+            e.open += 1;
+            e.bytes = e.bytes.saturating_add(asking.size);
+        };
+        self.near.change(now, near, 0.0, more);
+        self.wide.change(now, wide, 0.0, more);
+        if let Some(tenant) = self.tenants.get_mut(&asking.tenant) {
+            (tenant.open, tenant.bytes) = (tenant.open + 1, tenant.bytes.saturating_add(asking.size));
+        }
+        Ok(())
+    }
+
+    /// A request that was taken is over. `took` where it was served.
+    pub fn done(&mut self, now: Micros, asking: &Asking, class: usize, took: Option<Micros>) {
+        let half = self.rules.learn_half_ms as f64 * 1000.0;
+        let less = |e: &mut Entry| {
+            e.open = e.open.saturating_sub(1);
+            e.bytes = e.bytes.saturating_sub(asking.size);
+            if took.is_some() {
+                let passed = (now - e.served_at).max(0) as f64;
+                e.served = e.served * (-passed / half).exp2() + 1.0;
+                e.served_at = now;
+            }
+        };
+        self.near.change(now, Prefix::near(asking.from), 0.0, less);
+        self.wide.change(now, Prefix::wide(asking.from), 0.0, less);
+        if let Some(tenant) = self.tenants.get_mut(&asking.tenant) {
+            tenant.open = tenant.open.saturating_sub(1);
+            tenant.bytes = tenant.bytes.saturating_sub(asking.size);
+        }
+        if let Some(adaptive) = &mut self.adaptive {
+            adaptive.done(now, class, asking.tenant, took);
+        }
+    }
+
+    /// Somebody was turned away: it is counted, spoils what was learnt, and may begin a penalty.
+    fn turn_away(&mut self, now: Micros, from: Origin, reason: Reason) {
+        self.total = self.total.saturating_add(1);
+        let key = (Prefix::near(from), reason);
+        // More than are told, so that those that come most often are among them.
+        if self.refused.len() < 8 * MOST_TOLD || self.refused.contains_key(&key) {
+            *self.refused.entry(key).or_default() += 1;
+        } else {
+            self.others += 1;
+        }
+        if !reason.is_own_doing() {
+            return;
+        }
+        let (p, spoilt) = (&self.rules.penalty, self.rules.spoilt());
+        let (window, first) = (p.window_ms as Micros * 1000, p.first_ms as Micros * 1000);
+        let (longest, refusals) = (p.longest_ms as Micros * 1000, p.refusals);
+        let begins = |e: &mut Entry| {
+            e.refused = e.refused.saturating_add(1);
+            // Whoever is closed at accept is not punished for that again, and the table's own fullness is nobody's.
+            if reason == Reason::Penalty {
+                return;
+            }
+            e.spoilt_until = now + spoilt;
+            if now - e.window >= window || e.window > now {
+                (e.window, e.lately) = (now, 0);
+            }
+            e.lately = e.lately.saturating_add(1);
+            if e.lately >= refusals {
+                // One level is forgiven for each longest time that has passed since the last penalty.
+                let calm = (now - e.closed_until).max(0) / longest.max(1);
+                e.level = e.level.saturating_sub(calm.min(i64::from(MOST_LEVELS)) as u32);
+                let time = first.saturating_mul(1 << e.level.min(MOST_LEVELS)).clamp(first, longest);
+                e.closed_until = now + time;
+                e.level = (e.level + 1).min(MOST_LEVELS);
+                (e.window, e.lately) = (now, 0);
+            }
+        };
+        self.near.change(now, key.0, TURNED_AWAY, begins);
+        self.wide.change(now, Prefix::wide(from), TURNED_AWAY, |e| e.refused = e.refused.saturating_add(1));
+    }
+
+    /// Whom was turned away in the window that is over, where it is and anybody was.
+    pub fn window(&mut self, now: Micros) -> Option<Window> {
+        if now - self.window < WINDOW && now >= self.window {
+            return None;
+        }
+        self.window = now;
+        let mut told: Vec<_> =
+            std::mem::take(&mut self.refused).into_iter().map(|((p, r), n)| (p, r, n)).collect();
+        let mut others = std::mem::take(&mut self.others);
+        told.sort_by_key(|(prefix, reason, n)| (std::cmp::Reverse(*n), *prefix, *reason));
+        others += told.iter().skip(MOST_TOLD).map(|(.., n)| n).sum::<u64>();
+        told.truncate(MOST_TOLD);
+        (!told.is_empty() || others > 0).then_some(Window { told, others })
+    }
+
+    /// Nobody of this prefix is let in from now on. False where as many are blocked as may be.
+    pub fn block(&mut self, prefix: Prefix) -> bool {
+        (self.blocked.len() < MOST_PREFIXES || self.blocked.contains(&prefix)) && {
+            self.blocked.insert(prefix);
+            true
+        }
+    }
+
+    /// They are let in again; a penalty that one of them has ends too.
+    pub fn unblock(&mut self, now: Micros, prefix: Prefix) {
+        self.blocked.remove(&prefix);
+        if self.near.get(&prefix).is_some() {
+            self.near.change(now, prefix, 0.0, |e| (e.closed_until, e.level, e.lately) = (0, 0, 0));
+        }
+    }
+
+    /// Whether an address is blocked by hand.
+    pub fn is_blocked(&self, from: Origin) -> bool {
+        self.blocked.iter().any(|p| p.contains(from))
+    }
+
+    /// Clients of this prefix are known from now on, or no longer so by hand. False where as many are as may be.
+    pub fn know(&mut self, prefix: Prefix, known: bool) -> bool {
+        if !known {
+            self.known.remove(&prefix);
+            return true;
+        }
+        (self.known.len() < 2 * MOST_PREFIXES || self.known.contains(&prefix)) && {
+            self.known.insert(prefix);
+            true
+        }
+    }
+
+    /// Blocked by hand, and known by file or hand.
+    pub fn by_hand(&self) -> (impl Iterator<Item = &Prefix>, impl Iterator<Item = &Prefix>) {
+        (self.blocked.iter(), self.known.iter())
+    }
+
+    /// The tables of addresses and neighbourhoods.
+    pub fn tables(&self) -> (&Table, &Table) {
+        (&self.near, &self.wide)
+    }
+
+    /// The adaptive limit and what is under way, where there is one.
+    pub fn adaptive(&self) -> Option<(u32, u32)> {
+        self.adaptive.as_ref().map(Adaptive::state)
+    }
+
+    /// What a process needs that takes this one's place.
+    pub fn state(&self, now: Micros) -> State {
+        let worth_it = |e: &&Entry| e.served > 0.0 || e.closed_until > now || e.refused > 0;
+        let heaviest = self.near.heaviest(now, MOST_PASSED);
+        let entries = heaviest.into_iter().filter(|(.., e)| worth_it(e)).map(|(prefix, .., e)| Passed {
+            prefix,
+            served: e.served,
+            served_at: e.served_at,
+            spoilt_until: e.spoilt_until,
+            closed_until: e.closed_until,
+            level: e.level,
+            refused: e.refused,
+        });
+        let by_hand = self.known.iter().filter(|p| !self.rules.known.contains(p));
+        State {
+            blocked: self.blocked.iter().copied().collect(),
+            known: by_hand.copied().collect(),
+            entries: entries.collect(),
+        }
+    }
+
+    /// Takes up what such a process told; what this one has learnt itself stays where it is more.
+    pub fn inherit(&mut self, now: Micros, state: State) {
+        for prefix in state.blocked {
+            self.block(prefix);
+        }
+        for prefix in state.known {
+            self.know(prefix, true);
+        }
+        for p in state.entries.into_iter().take(MOST_PASSED) {
+            let weight = COME + TURNED_AWAY * (p.refused.min(1 << 20) as f64);
+            self.near.change(now, p.prefix, weight, |e| {
+                if p.served.is_finite() && p.served > e.served {
+                    (e.served, e.served_at) = (p.served, p.served_at.min(now));
+                }
+                e.spoilt_until = e.spoilt_until.max(p.spoilt_until);
+                e.closed_until = e.closed_until.max(p.closed_until);
+                e.level = e.level.max(p.level.min(MOST_LEVELS));
+                e.refused = e.refused.max(p.refused);
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/admission/src/ledger.rs
@@ -0,0 +1,213 @@
+//! Who holds how much of one thing that is limited: descriptors, or bytes of memory.
+//!
+//! Each owner has a reserve. What is not reserved is anybody's. What known clients do not use of theirs may be
+//! borrowed, and is owed back when they ask; nobody borrows of the others' reserves, so that an owner within its
+//! reserve is never kept waiting, and a call that was taken can always reach a host.
+
+use std::fmt;
+
+use wheellink::Micros;
+
+/// Who holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Owner {
+    /// Connections to script hosts.
+    Hosts,
+    /// Known clients.
+    Known,
+    /// All other clients.
+    Others,
+    /// Operators' calls.
+    Operators,
+    /// The program itself: listeners, bus, resolver, the other process of an upgrade.
+    Own,
+}
+
+impl Owner {
+    /// All of them.
+    pub const ALL: [Owner; 5] = [Owner::Hosts, Owner::Known, Owner::Others, Owner::Operators, Owner::Own];
+
+    /// As it is told to operators.
+    pub fn word(self) -> &'static str {
+        ["hosts", "known", "others", "operators", "own"][self as usize]
+    }
+
+    /// Whether its unused reserve may be borrowed.
+    fn lends(self) -> bool {
+        self == Owner::Known
+    }
+}
+
+/// What became of a wish.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Taken {
+    /// It is the owner's.
+    Yes,
+    /// It is, on loan from known clients.
+    Borrowed,
+    /// It is due, and this owner has it on loan: it is to give it back, then ask again.
+    Owed(Owner),
+    /// There is none for this owner.
+    No,
+}
+
+/// Why limits make no sense.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LedgerError(pub String);
+
+impl fmt::Display for LedgerError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+impl std::error::Error for LedgerError {}
+
+const OWNERS: usize = Owner::ALL.len();
+
+/// See the module's page.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Ledger {
+    limit: usize,
+    /// The limit for the time being, where the system turned out to have less.
+    ceiling: usize,
+    raised: Micros,
+    reserve: [usize; OWNERS],
+    held: [usize; OWNERS],
+    /// Since when something is owed back.
+    owed_since: Option<Micros>,
+}
+
+/// The ceiling rises by one unit in this time after the system had less than the limit.
+const RAISE: Micros = 1_000_000;
+
+impl Ledger {
+    /// Of this limit, with these reserves in the order of [`Owner::ALL`].
+    ///
+    /// # Errors
+    /// The reserves are more than the limit.
+    pub fn new(limit: usize, reserve: [usize; OWNERS]) -> Result<Self, LedgerError> {
+        let mut ledger = Self {
+            limit: 0,
+            ceiling: usize::MAX,
+            raised: 0,
+            reserve: [0; OWNERS],
+            held: [0; OWNERS],
+            owed_since: None,
+        };
+        ledger.bound(limit, reserve)?;
+        Ok(ledger)
+    }
+
+    /// Other limits from now on. What is held beyond them stays until it is given back; nothing new is taken.
+    ///
+    /// # Errors
+    /// The reserves are more than the limit: the old limits stay.
+    pub fn bound(&mut self, limit: usize, reserve: [usize; OWNERS]) -> Result<(), LedgerError> {
+        let sum = reserve.iter().try_fold(0usize, |sum, r| sum.checked_add(*r));
+        match sum.filter(|sum| *sum <= limit) {
+            Some(_) => {
+                (self.limit, self.reserve) = (limit, reserve);
+                Ok(())
+            }
+            None => Err(LedgerError(format!("reserves of {reserve:?} are more than the limit of {limit}"))),
+        }
+    }
+
+    /// What an owner holds.
+    pub fn held(&self, owner: Owner) -> usize {
+        self.held[owner as usize]
+    }
+
+    /// What is held in all.
+    pub fn sum(&self) -> usize {
+        self.held.iter().sum()
+    }
+
+    /// The limit in force, and what is reserved for an owner.
+    pub fn limit(&self) -> usize {
+        self.limit.min(self.ceiling)
+    }
+
+    /// An owner's reserve.
+    pub fn reserve(&self, owner: Owner) -> usize {
+        self.reserve[owner as usize]
+    }
+
+    fn unused(&self, owner: Owner) -> usize {
+        self.reserve(owner).saturating_sub(self.held(owner))
+    }
+
+    /// Takes so many units for an owner, or none.
+    pub fn take(&mut self, now: Micros, owner: Owner, units: usize) -> Taken {
+        let free = self.limit().saturating_sub(self.sum());
+        let others = Owner::ALL.into_iter().filter(|o| *o != owner);
+        let (mut kept, mut lent) = (0, 0);
+        for other in others {
+            match other.lends() {
+                true => lent += self.unused(other),
+                false => kept += self.unused(other),
+            }
+        }
+        let within = self.held(owner) + units <= self.reserve(owner);
+        // Of what nobody lends, its owner finds it free; a lender's may be out, and must not be made up for by others'.
+        let due = within && units + if owner.lends() { kept } else { 0 } <= free;
+        let taken = if due || units + kept + lent <= free {
+            Taken::Yes
+        } else if units + kept <= free && !owner.lends() {
+            Taken::Borrowed
+        } else {
+            let excess = |o: &Owner| self.held(*o).saturating_sub(self.reserve(*o));
+            let borrower = Owner::ALL.into_iter().filter(|o| *o != owner && excess(o) > 0).max_by_key(excess);
+            return match borrower.filter(|_| within) {
+                Some(borrower) => {
+                    self.owed_since = self.owed_since.or(Some(now));
+                    Taken::Owed(borrower)
+                }
+                None => Taken::No,
+            };
+        };
+        self.held[owner as usize] += units;
+        taken
+    }
+
+    /// Gives units back. Giving back more than is held is a fault of the embedder and gives back what is held.
+    pub fn give(&mut self, owner: Owner, units: usize) {
+        debug_assert!(self.held(owner) >= units, "{owner:?} gives back more than it holds");
+        self.held[owner as usize] -= units.min(self.held(owner));
+        if self.sum() < self.limit() {
+            self.owed_since = None;
+        }
+    }
+
+    /// A unit changes hands: whoever held it is another owner now (a client has become known, say).
+    pub fn pass(&mut self, from: Owner, to: Owner, units: usize) {
+        let units = units.min(self.held(from));
+        self.held[from as usize] -= units;
+        self.held[to as usize] += units;
+    }
+
+    /// Whether what is owed has not been given back within this time.
+    pub fn is_overdue(&self, now: Micros, within: Micros) -> bool {
+        self.owed_since.is_some_and(|since| now - since >= within)
+    }
+
+    /// The system has no more although the limit says so: nothing beyond what is held for now, and then one more
+    /// each second.
+    pub fn starved(&mut self, now: Micros) {
+        self.ceiling = self.sum();
+        self.raised = now;
+    }
+
+    /// Time has passed.
+    pub fn tick(&mut self, now: Micros) {
+        if self.ceiling < self.limit {
+            // After a jump of the clock it rises from there on.
+            self.raised = self.raised.min(now);
+            let steps = (now - self.raised) / RAISE;
+            self.ceiling = self.ceiling.saturating_add(steps as usize);
+            self.raised += steps * RAISE;
+        } else {
+            self.ceiling = usize::MAX;
+        }
+    }
+}
--- /dev/null
+++ b/crates/admission/src/prefix.rs
@@ -0,0 +1,185 @@
+//! Addresses and prefixes. An IPv4 address that comes in the form of an IPv6 one (RFC 4291, 2.5.5.2) is the IPv4
+//! address.
+
+use std::fmt;
+use std::net::{IpAddr, Ipv4Addr, Ipv6Addr};
+use std::str::FromStr;
+
+use serde::{Deserialize, Serialize};
+
+/// Bits of an IPv6 address before an IPv4 one in it.
+const MAPPED: u8 = 96;
+
+/// A prefix of IPv4 or IPv6 addresses.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct Prefix {
+    bits: u128,
+    len: u8,
+}
+
+/// Why text is no prefix.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PrefixError(pub String);
+
+impl fmt::Display for PrefixError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+impl std::error::Error for PrefixError {}
+
+fn bits(address: IpAddr) -> u128 {
+    match address {
+        IpAddr::V4(a) => u128::from(a.to_ipv6_mapped()),
+        IpAddr::V6(a) => u128::from(a),
+    }
+}
+
+fn mask(len: u8) -> u128 {
+    if len == 0 {
+        0
+    } else {
+        u128::MAX << (128 - u32::from(len))
+    }
+}
+
+impl Prefix {
+    /// This address and no other.
+    pub fn of(address: IpAddr) -> Self {
+        Self { bits: bits(address), len: 128 }
+    }
+
+    /// What one client may have: an IPv4 address, or an IPv6 /64.
+    pub fn near(address: IpAddr) -> Self {
+        Self::cut(address, 32, 64)
+    }
+
+    /// Its neighbourhood: an IPv4 /24, or an IPv6 /48.
+    pub fn wide(address: IpAddr) -> Self {
+        Self::cut(address, 24, 48)
+    }
+
+    fn cut(address: IpAddr, four: u8, six: u8) -> Self {
+        let bits = bits(address);
+        let len = if is_mapped(bits) { MAPPED + four } else { six };
+        Self { bits: bits & mask(len), len }
+    }
+
+    /// Whether the address lies in it.
+    pub fn contains(&self, address: IpAddr) -> bool {
+        bits(address) & mask(self.len) == self.bits
+    }
+}
+
+fn is_mapped(bits: u128) -> bool {
+    bits >> 32 == 0xffff
+}
+
+impl FromStr for Prefix {
+    type Err = PrefixError;
+
+    fn from_str(text: &str) -> Result<Self, PrefixError> {
+        let wrong = |why: &str| PrefixError(format!("{text:?} {why}"));
+        let (address, len) = text.split_once('/').map_or((text, None), |(a, l)| (a, Some(l)));
+        let address: IpAddr = address.parse().map_err(|_| wrong("is no address or prefix"))?;
+        let own = if address.is_ipv4() { 32 } else { 128 };
+        let digits = |l: &str| !l.is_empty() && l.len() <= 3 && l.bytes().all(|b| b.is_ascii_digit());
+        let len = match len {
+            None => own,
+            Some(l) if digits(l) => l.parse::<u8>().map_err(|_| wrong("has a length beyond its address"))?,
+            Some(_) => return Err(wrong("has a length that is no number")),
+        };
+        if len > own {
+            return Err(wrong("has a length beyond its address"));
+        }
+        let len = if address.is_ipv4() { len + MAPPED } else { len };
+        let all = bits(address);
+        if all & !mask(len) != 0 {
+            let cut = Self { bits: all & mask(len), len };
+            return Err(wrong(&format!("has bits behind its length; {cut} is meant, or a longer one")));
+        }
+        Ok(Self { bits: all, len })
+    }
+}
+
+impl fmt::Display for Prefix {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (address, len, own): (IpAddr, u8, u8) = if is_mapped(self.bits) && self.len >= MAPPED {
+            (Ipv4Addr::from(self.bits as u32).into(), self.len - MAPPED, 32)
+        } else {
+            (Ipv6Addr::from(self.bits).into(), self.len, 128)
+        };
+        if len == own {
+            write!(f, "{address}")
+        } else {
+            write!(f, "{address}/{len}")
+        }
+    }
+}
+
+impl fmt::Debug for Prefix {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, f)
+    }
+}
+
+impl TryFrom<String> for Prefix {
+    type Error = PrefixError;
+
+    fn try_from(text: String) -> Result<Self, PrefixError> {
+        text.parse()
+    }
+}
+
+impl From<Prefix> for String {
+    fn from(prefix: Prefix) -> String {
+        prefix.to_string()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rstest::rstest;
+
+    #[rstest]
+    #[case("10.1.2.0/24", "10.1.2.77", true)]
+    #[case("10.1.2.0/24", "10.1.3.77", false)]
+    #[case("10.1.2.3", "10.1.2.3", true)]
+    #[case("10.1.2.3", "::ffff:10.1.2.3", true)]
+    #[case("2001:db8::/32", "2001:db8:7::1", true)]
+    #[case("0.0.0.0/0", "203.0.113.9", true)]
+    #[case("0.0.0.0/0", "2001:db8::1", false)]
+    #[case("::/0", "203.0.113.9", true)]
+    fn a_prefix_holds_its_addresses(#[case] prefix: &str, #[case] address: &str, #[case] wanted: bool) {
+        let parsed: Prefix = prefix.parse().unwrap();
+        assert_eq!(parsed.contains(address.parse().unwrap()), wanted);
+        assert_eq!(parsed.to_string(), prefix);
+    }
+
+    #[rstest]
+    #[case("10.1.2.3", "10.1.2.3", "10.1.2.0/24")]
+    #[case("2001:db8:1:2:3::4", "2001:db8:1:2::/64", "2001:db8:1::/48")]
+    #[case("::ffff:10.1.2.3", "10.1.2.3", "10.1.2.0/24")]
+    fn an_address_has_its_neighbourhood(#[case] address: &str, #[case] near: &str, #[case] wide: &str) {
+        let address = address.parse().unwrap();
+        assert_eq!(
+            (Prefix::near(address).to_string(), Prefix::wide(address).to_string()),
+            (near.into(), wide.into())
+        );
+    }
+
+    #[rstest]
+    #[case("", "is no address")]
+    #[case("10.0.0.0/33", "beyond its address")]
+    #[case("10.0.0.0/x", "no number")]
+    #[case("10.0.0.0/-1", "no number")]
+    #[case("10.0.0.0/999", "beyond its address")]
+    #[case("10.0.0.1/8", "10.0.0.0/8 is meant")]
+    #[case("2001:db8::1/64", "2001:db8::/64 is meant")]
+    fn what_is_no_prefix_is_told_why(#[case] text: &str, #[case] wanted: &str) {
+        let problem = text.parse::<Prefix>().unwrap_err().to_string();
+        assert!(problem.contains(wanted), "{problem}");
+    }
+}
--- a/node/src/node/rollout.rs
+++ b/node/src/node/rollout.rs
@@ -86,6 +86,8 @@
     bound: Vec<ClassTerms>,
     differ: Vec<Disagreement>,
     heard: Micros,
+    /// Looks since then: a clock that jumps is no silence.
+    looks: u32,
     /// The candidate's host list is as new as can be told.
     caught_up: bool,
     burial: Option<Burial>,
@@ -114,6 +116,7 @@
             bound: Vec::new(),
             differ: Vec::new(),
             heard: 0,
+            looks: 0,
             caught_up: false,
             burial: None,
             calls: HashMap::new(),
@@ -221,7 +224,7 @@
 
 impl Node {
     pub(super) fn hear_word(&mut self, now: Micros, word: Word) {
-        self.gradual.heard = now;
+        (self.gradual.heard, self.gradual.looks) = (now, 0);
         let heard = match self.gradual.role {
             Role::Holder => self.holder_hears(now, word),
             Role::Candidate | Role::Successor => self.candidate_hears(now, word),
@@ -302,7 +305,9 @@
         }
         let running = matches!(life, Life::Stepping | Life::Held | Life::GoingBack | Life::Complete);
         let patience = if running { self.gradual.machine.silence() } else { IDLE_SILENCE };
-        if now - self.gradual.heard >= patience {
+        self.gradual.looks += 1;
+        let looked = Micros::from(self.gradual.looks) * HOUSEKEEPING * 2 >= patience;
+        if now - self.gradual.heard >= patience && looked {
             // This process may have been held up itself: what waits to be read counts.
             let before = self.upgrade.news.len();
             self.upgrade.poll_peer();
--- a/node/tests/rollout.rs
+++ b/node/tests/rollout.rs
@@ -495,6 +495,26 @@
     client.end();
 }
 
+/// A host that drains gets nothing new from either after its time, whatever runs there may end.
+#[test]
+fn a_drain_holds_for_both() {
+    let (a, b) = (Host::warm(), Host::warm());
+    let mut p = pair(&[&a, &b]);
+    assert_eq!(p.call("", &plan(&[50.0])), 200);
+    let mut client = Client::new(&p.old.program, 0);
+    let used = |h: &Host| h.calls();
+    assert!((0..30).all(|n| client.one(CLASSES[n % 3]) == SERVED));
+    let drain = event(2, false, &[(0, a.address, 1)]);
+    p.old.feed.write_all(&drain).unwrap();
+    p.feed.write_all(&drain).unwrap();
+    std::thread::sleep(ms(400));
+    let before = used(&a);
+    assert!((0..60).all(|n| client.one(CLASSES[n % 3]) == SERVED));
+    assert_eq!(used(&a), before);
+    assert!(p.count("passed") > 30);
+    client.end();
+}
+
 /// The ration of orders to load is one, at any share.
 #[test]
 fn both_versions_keep_one_ration_of_orders() {
