--- a/crates/admission/src/gate.rs
+++ b/crates/admission/src/gate.rs
@@ -279,8 +279,7 @@
         for (table, key, rate) in
             [(&mut self.near, near, &a.connect_rate), (&mut self.wide, wide, &n.connect_rate)]
         {
-            let scaled = rate
-                .map(|r| crate::rate::Rate { per_second: r.per_second * factor, burst: r.burst * factor });
+            let scaled = rate.map(|r| r.times(factor));
             let took =
                 table.change(now, key, COME, |e| scaled.is_none_or(|r| e.connect.take(now, &r).is_ok()));
             match took {
@@ -339,8 +338,7 @@
         for (table, key, rate) in
             [(&mut self.near, near, &a.request_rate), (&mut self.wide, wide, &n.request_rate)]
         {
-            let scaled = rate
-                .map(|r| crate::rate::Rate { per_second: r.per_second * factor, burst: r.burst * factor });
+            let scaled = rate.map(|r| r.times(factor));
             let took = table.change(now, key, COME, |e| scaled.map_or(Ok(()), |r| e.request.take(now, &r)));
             match took {
                 Some(Ok(())) => {}
@@ -371,6 +369,35 @@
         Ok(())
     }
 
+    /// Whether a request would be turned away now for its own or its tenant's doing, and how long to wait: nothing
+    /// is counted.
+    pub fn would_refuse(&self, now: Micros, asking: &Asking) -> Option<(Reason, Micros)> {
+        const SOON: Micros = 1_000_000;
+        if self.is_blocked(asking.from) {
+            return Some((Reason::Blocked, 60 * SOON));
+        }
+        let factor = self.factor(self.standing(now, asking.from));
+        let (a, n) = (&self.rules.address, &self.rules.neighbourhood);
+        let near = self.near.get(&Prefix::near(asking.from));
+        let wide = self.wide.get(&Prefix::wide(asking.from));
+        for (entry, caps) in [(near, a), (wide, n)] {
+            let Some(entry) = entry else { continue };
+            if let Some(reason) = request_capped(entry, caps, factor, asking.size) {
+                return Some((reason, SOON));
+            }
+            let rate = caps.request_rate.map(|r| r.times(factor));
+            if let Some(wait) = rate.and_then(|r| entry.request.wait(now, &r)) {
+                return Some((Reason::RequestRate, wait));
+            }
+        }
+        None
+    }
+
+    /// Somebody was turned away by [`Admission::would_refuse`].
+    pub fn count_refusal(&mut self, now: Micros, from: Origin, reason: Reason) {
+        self.turn_away(now, from, reason);
+    }
+
     /// A request that was taken is over. `took` where it was served.
     pub fn done(&mut self, now: Micros, asking: &Asking, class: usize, took: Option<Micros>) {
         let half = self.rules.learn_half_ms as f64 * 1000.0;
--- a/crates/admission/src/ledger.rs
+++ b/crates/admission/src/ledger.rs
@@ -170,6 +170,22 @@
         taken
     }
 
+    /// What an owner holds, as its keeper counts it.
+    pub fn set(&mut self, owner: Owner, units: usize) {
+        self.held[owner as usize] = units;
+        if self.sum() < self.limit() {
+            self.owed_since = None;
+        }
+    }
+
+    /// How many units this owner could take now, without what known clients lend.
+    pub fn room(&self, owner: Owner) -> usize {
+        let free = self.limit().saturating_sub(self.sum());
+        let others = Owner::ALL.into_iter().filter(|o| *o != owner);
+        let kept: usize = others.map(|o| self.unused(o)).sum();
+        free.saturating_sub(kept).max(self.unused(owner).min(free))
+    }
+
     /// Gives units back. Giving back more than is held is a fault of the embedder and gives back what is held.
     pub fn give(&mut self, owner: Owner, units: usize) {
         debug_assert!(self.held(owner) >= units, "{owner:?} gives back more than it holds");
--- a/crates/admission/src/rate.rs
+++ b/crates/admission/src/rate.rs
@@ -19,6 +19,11 @@
         1e6 / self.per_second.max(1e-6)
     }
 
+    /// So many times as high.
+    pub fn times(&self, factor: f64) -> Self {
+        Self { per_second: self.per_second * factor, burst: self.burst * factor }
+    }
+
     /// Whether the figures make sense.
     pub fn is_sane(&self) -> bool {
         let sane = |x: f64| x.is_finite() && x > 0.0;
@@ -51,6 +56,11 @@
         Ok(())
     }
 
+    /// How long to wait for one, if it cannot be taken now.
+    pub fn wait(&self, now: Micros, rate: &Rate) -> Option<Micros> {
+        self.to_owned().take(now, rate).err()
+    }
+
     /// Whether as many as the burst could be taken: nothing is remembered.
     pub fn is_rested(&self, now: Micros) -> bool {
         self.0 <= now
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -10,6 +10,7 @@
 use serde::Deserialize;
 use serde_json::Value;
 use wheellink::Micros;
+use wheellink_admission::Rules;
 use wheellink_settings::{Deployment, Options};
 
 use crate::bus::{self, Event};
@@ -29,6 +30,8 @@
     pub side: Side,
     /// Gradual versions, where they are set up.
     pub rollout: Option<rollout::Setup>,
+    /// Who is let in, where that is set up.
+    pub admission: Option<Rules>,
     /// The file as it was read, but for the host list: what a new file must not lack.
     form: Value,
 }
@@ -82,6 +85,7 @@
     known: Known,
     settings: Options,
     rollout: Option<rollout::Setup>,
+    admission: Option<Rules>,
 }
 
 #[derive(Default, Deserialize)]
@@ -125,20 +129,28 @@
         .collect();
     file.rollout.as_ref().map_or(Ok(()), rollout::Setup::check)?;
     let limits = file.limits.unwrap_or_default();
+    let sockets = limits.sockets.unwrap_or(SOCKETS);
+    check(file.admission.as_ref(), sockets)?;
     let control = control.or(file.control.as_deref());
     Ok(Config {
         control: control.map(|text| address("control", text)).transpose()?,
         listen: address("listen", listen.unwrap_or(&file.listen))?,
         seed: seed(&file.seed)?,
-        sockets: limits.sockets.unwrap_or(SOCKETS),
+        sockets,
         memory: (limits.memory_mb.unwrap_or(MEMORY).max(16.0) * f64::from(1 << 20)) as usize,
         deployment,
         form,
         rollout: file.rollout,
+        admission: file.admission,
         side: Side::Platform { bus: address("bus", &file.bus)?, offset: file.known.offset, known: known? },
     })
 }
 
+/// Checks who is let in, for a process with so many descriptors.
+fn check(rules: Option<&Rules>, sockets: usize) -> Result<(), String> {
+    rules.map_or(Ok(()), |rules| rules.check(sockets)).map_err(|e| format!("admission: {e}"))
+}
+
 /// Reads an operator's file.
 pub fn operator(text: &str) -> Result<Config, String> {
     operator::parse(text, RandomState::new().hash_one(0))
--- a/node/src/config/operator.rs
+++ b/node/src/config/operator.rs
@@ -23,6 +23,7 @@
     #[serde(default)]
     results: Results,
     rollout: Option<super::rollout::Setup>,
+    admission: Option<wheellink_admission::Rules>,
     #[serde(default)]
     class: Vec<ClassTable>,
     #[serde(default)]
@@ -161,6 +162,7 @@
     wrong(times.iter().any(|t| *t <= 0), "a time that is not above 0")?;
     wrong(file.results.most == 0 || file.results.megabytes == 0, "results must leave room for one")?;
     file.rollout.as_ref().map_or(Ok(()), super::rollout::Setup::check)?;
+    super::check(file.admission.as_ref(), file.sockets)?;
     let mut names: Vec<_> = file.class.iter().map(|c| &c.name).collect();
     names.sort();
     wrong(names.windows(2).any(|w| w[0] == w[1]), "two classes of one name")?;
@@ -237,6 +239,7 @@
         deployment,
         side,
         rollout: file.rollout,
+        admission: file.admission,
     })
 }
 
--- a/node/src/conn.rs
+++ b/node/src/conn.rs
@@ -9,6 +9,7 @@
 use calloop::{Interest, Mode, PostAction, RegistrationToken};
 use socket2::{Domain, Protocol, Socket, Type};
 
+use crate::faults;
 use crate::log::Reason;
 use crate::ring::Ring;
 use crate::wake::{Handle, Wake};
@@ -78,6 +79,7 @@
         bounds: (usize, usize),
         ready: Waking,
     ) -> io::Result<Self> {
+        faults::meet(faults::Call::Connect)?;
         let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
         socket.set_nonblocking(true)?;
         socket.set_tcp_nodelay(true)?;
--- a/node/src/control.rs
+++ b/node/src/control.rs
@@ -5,8 +5,9 @@
 use std::net::{SocketAddr, TcpStream};
 
 use serde::de::DeserializeOwned;
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use wheellink::Micros;
+use wheellink_admission::Prefix;
 use wheellink_rollout::Plan;
 
 use crate::conn::{Conn, ConnId};
@@ -37,6 +38,18 @@
     Standby(bool),
     /// Of a change of versions.
     Rollout(RolloutCall),
+    /// Of who is let in.
+    Admission(AdmissionCall),
+}
+
+/// What an operator asks of admission.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum AdmissionCall {
+    Show,
+    Block(Prefix),
+    Unblock(Prefix),
+    Know { prefix: Prefix, known: bool },
 }
 
 /// What an operator asks of a rollout.
@@ -64,6 +77,31 @@
     to: Option<usize>,
 }
 
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct PrefixBody {
+    prefix: Prefix,
+    #[serde(default = "yes")]
+    known: bool,
+}
+
+fn yes() -> bool {
+    true
+}
+
+fn admission(request: &Request, path: &str) -> Result<AdmissionCall, Response> {
+    if path == "/admission" {
+        return Ok(AdmissionCall::Show);
+    }
+    let wanted = || Response::problem(400, "the body must be {\"prefix\":\"ADDRESS/LENGTH\"}");
+    let PrefixBody { prefix, known } = said::<PrefixBody>(request)?.ok_or_else(wanted)?;
+    Ok(match path {
+        "/admission/block" => AdmissionCall::Block(prefix),
+        "/admission/unblock" => AdmissionCall::Unblock(prefix),
+        _ => AdmissionCall::Know { prefix, known },
+    })
+}
+
 /// Reads a body that may be empty, which stands for nothing said.
 fn said<T: DeserializeOwned>(request: &Request) -> Result<Option<T>, Response> {
     if request.body.iter().all(u8::is_ascii_whitespace) {
@@ -97,7 +135,7 @@
 pub fn call(request: &Request) -> Result<Call, Response> {
     let path = request.path.split('?').next().unwrap_or_default();
     let wanted = match (path, request.method.as_str()) {
-        ("/status", _) | ("/rollout", "GET" | "HEAD") => "GET",
+        ("/status" | "/admission", _) | ("/rollout", "GET" | "HEAD") => "GET",
         _ => "POST",
     };
     let call = match path {
@@ -109,6 +147,9 @@
         "/rollout" | "/rollout/step" | "/rollout/hold" | "/rollout/back" | "/rollout/complete" => {
             Call::Rollout(RolloutCall::Show)
         }
+        "/admission" | "/admission/block" | "/admission/unblock" | "/admission/known" => {
+            Call::Admission(AdmissionCall::Show)
+        }
         _ => return Err(Response::problem(404, "no such call")),
     };
     if request.method != wanted && (wanted, request.method.as_str()) != ("GET", "HEAD") {
@@ -120,6 +161,7 @@
             _ => Err(Response::problem(400, "the body must be {\"host\":\"ID\"}")),
         },
         Call::Rollout(_) => rollout(request, path).map(Call::Rollout),
+        Call::Admission(_) => admission(request, path).map(Call::Admission),
         call => Ok(call),
     }
 }
@@ -144,6 +186,11 @@
         Self { handle, callers: BTreeMap::new(), calls: Vec::new() }
     }
 
+    /// Connections that are held.
+    pub fn held(&self) -> usize {
+        self.callers.len()
+    }
+
     pub fn accept(&mut self, now: Micros, stream: TcpStream, peer: SocketAddr, log: &mut Log) {
         if self.callers.len() >= MOST {
             // Those that have had their answer go first, then those that came first.
@@ -186,7 +233,7 @@
         }
         match http::next_request(&mut c.conn.inbox, LONGEST_BODY) {
             Ok(Parsed::Partial { .. }) if c.conn.eof => Err(Reason::PeerClosed),
-            Ok(Parsed::Partial { expects_continue }) => {
+            Ok(Parsed::Partial { expects_continue, .. }) => {
                 if expects_continue {
                     c.conn.outbox.push(http::CONTINUE);
                     c.conn.flush()?;
@@ -291,6 +338,11 @@
     #[case::step_word("POST", "/rollout/step", r#"{"too":1}"#, Err(400))]
     #[case::get_back("GET", "/rollout/back", "", Err(405))]
     #[case::elsewhere("POST", "/rollout/forward", "", Err(404))]
+    #[case::admission("GET", "/admission", "", Ok(Call::Admission(AdmissionCall::Show)))]
+    #[case::block("POST", "/admission/block", r#"{"prefix":"10.0.0.0/8"}"#, Ok(Call::Admission(AdmissionCall::Block("10.0.0.0/8".parse().unwrap()))))]
+    #[case::no_prefix("POST", "/admission/block", "", Err(400))]
+    #[case::bad_prefix("POST", "/admission/known", r#"{"prefix":"10.0.0.1/8"}"#, Err(400))]
+    #[case::get_block("GET", "/admission/block", "", Err(405))]
     #[case::cut("POST", "/maintenance/exit", r#"{"host":"a"#, Err(400))]
     fn a_call_is_read_or_turned_down(
         #[case] method: &str,
--- a/node/src/door.rs
+++ b/node/src/door.rs
@@ -10,6 +10,7 @@
 use socket2::{Domain, Protocol, Socket, Type};
 use wheellink::Micros;
 
+use crate::faults;
 use crate::wake::{Handle, Wake};
 
 /// Connections that the system may hold until they are accepted: thousands may come at once, and one that is
@@ -62,7 +63,7 @@
     /// The next connection; `None` when none waits.
     pub fn next(&self) -> io::Result<Option<(TcpStream, SocketAddr)>> {
         loop {
-            match self.socket.accept() {
+            match faults::meet(faults::Call::Accept).and_then(|()| self.socket.accept()) {
                 Ok(taken) => return Ok(Some(taken)),
                 Err(e) => match e.kind() {
                     ErrorKind::WouldBlock => return Ok(None),
--- /dev/null
+++ b/node/src/faults.rs
@@ -0,0 +1,82 @@
+//! Faults of the system, made common on purpose: in debug builds `WHEELLINK_FAULTS` names calls that make a
+//! descriptor and what they return instead. Release builds have none of it.
+//!
+//! The form is `call:error:from:count`, several with commas: `accept:EMFILE:3:5` has the 3rd to 7th `accept` fail.
+
+use std::io;
+
+/// A call that makes a descriptor.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Call {
+    /// Taking a connection in.
+    Accept,
+    /// A socket for a connection to somebody else.
+    Connect,
+}
+
+/// The error that this call is to meet instead of being made.
+pub fn meet(call: Call) -> io::Result<()> {
+    if cfg!(debug_assertions) {
+        plan::meet(call)
+    } else {
+        Ok(())
+    }
+}
+
+mod plan {
+    use std::cell::RefCell;
+    use std::io;
+
+    use super::Call;
+
+    struct Fault {
+        call: Call,
+        error: i32,
+        from: u32,
+        until: u32,
+    }
+
+    struct Plan {
+        faults: Vec<Fault>,
+        made: [u32; 2],
+    }
+
+    thread_local!(static PLAN: RefCell<Plan> = RefCell::new(Plan {
+        faults: read(&std::env::var("WHEELLINK_FAULTS").unwrap_or_default()),
+        made: [0; 2],
+    }));
+
+    fn read(text: &str) -> Vec<Fault> {
+        let fault = |part: &str| {
+            let mut words = part.split(':');
+            let call = match words.next()? {
+                "accept" => Call::Accept,
+                "connect" => Call::Connect,
+                _ => return None,
+            };
+            let error = match words.next()? {
+                "EMFILE" => 24,
+                "ENFILE" => 23,
+                "ENOBUFS" => 105,
+                "ECONNABORTED" => 103,
+                _ => return None,
+            };
+            let from = words.next()?.parse().ok()?;
+            Some(Fault { call, error, from, until: words.next()?.parse::<u32>().ok()?.saturating_add(from) })
+        };
+        text.split(',').filter_map(fault).collect()
+    }
+
+    pub fn meet(call: Call) -> io::Result<()> {
+        PLAN.with_borrow_mut(|plan| {
+            if plan.faults.is_empty() {
+                return Ok(());
+            }
+            let made = &mut plan.made[call as usize];
+            *made += 1;
+            let now = *made;
+            let hit = plan.faults.iter().find(|f| f.call == call && (f.from..f.until).contains(&now));
+            hit.map_or(Ok(()), |f| Err(io::Error::from_raw_os_error(f.error)))
+        })
+    }
+}
--- a/node/src/front.rs
+++ b/node/src/front.rs
@@ -3,6 +3,8 @@
 pub mod invoke;
 pub mod platform;
 
+use std::net::{SocketAddr, TcpStream};
+
 use wheellink::Micros;
 
 /// The final answer of a request, in no front's words.
@@ -15,4 +17,40 @@
     Failed,
     /// Its time was up; it may have run.
     TimedOut,
+    /// Admission turned it away, unseen by the module.
+    TurnedAway(Away),
+}
+
+/// How admission turned somebody away.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Away {
+    /// The reason's word.
+    pub word: &'static str,
+    /// It is the client's or its tenant's own doing, not that the service is full.
+    pub own_doing: bool,
+    /// When to come back.
+    pub wait: Micros,
+    /// So many a second, and at once, where it is a rate.
+    pub rate: Option<(u32, u32)>,
+}
+
+/// A connection that was accepted.
+pub struct Guest {
+    pub stream: TcpStream,
+    pub peer: SocketAddr,
+    /// A known client: others make room first.
+    pub known: bool,
+    /// A trusted proxy: its word on its client comes first.
+    pub proxied: bool,
+}
+
+/// Whether a connection's client is known, or who it is not yet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Through {
+    /// It came by itself, or its proxy's word was taken.
+    Nobody,
+    /// Its proxy's word is awaited.
+    Proxy,
+    /// The word is there, and whether its client may come in is not said yet.
+    Held,
 }
--- a/node/src/front/invoke.rs
+++ b/node/src/front/invoke.rs
@@ -6,15 +6,16 @@
 pub mod results;
 
 use std::collections::HashMap;
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 
 use wheellink::{Micros, Ticket};
 
 use crate::conn::{Conn, ConnId};
-use crate::front::Reply;
+use crate::front::{Away, Guest, Reply, Through};
 use crate::hosts::lines::is_word;
 use crate::http::{self, Bad, Parsed, Request, Response};
 use crate::log::{Log, Reason};
+use crate::proxy;
 use crate::wake::{Handle, Wake};
 use results::{Bounds, Job, Results};
 
@@ -65,13 +66,36 @@
 
 /// What the front hands to the node.
 pub enum Notice {
-    Call { origin: Origin, call: Box<Call> },
-    Left { ticket: Ticket },
+    Call {
+        conn: ConnId,
+        origin: Origin,
+        call: Box<Call>,
+    },
+    Left {
+        ticket: Ticket,
+    },
+    /// A trusted proxy has said whose the connection is: [`Invoke::admit`] must follow.
+    Proxied {
+        conn: ConnId,
+        client: Option<SocketAddr>,
+    },
+    /// A call of this tenant is on its way with so long a body: [`Invoke::go_ahead`] must follow.
+    Head {
+        conn: ConnId,
+        tenant: Option<usize>,
+        size: usize,
+    },
+    /// A connection has ended.
+    Gone {
+        conn: ConnId,
+    },
 }
 
 enum State {
     /// Between requests, or within one that is not whole.
     Reading,
+    /// The head of a call is whole, and whether its body is to be read is not said yet.
+    Asking,
     /// A call is out; its answer comes here.
     Waiting { ticket: Option<Ticket>, keep_alive: bool },
     /// The last answer is on its way out.
@@ -83,7 +107,11 @@
 struct HttpConn {
     conn: Conn,
     peer: SocketAddr,
+    known: bool,
+    through: Through,
     state: State,
+    /// Whether the body of the request that is being read was asked about.
+    checked: bool,
     told_to_continue: bool,
     /// The last time that something was finished; the first byte of a request that is not whole.
     active: Micros,
@@ -103,6 +131,24 @@
     }
 }
 
+/// The answer to who is turned away: 429 for their own doing, 503 where the service is full. Fields as of
+/// draft-ietf-httpapi-ratelimit-headers: the policy in force, what is left of it, and in how many seconds there is more.
+fn turned_away(away: Away) -> Response {
+    let seconds = ((away.wait + 999_999) / 1_000_000).max(1);
+    let (status, detail) = if away.own_doing {
+        (429, "this client or tenant asks for more than it may; trying again is harmless")
+    } else {
+        (503, "there is no room for the call; trying again is harmless")
+    };
+    let response = Response::problem(status, detail).with("Retry-After", seconds.to_string());
+    match away.rate {
+        Some((per_second, _)) => response
+            .with("RateLimit-Policy", format!("\"{}\";q={per_second};w=1", away.word))
+            .with("RateLimit", format!("\"{}\";r=0;t={seconds}", away.word)),
+        None => response,
+    }
+}
+
 pub struct Invoke {
     handle: Handle,
     conns: HashMap<ConnId, HttpConn>,
@@ -119,6 +165,8 @@
     parting: Option<Micros>,
     /// Whether hosts are known, for those that ask whether to send calls here.
     pub ready: bool,
+    /// Whether long bodies are asked about before they are read.
+    pub asks: bool,
     pub notices: Vec<Notice>,
 }
 
@@ -141,6 +189,7 @@
             names,
             parting: None,
             ready: false,
+            asks: false,
             notices: Vec::new(),
         }
     }
@@ -170,19 +219,70 @@
         self.conns.len()
     }
 
-    pub fn accept(&mut self, now: Micros, stream: TcpStream, peer: SocketAddr, log: &mut Log) {
+    /// Takes a connection in; `None` where that cannot be.
+    pub fn accept(&mut self, now: Micros, guest: Guest, log: &mut Log) -> Option<ConnId> {
+        let Guest { stream, peer, known, proxied } = guest;
         let id = crate::conn::fresh_id();
         match Conn::accepted(&self.handle, id, stream, (INBOX, OUTBOX), Wake::Client) {
             Ok(conn) => {
                 let state = State::Reading;
                 let (told_to_continue, begun, taken) = (false, None, 0);
-                let fresh =
-                    HttpConn { conn, peer, state, told_to_continue, active: now, begun, moved: now, taken };
+                let through = if proxied { Through::Proxy } else { Through::Nobody };
+                let fresh = HttpConn {
+                    conn,
+                    peer,
+                    known,
+                    through,
+                    state,
+                    checked: false,
+                    told_to_continue,
+                    active: now,
+                    begun,
+                    moved: now,
+                    taken,
+                };
                 self.conns.insert(id, fresh);
                 // Most have their request with them, and then are no longer among the speechless.
                 self.ready(now, id, log);
+                Some(id)
+            }
+            Err(e) => {
+                log.line(now, format_args!("http client {peer} cannot be taken in: {e}"));
+                None
+            }
+        }
+    }
+
+    /// The client of a proxied connection may come in, or not.
+    pub fn admit(
+        &mut self,
+        now: Micros,
+        id: ConnId,
+        client: Option<SocketAddr>,
+        known: Option<bool>,
+        log: &mut Log,
+    ) {
+        let Some(c) = self.conns.get_mut(&id) else { return };
+        c.peer = client.unwrap_or(c.peer);
+        match known {
+            Some(known) => {
+                (c.known, c.through) = (known, Through::Nobody);
+                self.ready(now, id, log);
+            }
+            None => self.end(now, id, Reason::TurnedAway, log),
+        }
+    }
+
+    /// The body of a call may be read, or its client is turned away without that.
+    pub fn go_ahead(&mut self, now: Micros, id: ConnId, away: Option<Away>, log: &mut Log) {
+        let Some(c) = self.conns.get_mut(&id).filter(|c| matches!(c.state, State::Asking)) else { return };
+        c.state = State::Reading;
+        match away {
+            None => self.ready(now, id, log),
+            Some(away) => {
+                c.state = State::Closing(Reason::TurnedAway);
+                self.write(now, id, &turned_away(away).encode(false, false), log);
             }
-            Err(e) => log.line(now, format_args!("http client {peer} cannot be taken in: {e}")),
         }
     }
 
@@ -191,6 +291,21 @@
         self.conns.len() < self.most || self.evict(now, log)
     }
 
+    /// Makes room for somebody else, if that can be; known clients are the last to go.
+    pub fn make_room(&mut self, now: Micros, log: &mut Log) -> bool {
+        self.evict(now, log)
+    }
+
+    /// Ends a connection that is owed nothing; one that is owed an answer gets it first.
+    pub fn dismiss(&mut self, now: Micros, id: ConnId, log: &mut Log) {
+        let Some(c) = self.conns.get_mut(&id) else { return };
+        if matches!(c.state, State::Reading | State::Asking) && c.conn.outbox.is_empty() {
+            self.end(now, id, Reason::TurnedAway, log);
+        } else if let State::Waiting { keep_alive, .. } = &mut c.state {
+            *keep_alive = false;
+        }
+    }
+
     /// Makes room by closing a connection that is owed nothing: first those that never said
     /// anything, then those that have had time to see their end, then those that stopped within a request, then
     /// those that have been idle longest.
@@ -200,10 +315,11 @@
             State::Reading if c.begun.is_some() => (now - c.moved >= SPEECHLESS).then_some((2, c.moved)),
             State::Reading if c.taken == 0 => (now - c.active >= SPEECHLESS).then_some((0, c.active)),
             State::Reading => Some((3, c.active)),
-            State::Waiting { .. } | State::Closing(_) => None,
+            State::Asking | State::Waiting { .. } | State::Closing(_) => None,
         };
-        let ranked = self.conns.iter().filter_map(|(id, c)| Some((rank(c)?, *id)));
-        let oldest = ranked.min().map(|(_, id)| id);
+        // Known clients are the last to go; without admission nobody is one.
+        let ranked = self.conns.iter().filter_map(|(id, c)| Some((c.known, rank(c)?, *id)));
+        let oldest = ranked.min().map(|(.., id)| id);
         oldest.inspect(|id| self.end(now, *id, Reason::Evicted, log)).is_some()
     }
 
@@ -238,10 +354,32 @@
             if c.conn.inbox.len() > before {
                 c.moved = now;
             }
+            if c.through == Through::Proxy {
+                match proxy::next(&mut c.conn.inbox) {
+                    Ok(None) => {}
+                    Ok(Some(word)) => {
+                        c.through = Through::Held;
+                        let client = match word {
+                            proxy::Word::Client(client) => Some(client),
+                            proxy::Word::Own => None,
+                        };
+                        self.notices.push(Notice::Proxied { conn: id, client });
+                    }
+                    Err(problem) => {
+                        log.bad(now, format_args!("proxy {} sent {problem}", c.peer));
+                        return Err(Reason::Protocol);
+                    }
+                }
+            }
+            if c.through != Through::Nobody && !c.conn.eof {
+                return Ok(());
+            }
             // Whoever waited for the answer to a call is gone, or has nothing more to ask.
             match (c.conn.eof, &c.state) {
                 (true, State::Lingering(reason, _)) => return Err(*reason),
-                (true, State::Reading | State::Waiting { .. }) => return Err(Reason::PeerClosed),
+                (true, State::Reading | State::Asking | State::Waiting { .. }) => {
+                    return Err(Reason::PeerClosed)
+                }
                 (_, State::Closing(_) | State::Lingering(..)) => c.conn.inbox.consume(usize::MAX),
                 _ => {}
             }
@@ -271,8 +409,15 @@
             return Ok(false);
         }
         match http::next_request(&mut c.conn.inbox, LONGEST_BODY) {
-            Ok(Parsed::Partial { expects_continue }) => {
+            Ok(Parsed::Partial { expects_continue, head }) => {
                 c.begun = if c.conn.inbox.is_empty() { None } else { c.begun.or(Some(now)) };
+                if let Some((head, size)) = head.map(|h| *h).filter(|_| self.asks && !c.checked) {
+                    (c.checked, c.state) = (true, State::Asking);
+                    let named = head.header("wheellink-tenant");
+                    let tenant = named.and_then(|t| self.names.1.iter().position(|n| n == t));
+                    self.notices.push(Notice::Head { conn: id, tenant, size });
+                    return Ok(false);
+                }
                 if expects_continue && !std::mem::replace(&mut c.told_to_continue, true) {
                     c.conn.outbox.push(http::CONTINUE);
                     c.conn.flush()?;
@@ -280,7 +425,7 @@
                 Ok(false)
             }
             Ok(Parsed::Whole(request)) => {
-                (c.begun, c.told_to_continue, c.active) = (None, false, now);
+                (c.begun, c.told_to_continue, c.checked, c.active) = (None, false, false, now);
                 c.taken += 1;
                 self.route(now, id, request, log);
                 Ok(true)
@@ -304,12 +449,12 @@
         let result = path.strip_prefix(RESULTS);
         let answer = match (request.method.as_str(), function, result, path.as_str()) {
             ("POST", Some(function), ..) => match self.call(function, request) {
-                Ok((call, true)) => self.defer(call),
+                Ok((call, true)) => self.defer(id, call),
                 Ok((call, false)) => {
                     if let Some(c) = self.conns.get_mut(&id) {
                         c.state = State::Waiting { ticket: None, keep_alive };
                         let call = Box::new(call);
-                        self.notices.push(Notice::Call { origin: Origin::Waiting(id), call });
+                        self.notices.push(Notice::Call { conn: id, origin: Origin::Waiting(id), call });
                     }
                     return;
                 }
@@ -391,13 +536,13 @@
         Ok((call, deferred))
     }
 
-    fn defer(&mut self, call: Call) -> Response {
+    fn defer(&mut self, conn: ConnId, call: Call) -> Response {
         let Some(name) = self.results.open() else {
             return Response::problem(429, "too many results wait to be collected")
                 .with("Retry-After", ASK_AGAIN);
         };
         let location = format!("{RESULTS}{name}");
-        self.notices.push(Notice::Call { origin: Origin::Deferred(name), call: Box::new(call) });
+        self.notices.push(Notice::Call { conn, origin: Origin::Deferred(name), call: Box::new(call) });
         Response::new(202)
             .with("Location", location)
             .with("Preference-Applied", "respond-async")
@@ -430,6 +575,7 @@
                 Response::problem(503, "there is no room for the call; trying again is harmless")
                     .with("Retry-After", seconds.max(1).to_string())
             }
+            Reply::TurnedAway(away) => turned_away(away),
             Reply::Failed => Response::problem(502, "the call failed and may have run"),
             Reply::TimedOut => Response::problem(504, "the call was not answered in time and may have run"),
         };
@@ -498,6 +644,7 @@
             self.notices.push(Notice::Left { ticket });
         }
         c.conn.close(&self.handle);
+        self.notices.push(Notice::Gone { conn: id });
     }
 
     /// Gives up old results, and closes connections that are idle or too slow.
--- a/node/src/front/platform.rs
+++ b/node/src/front/platform.rs
@@ -3,13 +3,14 @@
 pub mod frames;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 
 use wheellink::{Micros, Ticket};
 
 use crate::conn::{Conn, ConnId};
-use crate::front::Reply;
+use crate::front::{Guest, Reply, Through};
 use crate::log::{Log, Reason};
+use crate::proxy;
 use crate::wake::{Handle, Wake};
 use frames::{Code, Frame, Head, Request};
 
@@ -57,13 +58,29 @@
 
 /// What the front hands to the node.
 pub enum Notice {
-    Request { origin: Origin, request: Box<Request> },
-    Left { ticket: Ticket },
+    Request {
+        origin: Origin,
+        request: Box<Request>,
+    },
+    Left {
+        ticket: Ticket,
+    },
+    /// A trusted proxy has said whose the connection is: [`Platform::admit`] must follow.
+    Proxied {
+        conn: ConnId,
+        client: Option<SocketAddr>,
+    },
+    /// A connection has ended.
+    Gone {
+        conn: ConnId,
+    },
 }
 
 struct ClientConn {
     conn: Conn,
     peer: SocketAddr,
+    known: bool,
+    through: Through,
     /// Open streams; a stream has no ticket while its request is being taken.
     open: BTreeMap<u32, Option<Ticket>>,
     used: Streams,
@@ -142,13 +159,17 @@
         self.conns.values().all(|c| c.open.is_empty() && c.conn.outbox.is_empty())
     }
 
-    pub fn accept(&mut self, now: Micros, stream: TcpStream, peer: SocketAddr, log: &mut Log) {
+    /// Takes a connection in; `None` where that cannot be.
+    pub fn accept(&mut self, now: Micros, guest: Guest, log: &mut Log) -> Option<ConnId> {
+        let Guest { stream, peer, known, proxied } = guest;
         let id = crate::conn::fresh_id();
         match Conn::accepted(&self.handle, id, stream, (INBOX, OUTBOX), Wake::Client) {
             Ok(conn) => {
                 let fresh = ClientConn {
                     conn,
                     peer,
+                    known,
+                    through: if proxied { Through::Proxy } else { Through::Nobody },
                     open: BTreeMap::new(),
                     used: Streams::default(),
                     skip: 0,
@@ -169,8 +190,32 @@
                 }
                 // Most have their request with them, and then are no longer among the speechless.
                 self.ready(now, id, log);
+                Some(id)
+            }
+            Err(e) => {
+                log.line(now, format_args!("client {peer} cannot be taken in: {e}"));
+                None
+            }
+        }
+    }
+
+    /// The client of a proxied connection may come in, or not.
+    pub fn admit(
+        &mut self,
+        now: Micros,
+        id: ConnId,
+        client: Option<SocketAddr>,
+        known: Option<bool>,
+        log: &mut Log,
+    ) {
+        let Some(c) = self.conns.get_mut(&id) else { return };
+        c.peer = client.unwrap_or(c.peer);
+        match known {
+            Some(known) => {
+                (c.known, c.through) = (known, Through::Nobody);
+                self.ready(now, id, log);
             }
-            Err(e) => log.line(now, format_args!("client {peer} cannot be taken in: {e}")),
+            None => self.end(now, id, Reason::TurnedAway, log),
         }
     }
 
@@ -180,6 +225,21 @@
         self.conns.len() < self.most || self.evict(now, log)
     }
 
+    /// Makes room for somebody else, if that can be; known clients are the last to go.
+    pub fn make_room(&mut self, now: Micros, log: &mut Log) -> bool {
+        self.evict(now, log)
+    }
+
+    /// Ends a connection that is owed nothing; one that is owed an answer gets it first.
+    pub fn dismiss(&mut self, now: Micros, id: ConnId, log: &mut Log) {
+        let Some(c) = self.conns.get_mut(&id) else { return };
+        if c.open.is_empty() && c.conn.outbox.is_empty() {
+            self.end(now, id, Reason::TurnedAway, log);
+        } else {
+            c.broken = true;
+        }
+    }
+
     /// Makes room by closing a connection without an open request: first those that never said anything, then
     /// those that have had time to see their end, then those that stopped within a frame, then those that have
     /// been idle longest. Thousands that never finish a request must not crowd out clients that asked once and
@@ -195,8 +255,9 @@
             quiet if quiet >= SPEECHLESS => Some((0, c.begun)),
             quiet => (quiet >= HESITATING).then_some((4, c.begun)),
         };
-        let ranked = self.conns.iter().filter_map(|(id, c)| Some((rank(c)?, *id)));
-        let oldest = ranked.min().map(|(_, id)| id);
+        // Known clients are the last to go; without admission nobody is one.
+        let ranked = self.conns.iter().filter_map(|(id, c)| Some((c.known, rank(c)?, *id)));
+        let oldest = ranked.min().map(|(.., id)| id);
         oldest.inspect(|id| self.end(now, *id, Reason::Evicted, log)).is_some()
     }
 
@@ -262,6 +323,10 @@
             if c.conn.inbox.len() > before {
                 (c.moved, c.pieces) = (now, c.pieces.saturating_add(1));
             }
+            if !self.is_through(now, id, log)? {
+                filled?;
+                return Ok(());
+            }
             while self.take(now, id, log)? {}
             let Some(c) = self.conns.get_mut(&id) else { return Ok(()) };
             c.partial = if c.conn.inbox.is_empty() { None } else { c.partial.or(Some(now)) };
@@ -280,6 +345,30 @@
         self.end_if_done(now, id)
     }
 
+    /// Whether the client behind a proxy is known and was let in: until then nothing of it is read.
+    fn is_through(&mut self, now: Micros, id: ConnId, log: &mut Log) -> Result<bool, Reason> {
+        let Some(c) = self.conns.get_mut(&id) else { return Ok(false) };
+        if c.through == Through::Proxy {
+            match proxy::next(&mut c.conn.inbox) {
+                Ok(None) if c.conn.eof => return Err(Reason::PeerClosed),
+                Ok(None) => {}
+                Ok(Some(word)) => {
+                    c.through = Through::Held;
+                    let client = match word {
+                        proxy::Word::Client(client) => Some(client),
+                        proxy::Word::Own => None,
+                    };
+                    self.notices.push(Notice::Proxied { conn: id, client });
+                }
+                Err(problem) => {
+                    log.bad(now, format_args!("proxy {} sent {problem}", c.peer));
+                    return Err(Reason::Protocol);
+                }
+            }
+        }
+        Ok(self.conns.get(&id).is_some_and(|c| c.through == Through::Nobody))
+    }
+
     /// A client that has ended its side may still wait for answers; it is closed when it has them. One whose
     /// framing was lost must see its answers before a reset can overtake them.
     fn end_if_done(&mut self, now: Micros, id: ConnId) -> Result<(), Reason> {
@@ -415,6 +504,7 @@
                 let fields = if wait == "0" { &[] } else { &fields[..] };
                 self.answer(now, origin, Code::Refused, fields, &[], log)
             }
+            Reply::TurnedAway(away) => self.reply(now, origin, Reply::Refused(away.wait), log),
             Reply::Failed | Reply::TimedOut => self.answer(now, origin, Code::Failed, &[], &[], log),
         }
     }
@@ -462,6 +552,7 @@
             format_args!("requests={} open={}", c.taken, c.open.len()),
         );
         self.notices.extend(c.open.into_values().flatten().map(|ticket| Notice::Left { ticket }));
+        self.notices.push(Notice::Gone { conn: id });
         c.conn.close(&self.handle);
     }
 
--- a/node/src/http.rs
+++ b/node/src/http.rs
@@ -51,6 +51,8 @@
     /// Not whole yet; the client may be waiting to be told to go on with the body.
     Partial {
         expects_continue: bool,
+        /// Its head, where that is whole, and how long its body is said to be.
+        head: Option<Box<(Request, usize)>>,
     },
     Whole(Request),
 }
@@ -70,7 +72,7 @@
     let size = match head.parse(bytes) {
         Ok(httparse::Status::Complete(size)) if size <= LONGEST_HEAD => size,
         Ok(httparse::Status::Partial) if bytes.len() <= LONGEST_HEAD => {
-            return Ok(Parsed::Partial { expects_continue: false })
+            return Ok(Parsed::Partial { expects_continue: false, head: None })
         }
         Ok(_) | Err(httparse::Error::TooManyHeaders) => return Err(Bad(431, "the header is too large")),
         Err(httparse::Error::Version) => return Err(Bad(505, "only HTTP/1.1 and 1.0 are spoken")),
@@ -88,7 +90,11 @@
     }
     let expects_continue = find(&headers, "expect").any(|v| v.eq_ignore_ascii_case("100-continue"));
     let Some((body, length)) = body(&bytes[size..], &headers, modern, longest_body)? else {
-        return Ok(Parsed::Partial { expects_continue: expects_continue && bytes.len() == size });
+        let length = find(&headers, "content-length").next().and_then(|l| l.parse().ok()).unwrap_or(0);
+        let expects_continue = expects_continue && bytes.len() == size;
+        let (method, path) = (method.unwrap_or_default().to_string(), path.unwrap_or_default().to_string());
+        let head = Request { method, path, headers, body: Vec::new(), keep_alive: false };
+        return Ok(Parsed::Partial { expects_continue, head: Some(Box::new((head, length))) });
     };
     let close = find(&headers, "connection").flat_map(|v| v.split(',')).map(str::trim);
     let (mut closes, mut keeps) = (false, false);
@@ -346,7 +352,10 @@
     fn preferences_and_expectations_are_read() {
         let head = b"POST / HTTP/1.1\r\nHost: a\r\nPrefer: Respond-Async; x, wait=\"2\"\r\nPrefer: c\r\n\
             Expect: 100-Continue\r\nContent-Length: 1\r\n\r\n";
-        assert_eq!(parse(head), Ok(Parsed::Partial { expects_continue: true }));
+        let Ok(Parsed::Partial { expects_continue: true, head: Some(told) }) = parse(head) else {
+            panic!("{:?}", parse(head))
+        };
+        assert_eq!(told.0.method, "POST");
         let Ok(Parsed::Whole(r)) = parse(&[&head[..], b"z"].concat()) else { panic!("not whole") };
         let of = |n: &str, v: &str| (n.to_string(), v.to_string());
         assert_eq!(r.preferences(), [of("respond-async", ""), of("wait", "2"), of("c", "")]);
--- a/node/src/log.rs
+++ b/node/src/log.rs
@@ -27,6 +27,8 @@
     Protocol,
     /// The other side does not take what is sent to it.
     SlowReader,
+    /// Admission turned its client away.
+    TurnedAway,
     /// Its client had been asked to leave.
     Drained,
     /// Its host was taken out by hand.
@@ -55,6 +57,7 @@
             Self::ConnectRefused => "connect_refused",
             Self::Protocol => "protocol",
             Self::SlowReader => "slow_reader",
+            Self::TurnedAway => "turned_away",
             Self::Drained => "drained",
             Self::Barred => "barred",
             Self::HostGone => "host_gone",
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -1,6 +1,7 @@
 //! The node: one engine, the fronts before it, the hosts and the bus behind it, on one thread. It hands what
 //! each of them has learnt to the engine and carries out what the engine commands.
 
+mod entrance;
 mod life;
 mod news;
 mod operators;
@@ -17,6 +18,7 @@
     Effect, Engine, FunctionId, Legacy, ListKind, Micros, Outcome, PastAttempt, Settings, Tally, Ticket,
     WorkerId,
 };
+use wheellink_admission::{Asking, Owner};
 use wheellink_rollout::{Ledger, Version};
 use wheellink_settings::Deployment;
 
@@ -37,6 +39,7 @@
 use crate::upgrade::{self, Message, News, Place, State, Upgrade};
 use crate::wake::{Handle, Wake};
 
+use entrance::Entrance;
 use rollout::{Gradual, Role};
 
 /// A client's time runs from when it wrote the last byte: the answer must have reached it before it ends.
@@ -75,6 +78,9 @@
     arrived: Micros,
     /// Which version decides it.
     by: Version,
+    /// Whose memory its body takes, and whom it counts for.
+    owner: Owner,
+    asking: Option<Asking>,
 }
 
 /// Who is owed it.
@@ -128,9 +134,6 @@
     pending: HashMap<Ticket, Pending>,
     /// Ids of the pending requests, as clients chose them.
     ids: HashSet<Rc<str>>,
-    bodies: usize,
-    /// Bodies of open requests, all together: beyond that requests are refused.
-    most_bodies: usize,
     side: Side,
     hosts: Hosts,
     door: Option<Door>,
@@ -138,6 +141,7 @@
     control: Control,
     upgrade: Upgrade,
     gradual: Gradual,
+    entrance: Entrance,
     /// The listening socket, until this process takes clients.
     listener: Option<TcpListener>,
     /// A new process takes the clients.
@@ -203,6 +207,7 @@
             control: Control::new(handle.clone()),
             upgrade,
             gradual: Gradual::new(config.memory),
+            entrance: Entrance::new(config.admission.as_ref(), config.sockets, share),
             listener: Some(listener),
             succeeded: false,
             peer_clients: 0,
@@ -215,8 +220,6 @@
             scratch: Vec::new(),
             pending: HashMap::new(),
             ids: HashSet::new(),
-            bodies: 0,
-            most_bodies: share,
             side,
             hosts: Hosts::new(handle.clone(), transport, (most, share)),
             config,
@@ -226,6 +229,10 @@
             kept_house: 0,
             handle,
         };
+        let asks = node.entrance.is_on();
+        if let Side::Operator { front, .. } = &mut node.side {
+            front.asks = asks;
+        }
         node.resize();
         if let Some(state) = &state {
             node.inherit(state);
@@ -318,6 +325,7 @@
                 self.kept_house = now;
                 self.resize();
                 self.control.tick(now, &mut self.log);
+                self.tend_entrance(now);
                 if self.succeeded {
                     self.tell_tally(now);
                 }
--- /dev/null
+++ b/node/src/node/entrance.rs
@@ -0,0 +1,471 @@
+//! Who is let in, bound to fronts and descriptors. What is decided here is decided by `wheellink_admission`; without
+//! `[admission]` everybody is, as far as there is room.
+
+use std::fs::File;
+use std::io;
+use std::net::{IpAddr, SocketAddr};
+
+use wheellink_admission::{
+    Admission, Asking, Ledger, Owner, Prefix, Reason as Why, Rules, Standing, State as Learnt, Taken,
+};
+
+use super::*;
+use crate::control::AdmissionCall;
+use crate::front::{Away, Guest};
+
+/// Descriptors of the program itself: standard streams, the loop's own, listeners, bus, resolver, the other
+/// process of an upgrade, and the spare one.
+const OWN: usize = 16;
+/// Newcomers that are closed at one go where there is no descriptor for them.
+const CLOSED_AT_ONCE: usize = 256;
+/// Prefixes that an operator is shown.
+const MOST_SHOWN: usize = 50;
+
+/// Who a connection is, as far as it counts.
+#[derive(Clone, Copy, Debug)]
+struct Client {
+    from: IpAddr,
+    known: bool,
+}
+
+/// See the module's page.
+pub(super) struct Entrance {
+    gate: Option<Admission>,
+    /// Descriptors, where there is a gate.
+    ledger: Ledger,
+    /// Bytes of bodies of open requests, always.
+    memory: Ledger,
+    clients: HashMap<ConnId, Client>,
+    known: usize,
+    /// Given up for a moment to take newcomers in and close them, where the system has no other.
+    spare: Option<File>,
+    /// Newcomers that were closed for want of a descriptor, and times that the system had none.
+    closed: u64,
+    starved: u64,
+}
+
+fn spare() -> Option<File> {
+    File::open("/dev/null").ok()
+}
+
+/// Whether the system has no descriptor or buffer left, for this process or for all.
+fn is_exhaustion(e: &io::Error) -> bool {
+    // EMFILE, ENFILE, ENOBUFS, ENOMEM: they have no kinds of their own.
+    matches!(e.raw_os_error(), Some(24 | 23 | 105 | 12))
+}
+
+impl Entrance {
+    pub(super) fn new(rules: Option<&Rules>, sockets: usize, bodies: usize) -> Self {
+        let gate = rules.cloned().map(Admission::new);
+        let none = [0; 5];
+        let ledger = Ledger::new(sockets, none).expect("no reserve is within any limit");
+        let memory = Ledger::new(bodies, none).expect("no reserve is within any limit");
+        let spare = gate.is_some().then(spare).flatten();
+        Self { gate, ledger, memory, clients: HashMap::new(), known: 0, spare, closed: 0, starved: 0 }
+    }
+
+    pub(super) fn is_on(&self) -> bool {
+        self.gate.is_some()
+    }
+
+    /// What a process needs that takes this one's place.
+    pub(super) fn state(&self, now: Micros) -> Option<Learnt> {
+        self.gate.as_ref().map(|gate| gate.state(now))
+    }
+
+    pub(super) fn inherit(&mut self, now: Micros, learnt: Learnt) {
+        if let Some(gate) = &mut self.gate {
+            gate.inherit(now, learnt);
+        }
+    }
+
+    /// Other rules; what is held and learnt stays.
+    pub(super) fn retune(&mut self, rules: Option<&Rules>) {
+        match (&mut self.gate, rules) {
+            (Some(gate), Some(rules)) => gate.retune(rules.clone()),
+            (slot, rules) => *slot = rules.cloned().map(Admission::new),
+        }
+        match &self.gate {
+            Some(_) if self.spare.is_none() => self.spare = spare(),
+            Some(_) => {}
+            None => self.spare = None,
+        }
+    }
+
+    /// Memory for bodies from now on: a part of it is kept for known clients.
+    pub(super) fn bound_memory(&mut self, bodies: usize) {
+        let part = self.gate.as_ref().map_or(0.0, |gate| gate.rules().reserve);
+        let kept = (bodies as f64 * part) as usize;
+        let _ = self.memory.bound(bodies, [0, kept, 0, 0, 0]);
+    }
+
+    /// Takes memory for a body.
+    pub(super) fn take_memory(&mut self, now: Micros, owner: Owner, bytes: usize) -> bool {
+        matches!(self.memory.take(now, owner, bytes), Taken::Yes | Taken::Borrowed)
+    }
+
+    pub(super) fn give_memory(&mut self, owner: Owner, bytes: usize) {
+        self.memory.give(owner, bytes);
+    }
+
+    /// Descriptors from now on, and what each owner holds: how many hosts and clients may hold in all.
+    pub(super) fn bound_descriptors(
+        &mut self,
+        now: Micros,
+        (limit, members): (usize, usize),
+        (hosts, callers): (usize, usize),
+    ) -> Option<(usize, usize)> {
+        let gate = self.gate.as_ref()?;
+        let kept = (limit as f64 / 3.0 * gate.rules().reserve) as usize;
+        // One for each host at least, and two where there is room: a call that was taken can always reach one.
+        let rest = limit.saturating_sub(OWN + control::MOST + kept);
+        let reserve = [(2 * members).clamp(4, rest.max(4) / 2 + 2), kept, 0, control::MOST, OWN];
+        let _ = self.ledger.bound(limit.max(reserve.iter().sum()), reserve);
+        self.ledger.tick(now);
+        let known = self.known;
+        let held = [hosts, known, self.clients.len() - known, callers, OWN];
+        for (owner, held) in Owner::ALL.into_iter().zip(held) {
+            self.ledger.set(owner, held);
+        }
+        let rooms = [Owner::Known, Owner::Others].map(|o| self.ledger.room(o));
+        let clients = self.clients.len() + rooms[0].max(rooms[1]);
+        Some((hosts + self.ledger.room(Owner::Hosts), clients))
+    }
+
+    fn owner(&self, conn: Option<ConnId>) -> Owner {
+        match conn.and_then(|id| self.clients.get(&id)) {
+            Some(client) if client.known => Owner::Known,
+            _ => Owner::Others,
+        }
+    }
+
+    fn forget(&mut self, now: Micros, conn: ConnId) {
+        let Some(client) = self.clients.remove(&conn) else { return };
+        self.known -= usize::from(client.known);
+        self.ledger.give(if client.known { Owner::Known } else { Owner::Others }, 1);
+        if let Some(gate) = &mut self.gate {
+            gate.gone(now, client.from);
+        }
+    }
+
+    fn enter(&mut self, conn: ConnId, from: IpAddr, known: bool) {
+        self.known += usize::from(known);
+        self.clients.insert(conn, Client { from, known });
+    }
+}
+
+impl Node {
+    /// A connection has been accepted: it is taken in, or closed unread.
+    pub(super) fn receive(&mut self, now: Micros, stream: std::net::TcpStream, peer: SocketAddr) {
+        let from = peer.ip();
+        let Some(gate) = &mut self.entrance.gate else {
+            self.take_in(now, Guest { stream, peer, known: false, proxied: false });
+            return;
+        };
+        // Whose it is a trusted proxy tells first; until then it is the proxy's, and as good as known.
+        let proxied = gate.trusts(from);
+        let known = proxied || matches!(gate.standing(now, from), Standing::Known);
+        if !proxied && gate.connect(now, from).is_err() {
+            return;
+        }
+        if !self.find_descriptor(now, known) {
+            self.entrance.closed += 1;
+            if let (Some(gate), false) = (&mut self.entrance.gate, proxied) {
+                gate.gone(now, from);
+            }
+            return;
+        }
+        match self.take_in(now, Guest { stream, peer, known, proxied }) {
+            // A proxied one counts for its client only, once that is known.
+            Some(id) => self.entrance.enter(id, from, known),
+            None => {
+                self.entrance.ledger.give(if known { Owner::Known } else { Owner::Others }, 1);
+                if let (Some(gate), false) = (&mut self.entrance.gate, proxied) {
+                    gate.gone(now, from);
+                }
+            }
+        }
+    }
+
+    fn take_in(&mut self, now: Micros, guest: Guest) -> Option<ConnId> {
+        match &mut self.side {
+            Side::Platform(front, _) => front.accept(now, guest, &mut self.log),
+            Side::Operator { front, .. } => front.accept(now, guest, &mut self.log),
+        }
+    }
+
+    /// A descriptor for a client, if need be in another's place: what others borrowed of the known clients' reserve
+    /// they give back at once as far as they are owed nothing.
+    fn find_descriptor(&mut self, now: Micros, known: bool) -> bool {
+        let owner = if known { Owner::Known } else { Owner::Others };
+        for _ in 0..2 {
+            if matches!(self.entrance.ledger.take(now, owner, 1), Taken::Yes | Taken::Borrowed) {
+                return true;
+            }
+            let made = match &mut self.side {
+                Side::Platform(front, _) => front.make_room(now, &mut self.log),
+                Side::Operator { front, .. } => front.make_room(now, &mut self.log),
+            };
+            if !made {
+                return false;
+            }
+            self.hear_gone(now);
+        }
+        false
+    }
+
+    /// Connections that have ended, before anything else that the front has learnt.
+    fn hear_gone(&mut self, now: Micros) {
+        let mut gone = Vec::new();
+        match &mut self.side {
+            Side::Platform(front, _) => front.notices.retain(|notice| match notice {
+                platform::Notice::Gone { conn } => {
+                    gone.push(*conn);
+                    false
+                }
+                _ => true,
+            }),
+            Side::Operator { front, .. } => front.notices.retain(|notice| match notice {
+                invoke::Notice::Gone { conn } => {
+                    gone.push(*conn);
+                    false
+                }
+                _ => true,
+            }),
+        }
+        gone.into_iter().for_each(|conn| self.entrance.forget(now, conn));
+    }
+
+    pub(super) fn client_gone(&mut self, conn: ConnId) {
+        let now = self.clock.now();
+        self.entrance.forget(now, conn);
+    }
+
+    /// Takes connections in, with a gate: all that come are accepted, and who cannot stay is closed.
+    pub(super) fn accept_through_gate(&mut self) {
+        for _ in 0..ACCEPT_AT_ONCE {
+            let now = self.clock.now();
+            self.resize();
+            let Some(door) = self.door.as_mut().filter(|door| !door.is_shut()) else { break };
+            match door.next() {
+                Ok(None) => break,
+                Ok(Some((stream, peer))) => self.receive(now, stream, peer),
+                Err(e) if is_exhaustion(&e) => {
+                    self.turn_newcomers_away(now, &e);
+                    break;
+                }
+                Err(e) => {
+                    door.shut(now + NO_DESCRIPTOR);
+                    self.log.line(now, format_args!("no connection can be accepted: {e}"));
+                    break;
+                }
+            }
+        }
+    }
+
+    /// The system has no descriptor although the ledger has: the spare one is given up to accept and close those
+    /// that wait, so that they hear at once, and nothing new is taken until some have gone.
+    fn turn_newcomers_away(&mut self, now: Micros, why: &io::Error) {
+        self.entrance.ledger.starved(now);
+        self.entrance.starved += 1;
+        let Some(door) = &mut self.door else { return };
+        drop(self.entrance.spare.take());
+        let mut closed = 0;
+        while closed < CLOSED_AT_ONCE {
+            match door.next() {
+                Ok(Some(_)) => closed += 1,
+                _ => break,
+            }
+        }
+        self.entrance.spare = spare();
+        self.entrance.closed += closed as u64;
+        self.log.line(now, format_args!("out of descriptors ({why}): {closed} newcomers closed"));
+        // With the spare one gone to somebody else there is nothing to accept with: no spinning meanwhile.
+        if closed == 0 || self.entrance.spare.is_none() {
+            door.shut(now + NO_DESCRIPTOR);
+        }
+        self.resize();
+    }
+
+    /// A trusted proxy has said whose its connection is.
+    pub(super) fn proxied(&mut self, now: Micros, conn: ConnId, client: Option<SocketAddr>) {
+        let mut known = Some(true);
+        if let (Some(gate), Some(client)) = (&mut self.entrance.gate, client) {
+            known = gate.connect(now, client.ip()).ok().map(|standing| standing == Standing::Known);
+        }
+        if let (Some(known), Some(client)) = (known, client) {
+            if let Some(old) = self.entrance.clients.insert(conn, Client { from: client.ip(), known }) {
+                self.entrance.known = self.entrance.known + usize::from(known) - usize::from(old.known);
+            }
+        }
+        match &mut self.side {
+            Side::Platform(front, _) => front.admit(now, conn, client, known, &mut self.log),
+            Side::Operator { front, .. } => front.admit(now, conn, client, known, &mut self.log),
+        }
+    }
+
+    fn asking(
+        &self,
+        conn: Option<ConnId>,
+        class: usize,
+        tenant: Option<usize>,
+        size: usize,
+    ) -> Option<Asking> {
+        self.entrance.gate.as_ref()?;
+        let client = self.entrance.clients.get(&conn?)?;
+        let settings = &self.config.deployment.settings;
+        let most = settings.classes.iter().map(|c| c.worth).fold(f64::MIN_POSITIVE, f64::max);
+        let worth = settings.classes.get(class).map_or(1.0, |c| c.worth / most);
+        let all: f64 = settings.tenants.iter().map(|t| t.quota).sum();
+        let quota = tenant.and_then(|t| settings.tenants.get(t)).map_or(1.0, |t| t.quota);
+        let share = if all > 0.0 { quota / all } else { 1.0 };
+        Some(Asking { from: client.from, tenant, share, worth, size: size as u64 })
+    }
+
+    fn away(&self, (why, wait): (Why, Micros)) -> Away {
+        let rate = self.entrance.gate.as_ref().and_then(|g| g.rules().address.request_rate);
+        let rate = rate.filter(|_| why == Why::RequestRate).map(|r| (r.per_second as u32, r.burst as u32));
+        let own_doing = why.is_own_doing() || why == Why::Tenant;
+        Away { word: why.word(), own_doing, wait, rate }
+    }
+
+    /// Whether a request may go on to the module, and what is to be given back when it is over.
+    pub(super) fn let_in(
+        &mut self,
+        now: Micros,
+        conn: Option<ConnId>,
+        (class, tenant, size): (usize, Option<usize>, usize),
+    ) -> Result<(Owner, Option<Asking>), Reply> {
+        let asking = self.asking(conn, class, tenant, size);
+        if let (Some(gate), Some(asking)) = (&mut self.entrance.gate, &asking) {
+            if let Err(refused) = gate.request(now, asking) {
+                return Err(Reply::TurnedAway(self.away(refused)));
+            }
+        }
+        let owner = self.entrance.owner(conn);
+        if !self.entrance.take_memory(now, owner, size) {
+            if let (Some(gate), Some(asking)) = (&mut self.entrance.gate, &asking) {
+                gate.done(now, asking, class, None);
+            }
+            return Err(Reply::Refused(self.config.deployment.settings.max_retry_after));
+        }
+        Ok((owner, asking))
+    }
+
+    /// A request that was admitted is over.
+    pub(super) fn release(&mut self, now: Micros, pending: &Pending, served: bool) {
+        self.entrance.give_memory(pending.owner, pending.call.body.len());
+        if let (Some(gate), Some(asking)) = (&mut self.entrance.gate, &pending.asking) {
+            gate.done(now, asking, pending.new.class, served.then(|| now - pending.arrived));
+        }
+    }
+
+    /// The head of a call has come, and its body is long: it is not read where it would be turned away.
+    pub(super) fn head(&mut self, now: Micros, conn: ConnId, tenant: Option<usize>, size: usize) {
+        let asking = self.asking(Some(conn), usize::MAX, tenant, size);
+        let refused = match (&self.entrance.gate, &asking) {
+            (Some(gate), Some(asking)) => gate.would_refuse(now, asking),
+            _ => None,
+        };
+        let away = refused.map(|refused| self.away(refused));
+        if let (Some((why, _)), Some(asking), Some(gate)) = (refused, asking, &mut self.entrance.gate) {
+            gate.count_refusal(now, asking.from, why);
+        }
+        if let Side::Operator { front, .. } = &mut self.side {
+            front.go_ahead(now, conn, away, &mut self.log);
+        }
+    }
+
+    /// Tells of whom was turned away, a line a second at the most.
+    pub(super) fn tend_entrance(&mut self, now: Micros) {
+        let Some(window) = self.entrance.gate.as_mut().and_then(|gate| gate.window(now)) else { return };
+        let told: Vec<String> =
+            window.told.iter().map(|(prefix, why, n)| format!("{prefix} {} {n}", why.word())).collect();
+        let others = if window.others > 0 { format!(", others {}", window.others) } else { String::new() };
+        self.log.line(now, format_args!("admission refused: {}{others}", told.join(", ")));
+    }
+
+    pub(super) fn operate_admission(&mut self, now: Micros, call: AdmissionCall) -> Response {
+        if self.entrance.gate.is_none() {
+            return Response::problem(404, "admission is not set up: the configuration has no [admission]");
+        }
+        match call {
+            AdmissionCall::Show => Response::json(200, self.show_admission(now)),
+            call => {
+                let text = serde_json::to_value(&call).unwrap_or_default();
+                if !self.set_prefix(now, &call) {
+                    return Response::problem(409, "as many prefixes are set by hand as may be");
+                }
+                self.upgrade.tell(&Message::Admission(call));
+                Response::json(200, text)
+            }
+        }
+    }
+
+    /// Blocks, unblocks or knows a prefix, as an operator said here or at the other process.
+    pub(super) fn set_prefix(&mut self, now: Micros, call: &AdmissionCall) -> bool {
+        let Some(gate) = &mut self.entrance.gate else { return true };
+        let (what, prefix, done) = match call {
+            AdmissionCall::Block(prefix) => ("blocked", prefix, gate.block(*prefix)),
+            AdmissionCall::Unblock(prefix) => {
+                gate.unblock(now, *prefix);
+                ("no longer blocked", prefix, true)
+            }
+            AdmissionCall::Know { prefix, known } => {
+                (if *known { "known" } else { "no longer known" }, prefix, gate.know(*prefix, *known))
+            }
+            AdmissionCall::Show => return true,
+        };
+        if done {
+            self.log.line(now, format_args!("admission: {prefix} is {what} by hand"));
+        }
+        if let (AdmissionCall::Block(prefix), true) = (call, done) {
+            // Whoever is in stays as long as it is owed an answer.
+            let clients = self.entrance.clients.iter().filter(|(_, c)| prefix.contains(c.from));
+            let mut ids: Vec<_> = clients.map(|(id, _)| *id).collect();
+            ids.sort();
+            for id in ids {
+                match &mut self.side {
+                    Side::Platform(front, _) => front.dismiss(now, id, &mut self.log),
+                    Side::Operator { front, .. } => front.dismiss(now, id, &mut self.log),
+                }
+            }
+        }
+        done
+    }
+
+    fn show_admission(&self, now: Micros) -> serde_json::Value {
+        let Some(gate) = &self.entrance.gate else { return serde_json::Value::Null };
+        let e = &self.entrance;
+        let ledger = |l: &Ledger| {
+            let rows = Owner::ALL.map(|o| {
+                (o.word().to_string(), serde_json::json!({"held": l.held(o), "reserved": l.reserve(o)}))
+            });
+            let owners: serde_json::Map<_, _> = rows.into_iter().collect();
+            serde_json::json!({"limit": l.limit(), "held": l.sum(), "owners": owners})
+        };
+        let (near, wide) = gate.tables();
+        let top = |table: &wheellink_admission::Table| {
+            let rows = table.heaviest(now, MOST_SHOWN).into_iter().map(|(prefix, weight, error, e)| {
+                let closed = ((e.closed_until - now) / 1000).max(0);
+                serde_json::json!({"prefix": prefix, "weight": weight.round(), "not_its_own": error.round(),
+                    "connections": e.connections, "open": e.open, "bytes": e.bytes, "refused": e.refused,
+                    "closed_for_ms": closed, "served": e.served.round()})
+            });
+            rows.collect::<Vec<_>>()
+        };
+        let penalties = near.iter().filter(|(_, e)| e.closed_until > now).count();
+        let (blocked, known) = gate.by_hand();
+        let list = |prefixes: Vec<&Prefix>| {
+            prefixes.into_iter().take(MOST_SHOWN).map(ToString::to_string).collect::<Vec<_>>()
+        };
+        let adaptive =
+            gate.adaptive().map(|(limit, under)| serde_json::json!({"limit": limit, "under_way": under}));
+        serde_json::json!({"descriptors": ledger(&e.ledger), "memory": ledger(&e.memory),
+            "clients": {"known": e.known, "others": e.clients.len() - e.known},
+            "refused": gate.total, "closed_for_want_of_descriptors": e.closed, "system_exhausted": e.starved,
+            "addresses": near.len(), "pushed_out": near.pushed_out, "penalties": penalties,
+            "blocked": list(blocked.collect()), "known": list(known.collect()), "adaptive": adaptive,
+            "top": top(near), "top_neighbourhoods": top(wide)})
+    }
+}
--- a/node/src/node/life.rs
+++ b/node/src/node/life.rs
@@ -10,6 +10,9 @@
             self.bar(now, &id.as_str().into(), true);
         }
         self.stand_by(now, state.standby);
+        if let Some(learnt) = &state.admission {
+            self.entrance.inherit(now, learnt.clone());
+        }
         if let (Side::Platform(_, bus), Some(place)) = (&mut self.side, state.bus) {
             bus.read_elsewhere(place);
         }
@@ -29,8 +32,13 @@
             let free = all.saturating_sub(self.hosts.held() + self.hosts.reserve());
             (share, free.min(sockets / 2).max(clients), all.saturating_sub(self.clients().max(clients)))
         };
-        self.most_bodies = share;
+        self.entrance.bound_memory(share);
         self.gradual.bound(share);
+        let now = self.clock.now();
+        let limit = if self.upgrade.has_peer() { sockets / 2 } else { sockets };
+        let held = (self.hosts.held(), self.control.held());
+        let ledger = self.entrance.bound_descriptors(now, (limit, self.hosts.reserve()), held);
+        let (most, clients) = ledger.unwrap_or((most, clients));
         self.hosts.bound((most.max(1), share));
         match &mut self.side {
             Side::Platform(front, _) => front.bound((clients, share)),
@@ -85,6 +93,8 @@
                 self.bar(now, &id.as_str().into(), out)
             }
             News::Said(Message::Standby { on }) => self.stand_by(now, on),
+            News::Said(Message::Admission(call)) => drop(self.set_prefix(now, &call)),
+            News::Said(Message::Learnt { addresses }) => self.entrance.inherit(now, addresses),
             News::Said(Message::Tally { clients, ration }) => {
                 self.peer_clients = clients;
                 self.resize();
@@ -122,6 +132,7 @@
         let mut state = State {
             out: self.hosts.barred().map(|h| h.0.to_string()).collect(),
             standby: self.standby,
+            admission: self.entrance.state(self.tallied),
             bus: match &self.side {
                 Side::Platform(_, bus) => Some(bus.place()),
                 Side::Operator { .. } => None,
@@ -175,6 +186,10 @@
 
     /// Connections of clients wait to be accepted.
     pub(super) fn accept(&mut self) {
+        if self.entrance.is_on() {
+            self.accept_through_gate();
+            return self.settle();
+        }
         for _ in 0..ACCEPT_AT_ONCE {
             let now = self.clock.now();
             self.resize();
@@ -188,15 +203,10 @@
                 door.shut(now + NO_ROOM);
                 break;
             }
-            match (door.next(), &mut self.side) {
-                (Ok(None), _) => break,
-                (Ok(Some((stream, peer))), Side::Platform(front, _)) => {
-                    front.accept(now, stream, peer, &mut self.log)
-                }
-                (Ok(Some((stream, peer))), Side::Operator { front, .. }) => {
-                    front.accept(now, stream, peer, &mut self.log)
-                }
-                (Err(e), _) => {
+            match door.next() {
+                Ok(None) => break,
+                Ok(Some((stream, peer))) => self.receive(now, stream, peer),
+                Err(e) => {
                     // The listener stays ready, and trying again at once would keep the loop busy for nothing.
                     door.shut(now + NO_DESCRIPTOR);
                     self.log.line(now, format_args!("no connection can be accepted: {e}"));
@@ -285,6 +295,11 @@
             self.log.line(now, "addresses to listen on change with the next start only");
         }
         self.config = config;
+        self.entrance.retune(self.config.admission.as_ref());
+        let asks = self.entrance.is_on();
+        if let Side::Operator { front, .. } = &mut self.side {
+            front.asks = asks;
+        }
         let settings = self.binding();
         self.run_engine(|engine, out| engine.settings(now, settings, patience, out));
         self.rebind(now);
--- a/node/src/node/operators.rs
+++ b/node/src/node/operators.rs
@@ -31,6 +31,7 @@
         match call {
             control::Call::Status => self.status(now),
             control::Call::Rollout(call) => self.operate_rollout(now, call),
+            control::Call::Admission(call) => self.operate_admission(now, call),
             control::Call::Host { id, out } => {
                 let host: WorkerId = id.as_str().into();
                 if !self.hosts.knows(&host) {
--- a/node/src/node/requests.rs
+++ b/node/src/node/requests.rs
@@ -27,6 +27,11 @@
                             self.platform_request(origin, *request)
                         }
                         platform::Notice::Left { ticket } => self.client_left(ticket),
+                        platform::Notice::Gone { conn } => self.client_gone(conn),
+                        platform::Notice::Proxied { conn, client } => {
+                            let now = self.clock.now();
+                            self.proxied(now, conn, client)
+                        }
                     }
                 }
                 any
@@ -36,8 +41,17 @@
                 let any = !notices.is_empty();
                 for notice in notices {
                     match notice {
-                        invoke::Notice::Call { origin, call } => self.invoke_call(origin, *call),
+                        invoke::Notice::Call { conn, origin, call } => self.invoke_call(conn, origin, *call),
                         invoke::Notice::Left { ticket } => self.client_left(ticket),
+                        invoke::Notice::Gone { conn } => self.client_gone(conn),
+                        invoke::Notice::Proxied { conn, client } => {
+                            let now = self.clock.now();
+                            self.proxied(now, conn, client)
+                        }
+                        invoke::Notice::Head { conn, tenant, size } => {
+                            let now = self.clock.now();
+                            self.head(now, conn, tenant, size)
+                        }
                     }
                 }
                 any
@@ -83,10 +97,10 @@
             key: request.key,
             body: request.body,
         };
-        self.request(now, Origin::Platform(origin), incoming);
+        self.request(now, Some(origin.conn), Origin::Platform(origin), incoming);
     }
 
-    pub(super) fn invoke_call(&mut self, origin: invoke::Origin, call: invoke::Call) {
+    pub(super) fn invoke_call(&mut self, conn: ConnId, origin: invoke::Origin, call: invoke::Call) {
         let now = self.clock.now();
         let Side::Operator { classes, ids, .. } = &mut self.side else { return };
         let Some(settings) = self.config.deployment.settings.classes.get(call.class) else { return };
@@ -110,14 +124,15 @@
             body: call.body,
             id,
         };
-        self.request(now, Origin::Invoke(origin), incoming);
+        self.request(now, Some(conn), Origin::Invoke(origin), incoming);
     }
 
-    pub(super) fn request(&mut self, now: Micros, origin: Origin, incoming: Incoming) {
+    pub(super) fn request(&mut self, now: Micros, conn: Option<ConnId>, origin: Origin, incoming: Incoming) {
         let size = incoming.body.len();
-        if self.bodies + size > self.most_bodies {
-            return self.reply(now, &origin, Reply::Refused(self.config.deployment.settings.max_retry_after));
-        }
+        let (owner, asking) = match self.let_in(now, conn, (incoming.class, incoming.tenant, size)) {
+            Ok(admitted) => admitted,
+            Err(reply) => return self.reply(now, &origin, reply),
+        };
         let new = NewRequest {
             class: incoming.class,
             tenant: incoming.tenant,
@@ -126,7 +141,6 @@
             lanes: incoming.lanes,
             repeat: incoming.repeat,
         };
-        self.bodies += size;
         let call = Call {
             id: incoming.id.into(),
             class: incoming.class_name,
@@ -135,7 +149,8 @@
             body: Rc::from(incoming.body),
         };
         let class = new.class;
-        let mut pending = Pending { call, origin, answer: None, new, arrived: now, by: Version::Old };
+        let by = Version::Old;
+        let mut pending = Pending { call, origin, answer: None, new, arrived: now, by, owner, asking };
         let ticket = match self.pass(now, &pending) {
             Some(ticket) => {
                 pending.by = Version::New;
@@ -143,7 +158,7 @@
             }
             // A class that only the candidate knows, and no room on the way to it.
             None if class == usize::MAX => {
-                self.bodies -= size;
+                self.release(now, &pending, false);
                 let retry_after = self.config.deployment.settings.max_retry_after;
                 return self.reply(now, &pending.origin, Reply::Refused(retry_after));
             }
@@ -172,7 +187,7 @@
     pub(super) fn client_left(&mut self, ticket: Ticket) {
         let now = self.clock.now();
         if let Some(pending) = self.pending.remove(&ticket) {
-            self.bodies -= pending.call.body.len();
+            self.release(now, &pending, false);
             self.ids.remove(&pending.call.id);
         }
         if !self.passed_left(ticket) {
@@ -182,7 +197,6 @@
 
     pub(super) fn answer(&mut self, now: Micros, ticket: Ticket, verdict: Verdict) {
         let Some(mut pending) = self.pending.remove(&ticket) else { return };
-        self.bodies -= pending.call.body.len();
         self.ids.remove(&pending.call.id);
         let reply = match (verdict, pending.answer.take()) {
             (Verdict::Served(by), Some((attempt, body))) if by == attempt => Reply::Served(body),
@@ -190,6 +204,7 @@
             (Verdict::TimedOut, _) => Reply::TimedOut,
             _ => Reply::Failed,
         };
+        self.release(now, &pending, matches!(reply, Reply::Served(_)));
         self.count(now, &pending, &reply);
         self.reply(now, &pending.origin, reply);
     }
--- a/node/src/node/rollout/candidate.rs
+++ b/node/src/node/rollout/candidate.rs
@@ -60,11 +60,13 @@
     pub(super) fn take_passed(&mut self, now: Micros, passed: Passed) {
         let seq = passed.seq;
         let d = &self.config.deployment;
-        let class = d.class(&passed.class);
+        let class = d.class(&passed.class).filter(|_| !self.ids.contains(passed.id.as_str()));
         let tenant = passed.tenant.as_deref().map(|t| d.tenant(t));
         let size = passed.body.len();
-        let known = tenant != Some(None) && !self.ids.contains(passed.id.as_str());
-        let (Some(class), true, true) = (class, known, self.bodies + size <= self.most_bodies) else {
+        // Memory last: what cannot be decided here must not hold any.
+        let class = class.filter(|_| tenant != Some(None));
+        let class = class.filter(|_| self.entrance.take_memory(now, Owner::Others, size));
+        let Some(class) = class else {
             self.upgrade.say(&Word::Return { seq });
             return;
         };
@@ -76,7 +78,6 @@
             lanes: passed.lanes,
             repeat: passed.repeat,
         };
-        self.bodies += size;
         let call = Call {
             id: passed.id.into(),
             class: passed.class,
@@ -85,8 +86,9 @@
             body: Rc::from(passed.body),
         };
         let origin = Origin::Peer(seq);
+        let (by, owner) = (Version::New, Owner::Others);
         let pending =
-            Pending { call, origin, answer: None, new: new.clone(), arrived: now, by: Version::New };
+            Pending { call, origin, answer: None, new: new.clone(), arrived: now, by, owner, asking: None };
         let ticket = self.run_engine(|engine, out| engine.request(now, new, out));
         self.gradual.calls.insert(seq, ticket);
         self.ids.insert(pending.call.id.clone());
@@ -99,6 +101,7 @@
         let (reply, body) = match reply {
             Reply::Served(body) => (lane::Reply::Served, body),
             Reply::Refused(wait) => (lane::Reply::Refused(wait), Vec::new()),
+            Reply::TurnedAway(away) => (lane::Reply::Refused(away.wait), Vec::new()),
             Reply::Failed => (lane::Reply::Failed, Vec::new()),
             Reply::TimedOut => (lane::Reply::TimedOut, Vec::new()),
         };
--- a/node/src/node/rollout/holder.rs
+++ b/node/src/node/rollout/holder.rs
@@ -83,7 +83,7 @@
         }
         let ending = match reply {
             Reply::Served(_) => Ending::Served,
-            Reply::Refused(_) => Ending::Refused,
+            Reply::Refused(_) | Reply::TurnedAway(_) => Ending::Refused,
             Reply::Failed | Reply::TimedOut => Ending::Failed,
         };
         let class = self.config.deployment.settings.classes.get(pending.new.class);
@@ -295,6 +295,9 @@
         let ration = upgrade::told(self.engine.tallies(0));
         self.tallied = now;
         self.upgrade.say(&Word::Ration(ration));
+        if let Some(addresses) = self.entrance.state(now) {
+            self.upgrade.tell(&Message::Learnt { addresses });
+        }
         self.upgrade.say(&Word::TakeOver);
     }
 
--- a/node/src/upgrade.rs
+++ b/node/src/upgrade.rs
@@ -25,9 +25,11 @@
 use rustix::process::{pidfd_open, pidfd_send_signal, PidfdFlags, Signal};
 use serde::{Deserialize, Serialize};
 use wheellink::{Legacy, Loaded, Micros, Tally};
+use wheellink_admission::State as Learnt;
 use wheellink_rollout::ClassTerms;
 
 use crate::conn::ConnId;
+use crate::control::AdmissionCall;
 use crate::door;
 use crate::lane::{self, Word};
 use crate::ring::Ring;
@@ -67,7 +69,7 @@
         why: String,
     },
     /// Old to new, with the listening socket.
-    State(State),
+    State(Box<State>),
     /// New to old: it takes clients from now on.
     Ready,
     /// A host was taken out by hand, or back in.
@@ -78,6 +80,12 @@
     Standby {
         on: bool,
     },
+    /// A prefix was blocked, unblocked or made known by hand.
+    Admission(AdmissionCall),
+    /// What is known of addresses, when clients are handed over.
+    Learnt {
+        addresses: Learnt,
+    },
     /// Old to new: so many connections of clients it still holds, and what it took and ordered since it said
     /// so last.
     Tally {
@@ -128,6 +136,9 @@
     pub served: f64,
     /// Attempts sent to cold hosts lately: host, when.
     pub sends: Vec<(String, Vec<Micros>)>,
+    /// What is known of addresses.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub admission: Option<Learnt>,
     /// The new one is a candidate: it takes no clients, and frames follow on both sides.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub rollout: Option<Hail>,
@@ -280,7 +291,7 @@
     };
     let rest = bytes.split_off(end + 1);
     let state = match serde_json::from_slice(&bytes) {
-        Ok(Message::State(state)) => state,
+        Ok(Message::State(state)) => *state,
         Ok(Message::Busy { why }) => return Err(Unmet::No(format!("the running process says: {why}"))),
         _ => return Err(nobody("what it told is no state")),
     };
@@ -679,7 +690,7 @@
         let Some(wire) = self.wires.get_mut(&id) else { return };
         wire.socket = Some(socket);
         let lane = state.rollout.is_some();
-        let sent = wire.send(&Message::State(state));
+        let sent = wire.send(&Message::State(Box::new(state)));
         if lane {
             wire.speak_frames();
         }
@@ -741,7 +752,8 @@
         let mut legacy = Legacy { loaded: loaded.collect(), tallies, served: 12.5, sends, beside: false };
         let mut state = State { out: vec!["s-9".into()], ..State::default() };
         state.set_legacy(legacy.clone());
-        let Message::State(heard) = serde_json::from_slice(&line(&Message::State(state))).unwrap() else {
+        let Message::State(heard) = serde_json::from_slice(&line(&Message::State(Box::new(state)))).unwrap()
+        else {
             panic!("no state")
         };
         legacy.loaded.reverse();
@@ -781,6 +793,6 @@
     fn a_later_version_may_say_more() {
         let read = |text: &str| serde_json::from_str::<Message>(text).unwrap();
         assert_eq!(read(r#"{"say":"weather","sun":1}"#), Message::Other);
-        assert_eq!(read(r#"{"say":"state","moon":1}"#), Message::State(State::default()));
+        assert_eq!(read(r#"{"say":"state","moon":1}"#), Message::State(Box::default()));
     }
 }
