--- a/crates/admission/src/ledger.rs
+++ b/crates/admission/src/ledger.rs
@@ -71,14 +71,16 @@
     /// The limit for the time being, where the system turned out to have less.
     ceiling: usize,
     raised: Micros,
+    step: usize,
     reserve: [usize; OWNERS],
     held: [usize; OWNERS],
     /// Since when something is owed back.
     owed_since: Option<Micros>,
 }
 
-/// The ceiling rises by one unit in this time after the system had less than the limit.
-const RAISE: Micros = 1_000_000;
+/// After the system had less than the limit the ceiling rises this often: by one, two, four and so on, so that a
+/// passing want is soon forgotten and a lasting one is met with little.
+const RAISE: Micros = 100_000;
 
 impl Ledger {
     /// Of this limit, with these reserves in the order of [`Owner::ALL`].
@@ -90,6 +92,7 @@
             limit: 0,
             ceiling: usize::MAX,
             raised: 0,
+            step: 1,
             reserve: [0; OWNERS],
             held: [0; OWNERS],
             owed_since: None,
@@ -207,11 +210,10 @@
         self.owed_since.is_some_and(|since| now - since >= within)
     }
 
-    /// The system has no more although the limit says so: nothing beyond what is held for now, and then one more
-    /// each second.
+    /// The system has no more although the limit says so: nothing beyond what is held for now, and then by and by
+    /// more.
     pub fn starved(&mut self, now: Micros) {
-        self.ceiling = self.sum();
-        self.raised = now;
+        (self.ceiling, self.raised, self.step) = (self.sum(), now, 1);
     }
 
     /// Time has passed.
@@ -219,9 +221,11 @@
         if self.ceiling < self.limit {
             // After a jump of the clock it rises from there on.
             self.raised = self.raised.min(now);
-            let steps = (now - self.raised) / RAISE;
-            self.ceiling = self.ceiling.saturating_add(steps as usize);
-            self.raised += steps * RAISE;
+            while self.ceiling < self.limit && now - self.raised >= RAISE {
+                self.ceiling = self.ceiling.saturating_add(self.step);
+                self.step = self.step.saturating_mul(2);
+                self.raised += RAISE;
+            }
         } else {
             self.ceiling = usize::MAX;
         }
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -170,6 +170,7 @@
 
     #[rstest]
     #[case::invoke(include_str!("../../deploy/invoke.toml"), false)]
+    #[case::admission(include_str!("../../deploy/admission.toml"), false)]
     #[case::rollout(include_str!("../../deploy/rollout.toml"), true)]
     fn the_files_under_deploy_are_taken(#[case] text: &str, #[case] rollout: bool) {
         let config = operator(text).unwrap_or_else(|e| panic!("{e}"));
--- a/node/src/front/invoke.rs
+++ b/node/src/front/invoke.rs
@@ -288,12 +288,13 @@
 
     /// Whether a new connection can be taken in, if need be in another's place. Else it waits to be accepted.
     pub fn has_room(&mut self, now: Micros, log: &mut Log) -> bool {
-        self.conns.len() < self.most || self.evict(now, log)
+        self.conns.len() < self.most || self.evict(now, false, log)
     }
 
-    /// Makes room for somebody else, if that can be; known clients are the last to go.
-    pub fn make_room(&mut self, now: Micros, log: &mut Log) -> bool {
-        self.evict(now, log)
+    /// Makes room for somebody else, if that can be; known clients are the last to go. For a known one anybody goes
+    /// who is not, and is owed nothing, however lately it came.
+    pub fn make_room(&mut self, now: Micros, known: bool, log: &mut Log) -> bool {
+        self.evict(now, known, log)
     }
 
     /// Ends a connection that is owed nothing; one that is owed an answer gets it first.
@@ -309,9 +310,10 @@
     /// Makes room by closing a connection that is owed nothing: first those that never said
     /// anything, then those that have had time to see their end, then those that stopped within a request, then
     /// those that have been idle longest.
-    fn evict(&mut self, now: Micros, log: &mut Log) -> bool {
+    fn evict(&mut self, now: Micros, for_known: bool, log: &mut Log) -> bool {
         let rank = |c: &HttpConn| match &c.state {
             State::Lingering(_, since) => (now - since >= SPEECHLESS).then_some((1, *since)),
+            State::Reading if for_known && !c.known => Some((3, c.active)),
             State::Reading if c.begun.is_some() => (now - c.moved >= SPEECHLESS).then_some((2, c.moved)),
             State::Reading if c.taken == 0 => (now - c.active >= SPEECHLESS).then_some((0, c.active)),
             State::Reading => Some((3, c.active)),
--- a/node/src/front/platform.rs
+++ b/node/src/front/platform.rs
@@ -222,12 +222,13 @@
     /// Whether a new connection can be taken in, if need be in another's place. Else it waits to be accepted:
     /// whoever is served next makes room.
     pub fn has_room(&mut self, now: Micros, log: &mut Log) -> bool {
-        self.conns.len() < self.most || self.evict(now, log)
+        self.conns.len() < self.most || self.evict(now, false, log)
     }
 
-    /// Makes room for somebody else, if that can be; known clients are the last to go.
-    pub fn make_room(&mut self, now: Micros, log: &mut Log) -> bool {
-        self.evict(now, log)
+    /// Makes room for somebody else, if that can be; known clients are the last to go. For a known one anybody goes
+    /// who is not, and is owed nothing, however lately it came.
+    pub fn make_room(&mut self, now: Micros, known: bool, log: &mut Log) -> bool {
+        self.evict(now, known, log)
     }
 
     /// Ends a connection that is owed nothing; one that is owed an answer gets it first.
@@ -244,7 +245,7 @@
     /// those that have had time to see their end, then those that stopped within a frame, then those that have
     /// been idle longest. Thousands that never finish a request must not crowd out clients that asked once and
     /// keep their connection, nor those that are still writing.
-    fn evict(&mut self, now: Micros, log: &mut Log) -> bool {
+    fn evict(&mut self, now: Micros, for_known: bool, log: &mut Log) -> bool {
         let rank = |c: &ClientConn| match now - c.moved {
             _ if c.lingers.is_some_and(|since| now - since >= SPEECHLESS) => Some((1, c.begun)),
             _ if !c.open.is_empty() || c.broken || !c.conn.outbox.is_empty() => None,
@@ -253,7 +254,8 @@
             quiet if c.partial.is_some() => Some((if quiet >= PAUSING { 2 } else { 5 }, c.moved)),
             _ if c.asked => Some((3, c.active)),
             quiet if quiet >= SPEECHLESS => Some((0, c.begun)),
-            quiet => (quiet >= HESITATING).then_some((4, c.begun)),
+            quiet if quiet >= HESITATING => Some((4, c.begun)),
+            _ => (for_known && !c.known).then_some((7, c.begun)),
         };
         // Known clients are the last to go; without admission nobody is one.
         let ranked = self.conns.iter().filter_map(|(id, c)| Some((c.known, rank(c)?, *id)));
--- a/node/src/node/entrance.rs
+++ b/node/src/node/entrance.rs
@@ -26,6 +26,8 @@
 struct Client {
     from: IpAddr,
     known: bool,
+    /// Its address counts it; a proxy's that has not spoken counts for nobody.
+    counted: bool,
 }
 
 /// See the module's page.
@@ -143,14 +145,14 @@
         let Some(client) = self.clients.remove(&conn) else { return };
         self.known -= usize::from(client.known);
         self.ledger.give(if client.known { Owner::Known } else { Owner::Others }, 1);
-        if let Some(gate) = &mut self.gate {
+        if let Some(gate) = self.gate.as_mut().filter(|_| client.counted) {
             gate.gone(now, client.from);
         }
     }
 
-    fn enter(&mut self, conn: ConnId, from: IpAddr, known: bool) {
-        self.known += usize::from(known);
-        self.clients.insert(conn, Client { from, known });
+    fn enter(&mut self, conn: ConnId, client: Client) {
+        self.known += usize::from(client.known);
+        self.clients.insert(conn, client);
     }
 }
 
@@ -177,7 +179,7 @@
         }
         match self.take_in(now, Guest { stream, peer, known, proxied }) {
             // A proxied one counts for its client only, once that is known.
-            Some(id) => self.entrance.enter(id, from, known),
+            Some(id) => self.entrance.enter(id, Client { from, known, counted: !proxied }),
             None => {
                 self.entrance.ledger.give(if known { Owner::Known } else { Owner::Others }, 1);
                 if let (Some(gate), false) = (&mut self.entrance.gate, proxied) {
@@ -203,8 +205,8 @@
                 return true;
             }
             let made = match &mut self.side {
-                Side::Platform(front, _) => front.make_room(now, &mut self.log),
-                Side::Operator { front, .. } => front.make_room(now, &mut self.log),
+                Side::Platform(front, _) => front.make_room(now, known, &mut self.log),
+                Side::Operator { front, .. } => front.make_room(now, known, &mut self.log),
             };
             if !made {
                 return false;
@@ -294,8 +296,12 @@
             known = gate.connect(now, client.ip()).ok().map(|standing| standing == Standing::Known);
         }
         if let (Some(known), Some(client)) = (known, client) {
-            if let Some(old) = self.entrance.clients.insert(conn, Client { from: client.ip(), known }) {
-                self.entrance.known = self.entrance.known + usize::from(known) - usize::from(old.known);
+            let now_it_is = Client { from: client.ip(), known, counted: true };
+            let e = &mut self.entrance;
+            if e.clients.insert(conn, now_it_is).is_some_and(|old| old.known && !known) {
+                // As a proxy's it was as good as known.
+                e.known -= 1;
+                e.ledger.pass(Owner::Known, Owner::Others, 1);
             }
         }
         match &mut self.side {
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -91,6 +91,24 @@
         Self::run(shell, text, operator)
     }
 
+    /// With calls of the system that fail as this says.
+    pub fn start_with_faults(faults: &str, text: &str, operator: bool) -> Self {
+        let mut command = binary();
+        command.env("WHEELLINK_FAULTS", faults);
+        Self::run(command, text, operator)
+    }
+
+    /// A connection from this loopback address, which stands for a client's.
+    pub fn connect_from(&self, from: [u8; 4]) -> TcpStream {
+        let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+        socket.bind(&SocketAddr::from((from, 0)).into()).unwrap();
+        socket.connect(&self.address.into()).unwrap();
+        let stream: TcpStream = socket.into();
+        stream.set_read_timeout(Some(LONG)).unwrap();
+        stream.set_nodelay(true).unwrap();
+        stream
+    }
+
     fn run(mut command: Command, text: &str, operator: bool) -> Self {
         let file = write_file(text);
         if operator {
@@ -631,6 +649,11 @@
         Self { address, greetings }
     }
 
+    /// The next connection, if one comes within that time.
+    pub fn greeted_within(&self, time: Duration) -> Option<(u64, TcpStream)> {
+        self.greetings.recv_timeout(time).ok()
+    }
+
     /// The next connection, and the event it wants to go on from.
     pub fn greeted(&self) -> (u64, TcpStream) {
         self.greetings.recv_timeout(LONG).expect("a connection to the bus")
