An operator's file may add admission or a rollout to the platform's configuration

WHEELLINK_ADDITIONS names a TOML file whose [admission] and [rollout] win over the platform's JSON; without it nothing changes. The crowd test waited for a count that a busy machine does not reach; it now waits for the addresses seen.

--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -105,11 +105,27 @@
 /// Megabytes there at most.
 const MEMORY: f64 = 192.0;
 
+/// What an installation adds to a platform's configuration that it cannot change itself.
+#[derive(Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct Additions {
+    rollout: Option<rollout::Setup>,
+    admission: Option<Rules>,
+}
+
 /// Reads the platform's configuration, with `listen` and `control` from the environment where they are set
-/// there.
-pub fn platform(text: &str, listen: Option<&str>, control: Option<&str>) -> Result<Config, String> {
+/// there, and with the additions of an operator's file where there is one, which win.
+pub fn platform(
+    text: &str,
+    listen: Option<&str>,
+    control: Option<&str>,
+    additions: Option<&str>,
+) -> Result<Config, String> {
+    let added = additions.map(|text| toml::from_str::<Additions>(text).map_err(|e| e.message().to_string()));
+    let added = added.transpose().map_err(|e| format!("additions: {e}"))?.unwrap_or_default();
     let mut form: Value = serde_json::from_str(text).map_err(|e| e.to_string())?;
-    let file: File = serde_json::from_str(text).map_err(|e| e.to_string())?;
+    let mut file: File = serde_json::from_str(text).map_err(|e| e.to_string())?;
+    (file.rollout, file.admission) = (added.rollout.or(file.rollout), added.admission.or(file.admission));
     if let Some(known) = form.get_mut("known") {
         *known = Value::Bool(true);
     }
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -53,7 +53,12 @@
             config::operator(&text)
         } else {
             let told = |name| std::env::var(name).ok();
-            config::platform(&text, told("EDGE_LISTEN").as_deref(), told("EDGE_CONTROL").as_deref())
+            let additions = told("WHEELLINK_ADDITIONS").map(|path| {
+                std::fs::read_to_string(&path).map_err(|e| format!("{path} cannot be read: {e}"))
+            });
+            let additions = additions.transpose()?;
+            let (listen, control) = (told("EDGE_LISTEN"), told("EDGE_CONTROL"));
+            config::platform(&text, listen.as_deref(), control.as_deref(), additions.as_deref())
         };
         config.map_err(|e| format!("{path}: {e}"))
     };
--- a/node/tests/admission.rs
+++ b/node/tests/admission.rs
@@ -95,11 +95,7 @@
     let crowd: Vec<_> = (0..1000u32)
         .map(|n| p.program.connect_from([127, 1, (n / 250) as u8, (n % 250) as u8 + 1]))
         .collect();
-    wait_for("the crowd", || {
-        let show = show(&p.program);
-        show["closed_for_want_of_descriptors"].as_u64().unwrap() + show["clients"]["others"].as_u64().unwrap()
-            >= 500
-    });
+    wait_for("the crowd", || show(&p.program)["addresses"].as_u64() >= Some(1000));
     // More than the reserve, all at once, and kept.
     let mut teachers: Vec<_> = (0..15).map(|_| p.program.connect_from(TEACHER)).collect();
     for (n, teacher) in teachers.iter_mut().enumerate() {
