A client becomes known at its request; host connects without a descriptor make room

Standing is looked at anew with each request and the descriptor changes hands in the ledger. EMFILE and ENFILE at a connection to a host starve the ledger and close a client that is owed nothing, as a call that was taken comes first; tests for both.

--- a/node/src/conn.rs
+++ b/node/src/conn.rs
@@ -17,6 +17,12 @@
 /// Names a connection for as long as it lives; never used again.
 pub type ConnId = u64;
 
+/// Whether the system has no descriptor or buffer left, for this process or for all.
+pub fn is_exhaustion(e: &io::Error) -> bool {
+    // EMFILE, ENFILE, ENOBUFS, ENOMEM: they have no kinds of their own.
+    matches!(e.raw_os_error(), Some(24 | 23 | 105 | 12))
+}
+
 /// An id that no other connection has or had.
 pub fn fresh_id() -> ConnId {
     thread_local!(static NEXT: Cell<ConnId> = const { Cell::new(0) });
--- a/node/src/front/invoke.rs
+++ b/node/src/front/invoke.rs
@@ -297,6 +297,13 @@
         self.evict(now, known, log)
     }
 
+    /// A connection's client is known from now on, or no longer.
+    pub fn know(&mut self, id: ConnId, known: bool) {
+        if let Some(c) = self.conns.get_mut(&id) {
+            c.known = known;
+        }
+    }
+
     /// Ends a connection that is owed nothing; one that is owed an answer gets it first.
     pub fn dismiss(&mut self, now: Micros, id: ConnId, log: &mut Log) {
         let Some(c) = self.conns.get_mut(&id) else { return };
--- a/node/src/hosts/pool.rs
+++ b/node/src/hosts/pool.rs
@@ -16,7 +16,7 @@
 use super::idling::Idling;
 use super::lines;
 use crate::bus::Host;
-use crate::conn::{Conn, ConnId};
+use crate::conn::{is_exhaustion, Conn, ConnId};
 use crate::log::{Log, Reason};
 use crate::wake::{Handle, Wake};
 
@@ -162,6 +162,8 @@
     attempts: HashMap<AttemptId, ConnId>,
     next_probe: u64,
     idling: Idling,
+    /// The system had no descriptor for a connection to a host.
+    pub exhausted: bool,
     pub notices: VecDeque<Notice>,
 }
 
@@ -178,6 +180,7 @@
             attempts: HashMap::new(),
             next_probe: 0,
             idling: Idling::default(),
+            exhausted: false,
             notices: VecDeque::new(),
         }
     }
@@ -443,6 +446,7 @@
             match Conn::connect(&self.handle, id, address, (lines::LONGEST_ANSWER, 64 << 10), Wake::Host) {
                 Ok(conn) => conn,
                 Err(e) => {
+                    self.exhausted |= is_exhaustion(&e);
                     log.line(now, format_args!("no connection to host {} at {address}: {e}", host.0));
                     return None;
                 }
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -394,9 +394,13 @@
                 let answer = self.operate(now, call);
                 self.control.answer(now, caller, answer, &mut self.log);
             } else if !self.hear_front() {
-                return;
+                break;
             }
         }
+        if self.hosts.exhausted {
+            let now = self.clock.now();
+            self.make_room_for_hosts(now);
+        }
     }
 
     fn carry_out(&mut self, command: Command) {
--- a/node/src/node/entrance.rs
+++ b/node/src/node/entrance.rs
@@ -10,6 +10,7 @@
 };
 
 use super::*;
+use crate::conn::is_exhaustion;
 use crate::control::AdmissionCall;
 use crate::front::{Away, Guest};
 
@@ -50,12 +51,6 @@
     File::open("/dev/null").ok()
 }
 
-/// Whether the system has no descriptor or buffer left, for this process or for all.
-fn is_exhaustion(e: &io::Error) -> bool {
-    // EMFILE, ENFILE, ENOBUFS, ENOMEM: they have no kinds of their own.
-    matches!(e.raw_os_error(), Some(24 | 23 | 105 | 12))
-}
-
 impl Entrance {
     pub(super) fn new(rules: Option<&Rules>, sockets: usize, bodies: usize) -> Self {
         let gate = rules.cloned().map(Admission::new);
@@ -310,6 +305,48 @@
         }
     }
 
+    /// A connection to a host wanted a descriptor that the system did not have: a client that is owed nothing makes
+    /// room for it, as a call that was taken comes first.
+    pub(super) fn make_room_for_hosts(&mut self, now: Micros) {
+        if !std::mem::take(&mut self.hosts.exhausted) || !self.entrance.is_on() {
+            return;
+        }
+        self.entrance.starved += 1;
+        self.entrance.ledger.starved(now);
+        let made = match &mut self.side {
+            Side::Platform(front, _) => front.make_room(now, true, &mut self.log),
+            Side::Operator { front, .. } => front.make_room(now, true, &mut self.log),
+        };
+        let made = if made { "a client made room" } else { "nobody could make room" };
+        self.log.line(now, format_args!("out of descriptors for a host: {made}"));
+        self.hear_gone(now);
+    }
+
+    /// At its request a client may have become known, or be so no longer: its descriptor changes hands.
+    fn know_again(&mut self, now: Micros, conn: ConnId) {
+        let e = &mut self.entrance;
+        let (Some(gate), Some(client)) = (&e.gate, e.clients.get_mut(&conn)) else { return };
+        let known = gate.standing(now, client.from) == Standing::Known;
+        if known == client.known {
+            return;
+        }
+        client.known = known;
+        match known {
+            true => {
+                e.known += 1;
+                e.ledger.pass(Owner::Others, Owner::Known, 1);
+            }
+            false => {
+                e.known -= 1;
+                e.ledger.pass(Owner::Known, Owner::Others, 1);
+            }
+        }
+        match &mut self.side {
+            Side::Platform(front, _) => front.know(conn, known),
+            Side::Operator { front, .. } => front.know(conn, known),
+        }
+    }
+
     fn asking(
         &self,
         conn: Option<ConnId>,
@@ -342,6 +379,9 @@
         conn: Option<ConnId>,
         (class, tenant, size): (usize, Option<usize>, usize),
     ) -> Result<(Owner, Option<Asking>), Reply> {
+        if let Some(conn) = conn {
+            self.know_again(now, conn);
+        }
         let asking = self.asking(conn, class, tenant, size);
         if let (Some(gate), Some(asking)) = (&mut self.entrance.gate, &asking) {
             if let Err(refused) = gate.request(now, asking) {
--- a/node/tests/admission.rs
+++ b/node/tests/admission.rs
@@ -241,6 +241,52 @@
     wait_for("the reload", || program.logged("the old configuration is kept") == 1);
 }
 
+/// Who is served becomes known on the connection that it has, and bad behaviour undoes that.
+#[test]
+fn who_is_served_becomes_known() {
+    let host = Host::warm();
+    let rules = json!({"address": {"connections": 2}, "learn_calls": 10});
+    let p = start(&[&host], 128, rules);
+    let mut teacher = p.program.connect_from(TEACHER);
+    for n in 1..=9 {
+        assert_eq!(call_on(&mut teacher, n), Some(SERVED));
+    }
+    assert_eq!(show(&p.program)["clients"], json!({"known": 0, "others": 1}));
+    for n in 10..=12 {
+        assert_eq!(call_on(&mut teacher, n), Some(SERVED));
+    }
+    assert_eq!(show(&p.program)["clients"], json!({"known": 1, "others": 0}));
+    // Eight are its cap now; the ninth is refused, and with that it is known no more.
+    let more: Vec<_> = (0..7).map(|_| p.program.connect_from(TEACHER)).collect();
+    assert!(is_closed(&mut p.program.connect_from(TEACHER)));
+    assert_eq!(call_on(&mut teacher, 13), Some(SERVED));
+    assert_eq!(
+        show(&p.program)["clients"]["known"],
+        json!(7),
+        "only the one that called again was looked at"
+    );
+    drop(more);
+}
+
+/// A connection to a host that the system has no descriptor for is made in an idle client's place.
+#[test]
+fn a_taken_call_comes_before_an_idle_client() {
+    let host = Host::warm();
+    let bus = Bus::start();
+    // The first connect is the bus's, the second the host's.
+    let p = Program::start_with_faults("connect:EMFILE:2:1", &text(&bus, &[&host], 128, json!({})), false);
+    let (_, _feed) = bus.greeted();
+    wait_for("readiness", || p.status() == 200);
+    let mut idle = p.connect_from(BAD);
+    std::thread::sleep(ms(100));
+    let mut teacher = p.connect_from(TEACHER);
+    let first = call_on(&mut teacher, 1);
+    assert!(matches!(first, Some(SERVED | REFUSED)), "{first:?}");
+    assert!(is_closed(&mut idle));
+    assert_eq!((show(&p)["system_exhausted"].clone(), call_on(&mut teacher, 2)), (json!(1), Some(SERVED)));
+    assert_eq!(p.logged("out of descriptors for a host: a client made room"), 1);
+}
+
 fn proxy_header(client: [u8; 4]) -> Vec<u8> {
     let block = [&client[..], &[127, 0, 0, 1, 0x9c, 0x40, 0x1f, 0x90]].concat();
     [b"\r\n\r\n\0\r\nQUIT\n\x21\x11\x00\x0c".as_slice(), &block].concat()
