--- a/node/tests/measure.rs
+++ b/node/tests/measure.rs
@@ -366,3 +366,88 @@
     let per = (p.used() - used) as f64 * 10_000.0 / f64::from(opened + 300);
     tell(&name("flood_cpu_a_connection"), per.round(), "us");
 }
+
+// ------------------------------------------------------------------------------------------ the path
+
+#[test]
+#[ignore = "a measurement"]
+fn path() {
+    for rate in [100u32, 1_000, 3_000, 10_000] {
+        tell(&format!("path.decide_at_{rate}"), decide(rate, 8, 40).round(), "ns a call");
+    }
+    for hosts in [16, 100, 1_000] {
+        tell(&format!("path.decide_with_{hosts}_hosts"), decide(1_000, hosts, 40).round(), "ns a call");
+    }
+    for functions in [20, 1_000, 20_000] {
+        tell(
+            &format!("path.decide_with_{functions}_functions"),
+            decide(1_000, 8, functions).round(),
+            "ns a call",
+        );
+    }
+}
+
+/// What engine and module cost a call, with time passed in: at so many calls a second for six seconds, of functions
+/// whose popularity falls with the cube, each answered by its host after 2 ms. The first second is not counted.
+fn decide(rate: u32, hosts: usize, functions: usize) -> f64 {
+    use wheellink::engine::{AttemptEnd, Command, NewRequest};
+    use wheellink::{Condition, Engine, FunctionId, ListEntry, ListKind, Outcome};
+    let deployment: wheellink_settings::Options = {
+        let whole: serde_json::Value =
+            serde_json::from_str(&config("127.0.0.1:1".parse().unwrap(), &[])).unwrap();
+        serde_json::from_value(whole["settings"].clone()).unwrap()
+    };
+    let deployment = wheellink_settings::Deployment::try_from(deployment).unwrap();
+    let mut engine = Engine::new(deployment.router(7).unwrap(), 10_000_000);
+    let (mut now, mut out) = (1_000_000_000i64, Vec::new());
+    let entry = |i| ListEntry {
+        worker: format!("s-{i:08x}").as_str().into(),
+        zone: 0,
+        cell: 0,
+        condition: Condition::Up,
+        size: 1.0,
+        ready_at: 0,
+    };
+    engine.hosts(now, ListKind::Cached, (0..hosts).map(entry).collect(), &mut out);
+    let names: Vec<FunctionId> = (0..functions).map(|n| format!("{n:016x}").as_str().into()).collect();
+    let mut rng = fastrand::Rng::with_seed(1);
+    let mut answers = std::collections::VecDeque::new();
+    let gap = 1_000_000 / i64::from(rate);
+    let (begun, mut counted, mut spent) = (now, 0u32, std::time::Duration::ZERO);
+    while now - begun < 6_000_000 {
+        now += gap;
+        let at = Instant::now();
+        while answers.front().is_some_and(|(due, _)| *due <= now) {
+            let (_, attempt) = answers.pop_front().unwrap();
+            let end = AttemptEnd { outcome: Outcome::Done, found: None, crowd: None };
+            engine.attempt_ended(now, attempt, end, &mut out);
+        }
+        if engine.next_tick().is_some_and(|tick| tick <= now) {
+            engine.tick(now, &mut out);
+        }
+        let function = names[(rng.f64().powi(3) * functions as f64) as usize].clone();
+        let new =
+            NewRequest { class: 0, tenant: None, function, due: now + 4_000_000, lanes: 64, repeat: false };
+        engine.request(now, new, &mut out);
+        if now - begun > 1_000_000 {
+            spent += at.elapsed();
+            counted += 1;
+        }
+        for command in out.drain(..) {
+            match command {
+                Command::Send { attempt, .. } => answers.push_back((now + 2_000, attempt)),
+                Command::Load { order, .. } => {
+                    let mut more = Vec::new();
+                    engine.order_ended(now, order, Outcome::Done, 1, &mut more);
+                    let sends = more.iter().filter_map(|c| match c {
+                        Command::Send { attempt, .. } => Some((now + 2_000, *attempt)),
+                        _ => None,
+                    });
+                    answers.extend(sends);
+                }
+                _ => {}
+            }
+        }
+    }
+    spent.as_nanos() as f64 / f64::from(counted)
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod interface;
 pub mod rules;
 mod state;
+mod succession;
 
 pub use engine::{Engine, Ticket};
 pub use interface::*;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -496,15 +496,12 @@
         if let Some(rate) = tenant.and_then(|t| self.tenant_rates.get_mut(t)) {
             *rate += SMOOTHING * 1e6 / TICK as f64;
         }
-        self.recent.retain(|c| now - c.at <= FOLLOWS);
-        for call in self.recent.iter_mut().filter(|c| c.tenant == tenant && c.function != *id) {
-            if call.followers.insert(id.clone()) {
-                if let Some(f) = self.functions.get_mut(&call.function) {
-                    *f.successors.entry(id.clone()).or_default() += 1.0;
-                }
+        let functions = &mut self.functions;
+        self.recent.call(now, (id, tenant), FOLLOWS, |before, calls| {
+            if let Some(f) = functions.get_mut(before) {
+                *f.successors.entry(id.clone()).or_default() += f64::from(calls);
             }
-        }
-        self.recent.push_back(Recent { at: now, function: id.clone(), tenant, followers: BTreeSet::new() });
+        });
         let f = self.functions.entry(id.clone()).or_default();
         f.calls += 1.0;
         self.calls += 1.0;
--- a/src/state.rs
+++ b/src/state.rs
@@ -4,6 +4,7 @@
 
 use crate::interface::*;
 use crate::rules::Router;
+use crate::succession::Succession;
 
 /// What is believed of one function on one worker.
 #[derive(Default)]
@@ -117,14 +118,6 @@
     pub(crate) lot: f64,
 }
 
-/// One call in the successor window.
-pub(crate) struct Recent {
-    pub(crate) at: Micros,
-    pub(crate) function: FunctionId,
-    pub(crate) tenant: Option<usize>,
-    pub(crate) followers: BTreeSet<FunctionId>,
-}
-
 /// All that one router knows.
 #[derive(Default)]
 pub(crate) struct Core {
@@ -139,7 +132,7 @@
     pub(crate) totals: Totals,
     pub(crate) functions: BTreeMap<FunctionId, Function>,
     pub(crate) requests: BTreeMap<RequestId, Request>,
-    pub(crate) recent: VecDeque<Recent>,
+    pub(crate) recent: Succession,
     pub(crate) arrivals: VecDeque<Micros>,
     /// Calls of all functions, halved with theirs.
     pub(crate) calls: f64,
