--- a/node/src/front.rs
+++ b/node/src/front.rs
@@ -7,6 +7,9 @@
 
 use wheellink::Micros;
 
+use crate::proxy::{self, Word};
+use crate::ring::Ring;
+
 /// The final answer of a request, in no front's words.
 pub enum Reply {
     /// With the body that a script host gave.
@@ -54,3 +57,18 @@
     /// The word is there, and whether its client may come in is not said yet.
     Held,
 }
+
+impl Through {
+    /// Takes a proxy's word where one is awaited: whose the connection is, once it is whole. It is held from then on.
+    fn hear(&mut self, inbox: &mut Ring) -> Result<Option<Option<SocketAddr>>, &'static str> {
+        if *self != Through::Proxy {
+            return Ok(None);
+        }
+        let Some(word) = proxy::next(inbox)? else { return Ok(None) };
+        *self = Through::Held;
+        Ok(Some(match word {
+            Word::Client(client) => Some(client),
+            Word::Own => None,
+        }))
+    }
+}
--- a/node/src/front/invoke.rs
+++ b/node/src/front/invoke.rs
@@ -15,7 +15,6 @@
 use crate::hosts::lines::is_word;
 use crate::http::{self, Bad, Parsed, Request, Response};
 use crate::log::{Log, Reason};
-use crate::proxy;
 use crate::wake::{Handle, Wake};
 use results::{Bounds, Job, Results};
 
@@ -363,21 +362,12 @@
             if c.conn.inbox.len() > before {
                 c.moved = now;
             }
-            if c.through == Through::Proxy {
-                match proxy::next(&mut c.conn.inbox) {
-                    Ok(None) => {}
-                    Ok(Some(word)) => {
-                        c.through = Through::Held;
-                        let client = match word {
-                            proxy::Word::Client(client) => Some(client),
-                            proxy::Word::Own => None,
-                        };
-                        self.notices.push(Notice::Proxied { conn: id, client });
-                    }
-                    Err(problem) => {
-                        log.bad(now, format_args!("proxy {} sent {problem}", c.peer));
-                        return Err(Reason::Protocol);
-                    }
+            match c.through.hear(&mut c.conn.inbox) {
+                Ok(Some(client)) => self.notices.push(Notice::Proxied { conn: id, client }),
+                Ok(None) => {}
+                Err(problem) => {
+                    log.bad(now, format_args!("proxy {} sent {problem}", c.peer));
+                    return Err(Reason::Protocol);
                 }
             }
             if c.through != Through::Nobody && !c.conn.eof {
--- a/node/src/front/platform.rs
+++ b/node/src/front/platform.rs
@@ -10,7 +10,6 @@
 use crate::conn::{Conn, ConnId};
 use crate::front::{Guest, Reply, Through};
 use crate::log::{Log, Reason};
-use crate::proxy;
 use crate::wake::{Handle, Wake};
 use frames::{Code, Frame, Head, Request};
 
@@ -357,22 +356,13 @@
     /// Whether the client behind a proxy is known and was let in: until then nothing of it is read.
     fn is_through(&mut self, now: Micros, id: ConnId, log: &mut Log) -> Result<bool, Reason> {
         let Some(c) = self.conns.get_mut(&id) else { return Ok(false) };
-        if c.through == Through::Proxy {
-            match proxy::next(&mut c.conn.inbox) {
-                Ok(None) if c.conn.eof => return Err(Reason::PeerClosed),
-                Ok(None) => {}
-                Ok(Some(word)) => {
-                    c.through = Through::Held;
-                    let client = match word {
-                        proxy::Word::Client(client) => Some(client),
-                        proxy::Word::Own => None,
-                    };
-                    self.notices.push(Notice::Proxied { conn: id, client });
-                }
-                Err(problem) => {
-                    log.bad(now, format_args!("proxy {} sent {problem}", c.peer));
-                    return Err(Reason::Protocol);
-                }
+        match c.through.hear(&mut c.conn.inbox) {
+            Ok(Some(client)) => self.notices.push(Notice::Proxied { conn: id, client }),
+            Ok(None) if c.through == Through::Proxy && c.conn.eof => return Err(Reason::PeerClosed),
+            Ok(None) => {}
+            Err(problem) => {
+                log.bad(now, format_args!("proxy {} sent {problem}", c.peer));
+                return Err(Reason::Protocol);
             }
         }
         Ok(self.conns.get(&id).is_some_and(|c| c.through == Through::Nobody))
