A proxied connection that ended at once leaves no client behind; additions tested

Its word could be looked at after its end, and its client was then counted for ever. The word of an ended connection is passed over, with a test of 200 of them; deploy/admission-platform.toml is played by a test as an addition to the platform's configuration.

--- a/node/src/node/entrance.rs
+++ b/node/src/node/entrance.rs
@@ -286,6 +286,10 @@
 
     /// A trusted proxy has said whose its connection is.
     pub(super) fn proxied(&mut self, now: Micros, conn: ConnId, client: Option<SocketAddr>) {
+        // It may have ended since it spoke.
+        if !self.entrance.clients.contains_key(&conn) {
+            return;
+        }
         let mut known = Some(true);
         if let (Some(gate), Some(client)) = (&mut self.entrance.gate, client) {
             known = gate.connect(now, client.ip()).ok().map(|standing| standing == Standing::Known);
--- a/node/tests/admission.rs
+++ b/node/tests/admission.rs
@@ -241,6 +241,33 @@
     wait_for("the reload", || program.logged("the old configuration is kept") == 1);
 }
 
+/// An installation adds to the platform's configuration what it cannot change there.
+#[test]
+fn an_operators_file_adds_to_the_platforms_configuration() {
+    let (host, bus) = (Host::warm(), Bus::start());
+    let file = concat!(env!("CARGO_MANIFEST_DIR"), "/../deploy/admission-platform.toml");
+    let p = Program::start_with("WHEELLINK_ADDITIONS", file, &config(bus.address, &[&host]), false);
+    let (_, _feed) = bus.greeted();
+    wait_for("readiness", || p.status() == 200);
+    assert_eq!(call_on(&mut p.connect_from(TEACHER), 1), Some(SERVED));
+    assert_eq!((p.operate("GET", "/admission", ""), p.operate("GET", "/rollout", "")), (200, 404));
+}
+
+/// One that ends as soon as it has said whose it is leaves nothing behind.
+#[test]
+fn proxied_connections_that_end_at_once_leave_nothing_behind() {
+    let host = Host::warm();
+    let p = start(&[&host], 128, json!({"proxies": ["127.0.0.5"], "address": {"connections": 4}}));
+    for n in 0..200u32 {
+        let mut stream = p.program.connect_from([127, 0, 0, 5]);
+        stream.write_all(&proxy_header([192, 0, 2, (n % 50) as u8])).unwrap();
+    }
+    wait_for("their end", || show(&p.program)["clients"] == json!({"known": 0, "others": 0}));
+    let top = show(&p.program)["top"].as_array().unwrap().clone();
+    assert!(top.iter().all(|e| e["connections"] == json!(0)), "{top:?}");
+    assert_eq!(call_on(&mut p.program.connect_from(TEACHER), 1), Some(SERVED));
+}
+
 /// Who is served becomes known on the connection that it has, and bad behaviour undoes that.
 #[test]
 fn who_is_served_becomes_known() {
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -93,8 +93,13 @@
 
     /// With calls of the system that fail as this says.
     pub fn start_with_faults(faults: &str, text: &str, operator: bool) -> Self {
+        Self::start_with("WHEELLINK_FAULTS", faults, text, operator)
+    }
+
+    /// With this in its environment besides.
+    pub fn start_with(name: &str, value: &str, text: &str, operator: bool) -> Self {
         let mut command = binary();
-        command.env("WHEELLINK_FAULTS", faults);
+        command.env(name, value);
         Self::run(command, text, operator)
     }
 
