--- a/crates/admission/tests/properties.rs
+++ b/crates/admission/tests/properties.rs
@@ -353,6 +353,22 @@
     assert!(gate.connect(S, from).is_ok());
 }
 
+/// A table whose entries are all active takes nobody new, and does so again when one has gone.
+#[test]
+fn a_table_full_of_active_entries_takes_nobody() {
+    let rules: Rules = serde_json::from_str(r#"{"entries":2}"#).unwrap();
+    let mut gate = Admission::new(rules);
+    // Neighbourhoods have a table of their own: these share one.
+    for n in 0..2 {
+        gate.connect(S, address(n)).unwrap();
+    }
+    assert_eq!(gate.connect(S, address(2)), Err(Reason::Table));
+    assert_eq!(gate.standing(S, address(2)), Standing::Other);
+    gate.gone(S, address(0));
+    assert!(gate.connect(S, address(2)).is_ok());
+    assert_eq!(gate.tables().0.len(), 2);
+}
+
 /// The log has whom, why and how often, bounded.
 #[test]
 fn refusals_are_told_in_windows() {
--- a/node/tests/admission.rs
+++ b/node/tests/admission.rs
@@ -241,6 +241,57 @@
     wait_for("the reload", || program.logged("the old configuration is kept") == 1);
 }
 
+/// One says nothing, one sends a byte now and then, one closes and comes back at full speed: each holds its cap at
+/// the most, and others are served beside them.
+#[test]
+fn slow_and_hasty_clients_hold_no_more_than_their_cap() {
+    let host = Host::warm();
+    let rate = json!({"per_second": 2, "burst": 20});
+    let rules = json!({"address": {"connections": 4, "connect_rate": rate}, "penalty": {"refusals": 100000}});
+    let p = start(&[&host], 128, rules);
+    let silent: Vec<_> = (0..40).map(|_| p.program.connect_from([127, 0, 2, 1])).collect();
+    let mut dripping: Vec<_> = (0..40).map(|_| p.program.connect_from([127, 0, 2, 2])).collect();
+    let frame = call_frame(1, "check-score", 4000, b"");
+    let hasty =
+        (0..400).filter(|_| call_on(&mut p.program.connect_from([127, 0, 2, 3]), 1) == Some(SERVED)).count();
+    for piece in 0..10 {
+        dripping.iter_mut().for_each(|s| drop(s.write_all(&frame[piece..piece + 1])));
+        assert_eq!(call_on(&mut p.program.connect_from([127, 0, 0, 10 + piece as u8]), 1), Some(SERVED));
+        std::thread::sleep(ms(10));
+    }
+    let held = |streams: &[TcpStream]| streams.iter().filter(|s| stands(s)).count();
+    assert!(held(&silent) <= 4 && held(&dripping) <= 4, "{} {}", held(&silent), held(&dripping));
+    assert!((20..400).contains(&hasty), "{hasty} of 400 at a rate of 2 a second and a burst of 20");
+}
+
+/// Fewer descriptors by SIGHUP than are in use: whoever is owed an answer gets it, and nobody new is taken in until
+/// enough have gone.
+#[test]
+fn a_reload_lowers_the_descriptors_below_what_is_in_use() {
+    let host = Host::start(Ways { does: Does::Answer("200"), work: ms(700), load: None });
+    let bus = Bus::start();
+    let program = Program::start(&text(&bus, &[&host], 128, json!({"reserve": 0.0})), false);
+    let (_, _feed) = bus.greeted();
+    wait_for("readiness", || program.status() == 200);
+    let mut held: Vec<_> = (0..50u8).map(|n| program.connect_from([127, 0, 3, n + 1])).collect();
+    // Each with an id of its own.
+    for (n, stream) in held.iter_mut().enumerate() {
+        stream.write_all(&call_frame(n as u32 + 1, "check-score", 4000, b"")).unwrap();
+    }
+    wait_for("the calls", || host.calls() > 0 && show(&program)["clients"]["others"] == json!(50));
+    let listen = ("listen", json!(program.address.to_string()));
+    program.reload(&edited(&text(&bus, &[&host], 64, json!({"reserve": 0.0})), &[listen]));
+    wait_for("the reload", || program.logged("configuration read again") == 1);
+    assert!(is_closed(&mut program.connect_from(BAD)), "no room for anybody new");
+    for stream in &mut held {
+        let code = read_frame(stream).expect("an answer").code;
+        assert!(code == SERVED || code == REFUSED, "{code}");
+    }
+    drop(held);
+    host.ways.lock().unwrap().work = ms(1);
+    wait_for("room", || call_on(&mut program.connect_from(BAD), 1) == Some(SERVED));
+}
+
 /// An installation adds to the platform's configuration what it cannot change there.
 #[test]
 fn an_operators_file_adds_to_the_platforms_configuration() {
--- a/node/tests/rollout.rs
+++ b/node/tests/rollout.rs
@@ -507,7 +507,11 @@
     let drain = event(2, false, &[(0, a.address, 1)]);
     p.old.feed.write_all(&drain).unwrap();
     p.feed.write_all(&drain).unwrap();
-    std::thread::sleep(ms(400));
+    // Both have heard of it once a round of calls passes it by.
+    wait_for("word of it", || {
+        let before = used(&a);
+        (0..20).all(|n| client.one(CLASSES[n % 3]) == SERVED) && used(&a) == before
+    });
     let before = used(&a);
     assert!((0..60).all(|n| client.one(CLASSES[n % 3]) == SERVED));
     assert_eq!(used(&a), before);
