admission: the setting give_back_ms goes, as nothing heeded it

Found on reading the change again. What others borrow of the known clients' reserve they give back at once where they are owed nothing; where they are owed an answer no setting may close them, so the time is that of the answer. The ledger's clock for it had no reader either.

--- a/crates/admission/src/ledger.rs
+++ b/crates/admission/src/ledger.rs
@@ -74,8 +74,6 @@
     step: usize,
     reserve: [usize; OWNERS],
     held: [usize; OWNERS],
-    /// Since when something is owed back.
-    owed_since: Option<Micros>,
 }
 
 /// After the system had less than the limit the ceiling rises this often: by one, two, four and so on, so that a
@@ -95,7 +93,6 @@
             step: 1,
             reserve: [0; OWNERS],
             held: [0; OWNERS],
-            owed_since: None,
         };
         ledger.bound(limit, reserve)?;
         Ok(ledger)
@@ -141,7 +138,7 @@
     }
 
     /// Takes so many units for an owner, or none.
-    pub fn take(&mut self, now: Micros, owner: Owner, units: usize) -> Taken {
+    pub fn take(&mut self, owner: Owner, units: usize) -> Taken {
         let free = self.limit().saturating_sub(self.sum());
         let others = Owner::ALL.into_iter().filter(|o| *o != owner);
         let (mut kept, mut lent) = (0, 0);
@@ -162,10 +159,7 @@
             let excess = |o: &Owner| self.held(*o).saturating_sub(self.reserve(*o));
             let borrower = Owner::ALL.into_iter().filter(|o| *o != owner && excess(o) > 0).max_by_key(excess);
             return match borrower.filter(|_| within) {
-                Some(borrower) => {
-                    self.owed_since = self.owed_since.or(Some(now));
-                    Taken::Owed(borrower)
-                }
+                Some(borrower) => Taken::Owed(borrower),
                 None => Taken::No,
             };
         };
@@ -176,9 +170,6 @@
     /// What an owner holds, as its keeper counts it.
     pub fn set(&mut self, owner: Owner, units: usize) {
         self.held[owner as usize] = units;
-        if self.sum() < self.limit() {
-            self.owed_since = None;
-        }
     }
 
     /// How many units this owner could take now, without what known clients lend.
@@ -193,9 +184,6 @@
     pub fn give(&mut self, owner: Owner, units: usize) {
         debug_assert!(self.held(owner) >= units, "{owner:?} gives back more than it holds");
         self.held[owner as usize] -= units.min(self.held(owner));
-        if self.sum() < self.limit() {
-            self.owed_since = None;
-        }
     }
 
     /// A unit changes hands: whoever held it is another owner now (a client has become known, say).
@@ -205,11 +193,6 @@
         self.held[to as usize] += units;
     }
 
-    /// Whether what is owed has not been given back within this time.
-    pub fn is_overdue(&self, now: Micros, within: Micros) -> bool {
-        self.owed_since.is_some_and(|since| now - since >= within)
-    }
-
     /// The system has no more although the limit says so: nothing beyond what is held for now, and then by and by
     /// more.
     pub fn starved(&mut self, now: Micros) {
--- a/crates/admission/src/rules.rs
+++ b/crates/admission/src/rules.rs
@@ -76,8 +76,6 @@
     pub proxies: Vec<Prefix>,
     /// The share of clients' descriptors that is kept for known clients, in parts of 1.
     pub reserve: f64,
-    /// Others give back what they borrowed of it within this, in milliseconds.
-    pub give_back_ms: u64,
     /// The adaptive limit of requests under way, where one is wanted.
     pub adaptive: Option<AdaptiveRules>,
 }
@@ -97,7 +95,6 @@
             penalty: Penalty::default(),
             proxies: Vec::new(),
             reserve: 0.25,
-            give_back_ms: 1_000,
             adaptive: None,
         }
     }
@@ -145,7 +142,6 @@
         wrong(!(0.0..=1e9).contains(&self.learn_calls), "learn_calls must not be negative".into())?;
         wrong(self.learn_half_ms == 0, "learn_half_ms must be above 0".into())?;
         wrong(!(0.0..=0.9).contains(&self.reserve), "reserve must be 0 to 0.9".into())?;
-        wrong(self.give_back_ms == 0, "give_back_ms must be above 0".into())?;
         let p = &self.penalty;
         wrong(p.refusals == 0 || p.window_ms == 0, "penalty: refusals and window_ms must be above 0".into())?;
         let times = p.first_ms == 0 || p.longest_ms < p.first_ms || p.longest_ms > 86_400_000;
--- a/crates/admission/tests/properties.rs
+++ b/crates/admission/tests/properties.rs
@@ -74,7 +74,7 @@
             if takes {
                 let within = held[who] + units <= reserve[who];
                 let sum: usize = held.iter().sum();
-                match ledger.take(0, owner, units) {
+                match ledger.take(owner, units) {
                     Taken::Yes | Taken::Borrowed => held[who] += units,
                     Taken::Owed(from) => {
                         prop_assert!(within && held[from as usize] > reserve[from as usize]);
@@ -276,20 +276,16 @@
 fn a_ledger_lends_what_known_clients_do_not_use_and_is_owed_it_back() {
     // Hosts 4, known 4, others 0, operators 1, own 1; 2 anybody's.
     let mut l = Ledger::new(12, [4, 4, 0, 1, 1]).unwrap();
-    assert_eq!((0..2).map(|_| l.take(0, Owner::Others, 1)).collect::<Vec<_>>(), [Taken::Yes; 2]);
-    assert_eq!((0..4).map(|_| l.take(0, Owner::Others, 1)).collect::<Vec<_>>(), [Taken::Borrowed; 4]);
-    assert_eq!(l.take(0, Owner::Others, 1), Taken::No, "hosts, operators and own lend nothing");
-    assert_eq!(l.take(0, Owner::Known, 1), Taken::Owed(Owner::Others));
-    assert!(!l.is_overdue(S, 2 * S) && l.is_overdue(2 * S, 2 * S));
+    assert_eq!((0..2).map(|_| l.take(Owner::Others, 1)).collect::<Vec<_>>(), [Taken::Yes; 2]);
+    assert_eq!((0..4).map(|_| l.take(Owner::Others, 1)).collect::<Vec<_>>(), [Taken::Borrowed; 4]);
+    assert_eq!(l.take(Owner::Others, 1), Taken::No, "hosts, operators and own lend nothing");
+    assert_eq!(l.take(Owner::Known, 1), Taken::Owed(Owner::Others));
     l.give(Owner::Others, 1);
-    assert_eq!((l.take(3 * S, Owner::Known, 1), l.is_overdue(9 * S, S)), (Taken::Yes, false));
-    assert!(
-        (0..4).all(|_| l.take(0, Owner::Hosts, 1) == Taken::Yes),
-        "a call that was taken reaches its host"
-    );
+    assert_eq!(l.take(Owner::Known, 1), Taken::Yes);
+    assert!((0..4).all(|_| l.take(Owner::Hosts, 1) == Taken::Yes), "a call that was taken reaches its host");
     // The limit falls below what is in use: nothing more is taken until enough has gone.
     l.bound(6, [2, 2, 0, 1, 1]).unwrap();
-    assert_eq!((l.sum(), l.take(0, Owner::Hosts, 1)), (10, Taken::No));
+    assert_eq!((l.sum(), l.take(Owner::Hosts, 1)), (10, Taken::No));
     assert!(l.bound(3, [2, 2, 0, 1, 1]).unwrap_err().0.contains("more than the limit of 3"));
 }
 
@@ -298,12 +294,12 @@
 fn a_starved_ledger_recovers_by_and_by() {
     let mut l = Ledger::new(100, [10, 10, 0, 1, 1]).unwrap();
     for _ in 0..5 {
-        l.take(0, Owner::Others, 1);
+        l.take(Owner::Others, 1);
     }
     l.starved(10 * S);
-    assert_eq!((l.limit(), l.take(10 * S, Owner::Hosts, 1)), (5, Taken::Owed(Owner::Others)));
+    assert_eq!((l.limit(), l.take(Owner::Hosts, 1)), (5, Taken::Owed(Owner::Others)));
     l.tick(10 * S + S / 10);
-    assert_eq!((l.take(11 * S, Owner::Hosts, 1), l.take(11 * S, Owner::Others, 1)), (Taken::Yes, Taken::No));
+    assert_eq!((l.take(Owner::Hosts, 1), l.take(Owner::Others, 1)), (Taken::Yes, Taken::No));
     l.tick(5 * S);
     l.tick(5 * S + S / 5);
     assert_eq!(l.limit(), 5 + 1 + 2 + 4, "a clock that jumps back does not stop it");
--- a/node/src/node/entrance.rs
+++ b/node/src/node/entrance.rs
@@ -97,8 +97,8 @@
     }
 
     /// Takes memory for a body.
-    pub(super) fn take_memory(&mut self, now: Micros, owner: Owner, bytes: usize) -> bool {
-        matches!(self.memory.take(now, owner, bytes), Taken::Yes | Taken::Borrowed)
+    pub(super) fn take_memory(&mut self, owner: Owner, bytes: usize) -> bool {
+        matches!(self.memory.take(owner, bytes), Taken::Yes | Taken::Borrowed)
     }
 
     pub(super) fn give_memory(&mut self, owner: Owner, bytes: usize) {
@@ -196,7 +196,7 @@
     fn find_descriptor(&mut self, now: Micros, known: bool) -> bool {
         let owner = if known { Owner::Known } else { Owner::Others };
         for _ in 0..2 {
-            if matches!(self.entrance.ledger.take(now, owner, 1), Taken::Yes | Taken::Borrowed) {
+            if matches!(self.entrance.ledger.take(owner, 1), Taken::Yes | Taken::Borrowed) {
                 return true;
             }
             let made = match &mut self.side {
@@ -393,7 +393,7 @@
             }
         }
         let owner = self.entrance.owner(conn);
-        if !self.entrance.take_memory(now, owner, size) {
+        if !self.entrance.take_memory(owner, size) {
             if let (Some(gate), Some(asking)) = (&mut self.entrance.gate, &asking) {
                 gate.done(now, asking, class, None);
             }
--- a/node/src/node/rollout/candidate.rs
+++ b/node/src/node/rollout/candidate.rs
@@ -65,7 +65,7 @@
         let size = passed.body.len();
         // Memory last: what cannot be decided here must not hold any.
         let class = class.filter(|_| tenant != Some(None));
-        let class = class.filter(|_| self.entrance.take_memory(now, Owner::Others, size));
+        let class = class.filter(|_| self.entrance.take_memory(Owner::Others, size));
         let Some(class) = class else {
             self.upgrade.say(&Word::Return { seq });
             return;
