tidings knows no router: codec, table and composer apart from what feeds and asks them

rules.rs, state.rs and tidings.rs imported each other in a circle. Now tidings.rs is a codec, a table that is fed (time, sender, bytes) and asked (calls at host, at place, copies), and a composer that is given what is out and returns bytes; telling.rs binds them to one router; the router's type stands with its state, and the hash in a file of its own. Two words of the form that nobody sent or heeded (rests, answers) are gone; what bore them is noise now.

--- a/src/engine.rs
+++ b/src/engine.rs
@@ -7,7 +7,7 @@
 use std::collections::{BTreeMap, BinaryHeap};
 
 use crate::interface::*;
-use crate::rules::Router;
+use crate::state::Router;
 
 /// An open request, numbered by the engine: ids that clients choose need not be unique.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,12 +5,14 @@
 #![warn(missing_docs)]
 
 pub mod engine;
+mod hash;
 pub mod interface;
 pub mod rules;
 mod state;
 mod succession;
+mod telling;
 mod tidings;
 
 pub use engine::{Engine, Ticket};
 pub use interface::*;
-pub use rules::Router;
+pub use state::Router;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -1,12 +1,14 @@
 //! All decisions of the library. The types are in `src/interface.rs`; ARCHITECTURE.md tells where each rule
-//! comes from. Reading order: constants, state, events, routing, chain preloading, attempts and answers,
+//! comes from. Reading order: constants, events, routing, chain preloading, attempts and answers,
 //! health and guards.
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use crate::hash::hash;
 use crate::interface::*;
 use crate::state::*;
-use crate::tidings::{host_key, Word, FEW_ROUTERS, TELL_AGAIN};
+use crate::telling::FEW_ROUTERS;
+use crate::tidings::{host_key, Word, TELL_AGAIN};
 
 // ---------------------------------------------------------------------------------------------- constants
 
@@ -94,11 +96,6 @@
 /// ... and for this share of the client's own time at most: a client told late has no time to try again.
 const EARLY: f64 = 0.4;
 
-// -------------------------------------------------------------------------------------------------- state
-
-/// The decisions of one router. Feed it events in order; it answers with actions.
-pub struct Router(pub(crate) Core);
-
 // ------------------------------------------------------------------------------------------------- events
 
 impl Router {
@@ -191,7 +188,7 @@
             }
             Event::Barred { worker, out } => self.bar(&worker, out),
             Event::Settings(settings) => self.retune(*settings),
-            Event::Heard { from, data } => drop(self.hear(from, &data)),
+            Event::Heard { from, data } => self.hear(from, &data),
             Event::Inherited(legacy) => self.inherit(legacy),
             Event::Attempted(past) => self.attempted(past),
             Event::Woken => {}
@@ -565,7 +562,7 @@
             self.preloads.insert((n.clone(), id.clone()));
         }
         out.push(Action::Load { worker: n.clone(), function: id.clone(), copies: copies.min(16) });
-        self.note(n, Some(id), Word::Loading);
+        self.note(n, id, Word::Loading);
     }
 
     fn load_ended(&mut self, n: &WorkerId, id: &FunctionId, told: (Outcome, u32), out: &mut Vec<Action>) {
@@ -582,7 +579,7 @@
         p.copies = copies;
         p.warm_until = if copies > 0 { now + keep } else { 0 };
         let word = [Word::Gone, Word::Holds(0), Word::Copies(copies.min(4) as u8)][copies.min(2) as usize];
-        self.note(n, Some(id), word);
+        self.note(n, id, word);
         let Some(p) = self.functions.get_mut(id).and_then(|f| f.places.get_mut(n)) else { return };
         match end {
             // An order that has come whole stands, also when its connection ends: calls wait for its load.
@@ -715,7 +712,7 @@
                 _ => p.loading = p.loading.filter(|since| *since > sent),
             }
         }
-        news.into_iter().for_each(|word| self.note(n, Some(&function), word));
+        news.into_iter().for_each(|word| self.note(n, &function, word));
         match outcome {
             Outcome::Done => {
                 let loaded = found.map_or(warm, |f| f == Found::Warm);
--- a/src/state.rs
+++ b/src/state.rs
@@ -2,10 +2,10 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
+use crate::hash::hash;
 use crate::interface::*;
-use crate::rules::Router;
 use crate::succession::Succession;
-use crate::tidings::{Heard, Telling, Word};
+use crate::tidings::{Composer, Table, Word};
 
 /// What is believed of one function on one worker.
 #[derive(Default)]
@@ -125,6 +125,9 @@
     pub(crate) lot: f64,
 }
 
+/// The decisions of one router. Feed it events in order; it answers with actions.
+pub struct Router(pub(crate) Core);
+
 /// All that one router knows.
 #[derive(Default)]
 pub(crate) struct Core {
@@ -164,8 +167,8 @@
     /// Attempts elsewhere of the request that arrives next.
     pub(crate) past: Vec<Try>,
     pub(crate) beside: Beside,
-    pub(crate) heard: Heard,
-    pub(crate) telling: Telling,
+    pub(crate) heard: Table,
+    pub(crate) composer: Composer,
     /// Workers and called functions by what stands for them where routers tell one another.
     pub(crate) host_keys: BTreeMap<u16, WorkerId>,
     pub(crate) function_keys: BTreeMap<u32, FunctionId>,
@@ -472,17 +475,6 @@
     all.entry(f.clone()).or_default().places.entry(n.clone()).or_default()
 }
 
-/// A number in (0, 1) from two names, the same on every machine (FNV-1a, then a mixing step).
-pub(crate) fn hash(a: &str, b: &str) -> f64 {
-    let mut h: u64 = 0xcbf2_9ce4_8422_2325;
-    for byte in a.bytes().chain([0]).chain(b.bytes()) {
-        h = (h ^ byte as u64).wrapping_mul(0x100_0000_01b3);
-    }
-    h = (h ^ (h >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    h = (h ^ (h >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    ((h ^ (h >> 31)) >> 11) as f64 / (1u64 << 53) as f64 + 1e-18
-}
-
 /// A running mean that takes its first value as it is.
 pub(crate) fn learn(mean: f64, value: f64, weight: f64) -> f64 {
     if mean == 0.0 {
--- /dev/null
+++ b/src/telling.rs
@@ -0,0 +1,104 @@
+//! What one router feeds to the tidings and asks of them: its own calls that are out, its news, and what others told
+//! of places that it knows. The tidings themselves are in `src/tidings.rs`; no decisions.
+
+use std::collections::BTreeMap;
+
+use crate::interface::*;
+use crate::state::{Core, Router};
+use crate::tidings::{function_key, host_key, period, Place, Word, LEAST};
+
+/// Routers up to which each sees enough of the fleet by itself, and nothing is told.
+pub(crate) const FEW_ROUTERS: u32 = 8;
+
+impl Router {
+    /// Whether this router tells others anything, and heeds what they tell.
+    pub fn tells(&self) -> bool {
+        self.0.tells()
+    }
+}
+
+impl Core {
+    /// Whether routers of this fleet tell one another at all.
+    pub(crate) fn tells(&self) -> bool {
+        self.settings.tell > LEAST && self.settings.routers > FEW_ROUTERS
+    }
+
+    /// Something that the others may not know of this place.
+    pub(crate) fn note(&mut self, n: &WorkerId, f: &FunctionId, word: Word) {
+        if self.tells() {
+            self.composer.note((function_key(f), host_key(n)), word);
+        }
+    }
+
+    /// Takes what another router told.
+    pub(crate) fn hear(&mut self, from: u32, bytes: &[u8]) {
+        if !self.tells() || from >= self.settings.routers || from == self.settings.me {
+            return;
+        }
+        let (now, keep) = (self.now, self.settings.keep);
+        let lines = self.heard.take(now, period(self.settings.routers), from, bytes).unwrap_or_default();
+        for l in lines {
+            let Some(n) = self.host_keys.get(&l.host) else { continue };
+            if let Some(f) = self.function_keys.get(&l.function) {
+                let f = self.functions.get_mut(f);
+                f.into_iter().for_each(|f| f.told(n, (now, now), keep, l.word));
+            } else {
+                self.heard.keep(now, (l.function, l.host), l.word);
+            }
+        }
+    }
+
+    /// A function that is called here for the first time: what was heard of it counts.
+    pub(crate) fn meet(&mut self, id: &FunctionId) {
+        let key = function_key(id);
+        if !self.tells() || self.function_keys.get(&key).is_some_and(|known| known == id) {
+            return;
+        }
+        self.function_keys.insert(key, id.clone());
+        let (now, keep) = (self.now, self.settings.keep);
+        let f = self.functions.entry(id.clone()).or_default();
+        f.key = key;
+        for (host, at, copies) in self.heard.known(key) {
+            if let Some(n) = self.host_keys.get(&host) {
+                f.told(n, (now, at), keep, Word::Copies(copies));
+            }
+        }
+    }
+
+    /// Hosts by what stands for them. Two that share a key are told apart by nobody: neither is heard of.
+    pub(crate) fn key_hosts(&mut self) {
+        self.host_keys.clear();
+        let mut twice = Vec::new();
+        for n in self.workers.keys() {
+            if self.host_keys.insert(host_key(n), n.clone()).is_some() {
+                twice.push(host_key(n));
+            }
+        }
+        twice.iter().for_each(|key| drop(self.host_keys.remove(key)));
+    }
+
+    /// Forgets what is old and tells what is due.
+    pub(crate) fn tell(&mut self, out: &mut Vec<Action>) {
+        if !self.tells() {
+            return;
+        }
+        let (now, period) = (self.now, period(self.settings.routers));
+        self.heard.expire(now, (period, self.settings.keep), self.settings.routers);
+        if !self.composer.due(now, period, &mut self.rng) {
+            return;
+        }
+        let functions = &mut self.functions;
+        self.function_keys.retain(|_, f| functions.contains_key(f));
+        let mut held: BTreeMap<Place, u8> = BTreeMap::new();
+        for r in self.requests.values() {
+            for t in r.tries.iter().filter(|t| t.ended.is_none()) {
+                let n = held.entry((function_key(&r.function), host_key(&t.worker))).or_default();
+                *n = n.saturating_add(1);
+                let f = functions.get_mut(&r.function);
+                f.and_then(|f| f.places.get_mut(&t.worker)).into_iter().for_each(|p| p.told_at = now);
+            }
+        }
+        let data = self.composer.compose(&held, self.settings.tell);
+        out.extend(data.map(|data| Action::Tell { data }));
+    }
+}
--- a/src/tidings.rs
+++ b/src/tidings.rs
@@ -1,4 +1,4 @@
-//! What activators of a large fleet tell one another: where copies stand, what they have out there, and who rests.
+//! What activators of a large fleet tell one another: where copies stand, and what they have out there.
 //!
 //! Each activator of a hundred sees next to nothing of a host by itself: two activators in a hundred know that a copy
 //! stands, and none knows that the others have sixty calls out at its host. So each tells now and then, in one datagram
@@ -6,17 +6,14 @@
 //! before. One that is lost, late or doubled does no more harm than a belief that ages out; one that cannot be read
 //! is dropped whole. Nothing here is trusted for a rule: each activator alone keeps them all.
 //!
-//! This is the codec, the table of what was heard, and the times of telling. What is done about it is decided in
-//! `src/rules.rs`.
+//! This is the codec, the table of what was heard, and the composer of what is told. None of them knows a router:
+//! `src/telling.rs` feeds and asks them, and what is done about it is decided in `src/rules.rs`.
 
 use std::collections::BTreeMap;
 
-use crate::interface::*;
-use crate::rules::Router;
-use crate::state::{hash, Core};
+use crate::hash::hash;
+use crate::interface::{FunctionId, Micros, WorkerId};
 
-/// Routers up to which each sees enough of the fleet by itself, and nothing is told.
-pub(crate) const FEW_ROUTERS: u32 = 8;
 /// Between two datagrams of one router, for each router of the fleet: what a router hears is 200 a second at
 /// the most, and what the fleet pays for them does not grow with the square of its size.
 const PERIOD_EACH: Micros = 5_000;
@@ -40,7 +37,7 @@
 const LINE: usize = 5;
 /// Functions are told by this many bits of their hash...
 const FUNCTION_BITS: u32 = 20;
-/// ... where this one is none: the line is of the host.
+/// ... where this one is none, and no form has it.
 const NO_FUNCTION: u32 = (1 << FUNCTION_BITS) - 1;
 /// The most calls that a line tells.
 const MOST_HELD: u8 = 10;
@@ -56,10 +53,6 @@
     Gone,
     /// So many copies stand, 2 to 4.
     Copies(u8),
-    /// The host rests: it looks ill to the sender.
-    Rests,
-    /// It answered again.
-    Answers,
 }
 
 /// A host, a function and what is said of them.
@@ -70,6 +63,9 @@
     pub(crate) word: Word,
 }
 
+/// What stands for a function and for a host.
+pub(crate) type Place = (u32, u16);
+
 /// What stands for a host's id in a line.
 pub(crate) fn host_key(n: &WorkerId) -> u16 {
     (hash("host", &n.0) * 65_536.0) as u16
@@ -93,8 +89,6 @@
             Word::Loading => (l.function, 11),
             Word::Gone => (l.function, 12),
             Word::Copies(n) => (l.function, 11 + n.clamp(2, 4)),
-            Word::Rests => (NO_FUNCTION, 0),
-            Word::Answers => (NO_FUNCTION, 1),
         };
         bytes.extend(l.host.to_le_bytes());
         bytes.extend(&(function << 4 | u32::from(code)).to_le_bytes()[..3]);
@@ -115,8 +109,6 @@
         let packed = u32::from_le_bytes([b[2], b[3], b[4], 0]);
         let (function, code) = (packed >> 4, (packed & 15) as u8);
         let word = match (function, code) {
-            (NO_FUNCTION, 0) => Word::Rests,
-            (NO_FUNCTION, 1) => Word::Answers,
             (NO_FUNCTION, _) => return None,
             (_, 11) => Word::Loading,
             (_, 12) => Word::Gone,
@@ -138,19 +130,19 @@
 
 /// What was heard of the others.
 #[derive(Default)]
-pub(crate) struct Heard {
+pub(crate) struct Table {
     peers: BTreeMap<u32, Peer>,
     at_host: BTreeMap<u16, u32>,
-    at_place: BTreeMap<(u32, u16), u32>,
+    at_place: BTreeMap<Place, u32>,
     /// Copies of functions by when they were told, for those that are called here later.
-    standing: BTreeMap<(u32, u16), (Micros, u8)>,
+    standing: BTreeMap<Place, (Micros, u8)>,
     /// Enough of them were heard of lately.
     pub(crate) well: bool,
 }
 
-impl Heard {
+impl Table {
     /// Takes a datagram; what it says, unless it is noise or older than one that was taken.
-    fn take(&mut self, now: Micros, period: Micros, from: u32, bytes: &[u8]) -> Option<Vec<Line>> {
+    pub(crate) fn take(&mut self, now: Micros, period: Micros, from: u32, bytes: &[u8]) -> Option<Vec<Line>> {
         let (number, lines) = decode(bytes)?;
         let peer = self.peers.entry(from).or_default();
         let newer = (1..128).contains(&number.wrapping_sub(peer.number));
@@ -180,7 +172,7 @@
     }
 
     /// Forgets what is too old.
-    fn expire(&mut self, now: Micros, (period, keep): (Micros, Micros), routers: u32) {
+    pub(crate) fn expire(&mut self, now: Micros, (period, keep): (Micros, Micros), routers: u32) {
         let old = |p: &Peer| !p.held.is_empty() && now - p.at > BELIEVED * period;
         let old: Vec<_> = self.peers.iter().filter(|(_, p)| old(p)).map(|(n, _)| *n).collect();
         old.into_iter().for_each(|n| self.let_go(n));
@@ -199,11 +191,20 @@
         f64::from(self.at_place.get(&(function, host)).copied().unwrap_or(0))
     }
 
+    /// Takes out where a function stands that is called here from now on: hosts, when it was told, and copies.
+    pub(crate) fn known(&mut self, function: u32) -> Vec<(u16, Micros, u8)> {
+        let range = (function, 0)..=(function, u16::MAX);
+        let found: Vec<_> = self.standing.range(range).map(|(k, v)| (k.1, v.0, v.1)).collect();
+        for (host, ..) in &found {
+            self.standing.remove(&(function, *host));
+        }
+        found
+    }
+
     /// Keeps where a function stands that was not called here yet.
-    fn keep(&mut self, now: Micros, place: (u32, u16), word: Word) {
+    pub(crate) fn keep(&mut self, now: Micros, place: Place, word: Word) {
         match word {
             Word::Gone => drop(self.standing.remove(&place)),
-            Word::Rests | Word::Answers => {}
             _ if self.standing.len() >= MOST_PLACES && !self.standing.contains_key(&place) => {}
             Word::Copies(n) => drop(self.standing.insert(place, (now, n))),
             Word::Holds(_) | Word::Loading => self.standing.entry(place).or_insert((now, 1)).0 = now,
@@ -220,141 +221,61 @@
     }
 }
 
+/// Bytes of the shortest datagram that says anything.
+pub(crate) const LEAST: usize = HEAD + LINE;
+
+/// Time between two datagrams of one router in a fleet of so many.
+pub(crate) fn period(routers: u32) -> Micros {
+    (PERIOD_EACH * Micros::from(routers)).max(SHORTEST)
+}
+
 /// What a router tells, and when.
 #[derive(Default)]
-pub(crate) struct Telling {
+pub(crate) struct Composer {
     next: Micros,
     number: u8,
-    news: BTreeMap<(u32, u16), Word>,
+    news: BTreeMap<Place, Word>,
 }
 
-impl Router {
-    /// Whether this router tells others anything, and heeds what they tell.
-    pub fn tells(&self) -> bool {
-        self.0.tells()
-    }
-}
-
-impl Core {
-    fn telling_period(&self) -> Micros {
-        (PERIOD_EACH * Micros::from(self.settings.routers)).max(SHORTEST)
-    }
-
-    /// Whether routers of this fleet tell one another at all.
-    pub(crate) fn tells(&self) -> bool {
-        self.settings.tell > HEAD + LINE && self.settings.routers > FEW_ROUTERS
-    }
-
+impl Composer {
     /// Something that the others may not know of this place.
-    pub(crate) fn note(&mut self, n: &WorkerId, f: Option<&FunctionId>, word: Word) {
-        if self.tells() && self.telling.news.len() < MOST_NEWS {
-            let function = f.map_or(NO_FUNCTION, function_key);
-            self.telling.news.insert((function, host_key(n)), word);
-        }
-    }
-
-    /// Takes what another router told. Returns what it says of whole hosts.
-    pub(crate) fn hear(&mut self, from: u32, bytes: &[u8]) -> Vec<(WorkerId, Word)> {
-        if !self.tells() || from >= self.settings.routers || from == self.settings.me {
-            return Vec::new();
+    pub(crate) fn note(&mut self, place: Place, word: Word) {
+        if self.news.len() < MOST_NEWS {
+            self.news.insert(place, word);
         }
-        let (now, keep) = (self.now, self.settings.keep);
-        let lines = self.heard.take(now, self.telling_period(), from, bytes).unwrap_or_default();
-        let mut of_hosts = Vec::new();
-        for l in lines {
-            let Some(n) = self.host_keys.get(&l.host).cloned() else { continue };
-            if matches!(l.word, Word::Rests | Word::Answers) {
-                of_hosts.push((n, l.word));
-            } else if let Some(f) = self.function_keys.get(&l.function) {
-                let f = self.functions.get_mut(f);
-                f.into_iter().for_each(|f| f.told(&n, (now, now), keep, l.word));
-            } else {
-                self.heard.keep(now, (l.function, l.host), l.word);
-            }
-        }
-        of_hosts
     }
 
-    /// A function that is called here for the first time: what was heard of it counts.
-    pub(crate) fn meet(&mut self, id: &FunctionId) {
-        let key = function_key(id);
-        if !self.tells() || self.function_keys.get(&key).is_some_and(|known| known == id) {
-            return;
+    /// Whether it is time to tell.
+    pub(crate) fn due(&mut self, now: Micros, period: Micros, rng: &mut fastrand::Rng) -> bool {
+        if self.next == 0 {
+            // Not all at one moment, though all may have started at one.
+            self.next = now + (rng.f64() * period as f64) as Micros;
+            self.number = rng.u8(..);
         }
-        self.function_keys.insert(key, id.clone());
-        let (now, keep) = (self.now, self.settings.keep);
-        let told: Vec<_> =
-            self.heard.standing.range((key, 0)..=(key, u16::MAX)).map(|(k, v)| (k.1, *v)).collect();
-        let f = self.functions.entry(id.clone()).or_default();
-        f.key = key;
-        for (host, (at, copies)) in told {
-            self.heard.standing.remove(&(key, host));
-            if let Some(n) = self.host_keys.get(&host) {
-                f.told(n, (now, at), keep, Word::Copies(copies));
-            }
+        let due = now >= self.next;
+        if due {
+            self.next = now + period;
         }
+        due
     }
 
-    /// Hosts by what stands for them. Two that share a key are told apart by nobody: neither is heard of.
-    pub(crate) fn key_hosts(&mut self) {
-        self.host_keys.clear();
-        let mut twice = Vec::new();
-        for n in self.workers.keys() {
-            if self.host_keys.insert(host_key(n), n.clone()).is_some() {
-                twice.push(host_key(n));
-            }
-        }
-        twice.iter().for_each(|key| drop(self.host_keys.remove(key)));
-    }
-
-    /// Forgets what is old and tells what is due.
-    pub(crate) fn tell(&mut self, out: &mut Vec<Action>) {
-        if !self.tells() {
-            return;
-        }
-        let (now, period) = (self.now, self.telling_period());
-        self.heard.expire(now, (period, self.settings.keep), self.settings.routers);
-        if self.telling.next == 0 {
-            // Not all at one moment, though all may have started at one.
-            self.telling.next = now + (self.rng.f64() * period as f64) as Micros;
-            self.telling.number = self.rng.u8(..);
-        }
-        if now < self.telling.next {
-            return;
-        }
-        self.telling.next = now + period;
-        let functions = &self.functions;
-        self.function_keys.retain(|_, f| functions.contains_key(f));
-        let mut held: BTreeMap<(u32, u16), u8> = BTreeMap::new();
-        for r in self.requests.values() {
-            for t in r.tries.iter().filter(|t| t.ended.is_none()) {
-                let n = held.entry((function_key(&r.function), host_key(&t.worker))).or_default();
-                *n = n.saturating_add(1);
-            }
-        }
-        for r in self.requests.values() {
-            let open = r.tries.iter().filter(|t| t.ended.is_none());
-            for t in open {
-                let f = self.functions.get_mut(&r.function);
-                f.and_then(|f| f.places.get_mut(&t.worker)).into_iter().for_each(|p| p.told_at = now);
-            }
-        }
-        let mut lines: Vec<_> = held
-            .iter()
-            .map(|(&(function, host), n)| Line { host, function, word: Word::Holds(*n) })
-            .collect();
-        let spare = (self.settings.tell - HEAD) / LINE;
+    /// A datagram of at most so many bytes: what is out, then news. `None`: there is nothing to tell.
+    pub(crate) fn compose(&mut self, held: &BTreeMap<Place, u8>, most: usize) -> Option<Vec<u8>> {
+        let line = |&(function, host): &Place, word| Line { host, function, word };
+        let mut lines: Vec<_> = held.iter().map(|(place, n)| line(place, Word::Holds(*n))).collect();
+        let spare = most.saturating_sub(HEAD) / LINE;
         while lines.len() < spare {
-            let Some(((function, host), word)) = self.telling.news.pop_last() else { break };
+            let Some((place, word)) = self.news.pop_last() else { break };
             // What is out there tells that a copy stands.
-            if word != Word::Holds(0) || !held.contains_key(&(function, host)) {
-                lines.push(Line { host, function, word });
+            if word != Word::Holds(0) || !held.contains_key(&place) {
+                lines.push(line(&place, word));
             }
         }
-        if !lines.is_empty() {
-            self.telling.number = self.telling.number.wrapping_add(1);
-            out.push(Action::Tell { data: encode(self.telling.number, &lines, self.settings.tell) });
+        if lines.is_empty() {
+            return None;
         }
+        self.number = self.number.wrapping_add(1);
+        Some(encode(self.number, &lines, most))
     }
 }
 
@@ -370,9 +291,7 @@
     fn what_is_told_is_read_and_noise_is_not() {
         let words =
             [Word::Holds(0), Word::Holds(10), Word::Loading, Word::Gone, Word::Copies(2), Word::Copies(4)];
-        let mut lines: Vec<_> = words.into_iter().map(|w| line(0xabcd, NO_FUNCTION - 1, w)).collect();
-        lines.push(line(7, NO_FUNCTION, Word::Rests));
-        lines.push(line(8, NO_FUNCTION, Word::Answers));
+        let lines: Vec<_> = words.into_iter().map(|w| line(0xabcd, NO_FUNCTION - 1, w)).collect();
         let bytes = encode(9, &lines, 256);
         assert_eq!(decode(&bytes), Some((9, lines)));
         let many = vec![line(1, 2, Word::Holds(99)); 99];
@@ -394,7 +313,7 @@
     #[test]
     fn what_is_out_is_summed_replaced_and_expires() {
         let (period, keep) = (500_000, 5_000_000);
-        let mut heard = Heard::default();
+        let mut heard = Table::default();
         let told = |number, n| encode(number, &[line(1, 5, Word::Holds(n)), line(2, 6, Word::Gone)], 256);
         assert!(heard.take(1, period, 3, &told(255, 4)).is_some());
         assert!(heard.take(2, period, 4, &told(7, 2)).is_some());
@@ -418,7 +337,7 @@
 
     #[test]
     fn what_is_kept_of_uncalled_functions_is_bounded_and_expires() {
-        let mut heard = Heard::default();
+        let mut heard = Table::default();
         for f in 0..2 * MOST_PLACES as u32 {
             heard.keep(1, (f, 0), Word::Holds(0));
         }
