--- a/src/rules.rs
+++ b/src/rules.rs
@@ -16,8 +16,6 @@
 const HALVING: Micros = 10_000_000;
 /// ... but not before this many calls: a router that sees few tells little from fewer.
 const ENOUGH_CALLS: f64 = 200.0;
-/// Shares of fewer calls than this are taken as of so many.
-const FEW_CALLS: f64 = 10.0;
 /// A call counts as a successor when it comes within this time, once per call and tenant.
 const FOLLOWS: Micros = 1_000_000;
 /// Calls of a function before its successor counts are believed.
@@ -34,8 +32,6 @@
 const IDLE_TICK: Micros = 100_000;
 /// Weight of one tick in the averages of requests in flight: a memory of about a second.
 const SMOOTHING: f64 = 0.02;
-/// Weight of one answer in the averages of durations.
-const LEARN: f64 = 0.05;
 /// A worker is crowded above this multiple of the mean load for its size, as in bounded-load hashing.
 const CROWDED: f64 = 1.5;
 /// ... but never below this many requests for mean size: their number is not what makes it slow.
@@ -43,10 +39,6 @@
 /// Workers over which a function's calls are spread, over those that they alone would keep at the fleet's
 /// mean load: chance then overlaps little parts of functions rather than whole ones.
 const SPREAD: f64 = 4.0;
-/// Calls of a function that prove nothing of its share: seldom called ones come twice by chance.
-const BY_CHANCE: f64 = 1.0;
-/// In flight at the average worker below which a router sees too little of the others' load to tell it.
-const TELLING: f64 = 0.1;
 /// Loads are told apart in steps of this many requests for mean size: finer ones are chance.
 const LEVEL: f64 = 0.25;
 /// A load report older than this says nothing.
@@ -73,8 +65,6 @@
 const ILL_FAILURES: f64 = 2.0;
 /// Share of the cold worker's budget that is used: the rest covers chance and unequal work.
 const COLD_MARGIN: f64 = 0.6;
-/// An answer's time says this long how slow its worker is.
-const SLOW_MEMORY: f64 = 3e6;
 /// For so long one that was put back is given copies of functions ahead of their calls.
 const RETURNING: Micros = 5_000_000;
 /// A copy is renewed when it has less than this to live: time for an order and for its load.
@@ -324,24 +314,12 @@
         }
     }
 
-    /// How far our own requests tell what the others do: next to nothing when they are few for each worker.
-    fn trust(&self) -> f64 {
-        let seen = (self.totals.in_flight / self.totals.up.max(1.0)).powi(2) + 1e-9;
-        let unseen = TELLING.powi(2) * (1.0 - 1.0 / self.settings.routers as f64);
-        seen / (seen + unseen)
-    }
-
     /// The load per size above which a worker is crowded.
     fn crowding(&self) -> f64 {
         let mean = self.totals.load / self.totals.up.max(1.0);
         (CROWDED * mean).max(UNCROWDED) / self.mean_size()
     }
 
-    /// A function's share of the calls.
-    fn share(&self, f: &Function) -> f64 {
-        (f.calls - BY_CHANCE).max(0.0) / self.calls.max(FEW_CALLS)
-    }
-
     /// Workers, first in order, that a function's calls are spread over by its share, where our own calls do
     /// not tell where copies stand: the others use them too, so they are presumed loaded.
     fn spread(&self, f: &Function) -> usize {
@@ -791,15 +769,6 @@
         }
     }
 
-    fn learn_slow(&mut self, n: &WorkerId, ratio: f64) {
-        if let Some(w) = self.workers.get_mut(n) {
-            // One seldom asked is believed by its last answer.
-            let weight = LEARN.max(1.0 - (-((self.now - w.learnt) as f64) / SLOW_MEMORY).exp());
-            w.slow += (ratio - w.slow) * weight;
-            w.learnt = self.now;
-        }
-    }
-
     /// Whether the worker has room for one more of ours. One whose answers take too much of their aim gets
     /// as much less as would bring them back (its queue is what makes them slow), and never less than one.
     fn admits(&self, w: &Worker) -> bool {
--- a/src/state.rs
+++ b/src/state.rs
@@ -7,6 +7,17 @@
 use crate::succession::Succession;
 use crate::tidings::{Composer, Table, Word};
 
+/// Shares of fewer calls than this are taken as of so many.
+pub(crate) const FEW_CALLS: f64 = 10.0;
+/// Calls of a function that prove nothing of its share: seldom called ones come twice by chance.
+pub(crate) const BY_CHANCE: f64 = 1.0;
+/// In flight at the average worker below which a router sees too little of the others' load to tell it.
+pub(crate) const TELLING: f64 = 0.1;
+/// An answer's time says this long how slow its worker is.
+pub(crate) const SLOW_MEMORY: f64 = 3e6;
+/// Weight of one answer in the averages of durations.
+pub(crate) const LEARN: f64 = 0.05;
+
 /// What is believed of one function on one worker.
 #[derive(Default)]
 pub(crate) struct Place {
@@ -282,6 +293,28 @@
         f.ranked.iter().filter_map(|n| self.workers.get_key_value(n))
     }
 
+    /// How far our own requests tell what the others do: next to nothing when they are few for each worker.
+    pub(crate) fn trust(&self) -> f64 {
+        let seen = (self.totals.in_flight / self.totals.up.max(1.0)).powi(2) + 1e-9;
+        let unseen = TELLING.powi(2) * (1.0 - 1.0 / self.settings.routers as f64);
+        seen / (seen + unseen)
+    }
+
+    /// A function's share of the calls.
+    pub(crate) fn share(&self, f: &Function) -> f64 {
+        (f.calls - BY_CHANCE).max(0.0) / self.calls.max(FEW_CALLS)
+    }
+
+    /// Takes in the time of an answer, over its aim.
+    pub(crate) fn learn_slow(&mut self, n: &WorkerId, ratio: f64) {
+        if let Some(w) = self.workers.get_mut(n) {
+            // One seldom asked is believed by its last answer.
+            let weight = LEARN.max(1.0 - (-((self.now - w.learnt) as f64) / SLOW_MEMORY).exp());
+            w.slow += (ratio - w.slow) * weight;
+            w.learnt = self.now;
+        }
+    }
+
     pub(crate) fn mean_size(&self) -> f64 {
         (self.totals.size / self.totals.up.max(1.0)).max(1e-9)
     }
