--- a/src/rules.rs
+++ b/src/rules.rs
@@ -415,7 +415,7 @@
         let alone = |w: &Worker| !self.admits(w) && w.slow > ALONE * rest(w) && rest(w) < PRESSURE;
         let home = fit.iter().find(|(_, w)| !alone(w)).filter(|(_, w)| self.admits(w));
         // Told of the loads, all pass over the same crowded ones.
-        let roomy = |w: &Worker| self.admits(w) && pressure(w) < limit;
+        let roomy = |w: &Worker| self.admits(w) && pressure(w) < limit && w.loads(self.now);
         let near = self.ranked(f).find(|(n, w)| told && usable(n, w) && roomy(w));
         let home = near.or(home.copied()).map(|(n, _)| n.clone());
         let free = |n, w: &Worker| lacks(n) && roomy(w);
@@ -519,7 +519,7 @@
     fn order(&mut self, n: &WorkerId, id: &FunctionId, copies: u32, ahead: bool, out: &mut Vec<Action>) {
         let now = self.now;
         let crowded = ahead && self.preloads.len() >= MAX_PRELOADS;
-        if !self.settings.orders || crowded || !self.workers.get(n).is_some_and(|w| w.up) {
+        if !self.settings.orders || crowded || !self.workers.get(n).is_some_and(|w| w.up && w.loads(now)) {
             return;
         }
         let Some(f) = self.functions.get_mut(id) else { return };
@@ -563,6 +563,9 @@
             // An order that has come whole stands, also when its connection ends: calls wait for its load.
             Outcome::Reset => (p.warm_until, p.copies) = (now + keep / 2, 1),
             Outcome::ConnectFailed => self.failed(n, end, out),
+            // Its memory is all at work, or it drains and the list does not tell yet: to order there again at once
+            // would spend the ration, at every router of a large fleet.
+            Outcome::Full if copies == 0 => self.laden(n),
             _ => {}
         }
         let held = self.requests.iter().filter(|(_, r)| r.held && r.function == *id).map(|(q, _)| q.clone());
--- a/src/state.rs
+++ b/src/state.rs
@@ -99,6 +99,8 @@
     pub(crate) ill_until: Micros,
     pub(crate) on_trial: bool,
     pub(crate) full_until: Micros,
+    /// It takes no order to load until then.
+    pub(crate) laden_until: Micros,
     /// Class and tenant that it turns away, and until when that is believed.
     pub(crate) shut: Vec<(usize, Option<usize>, Micros)>,
     pub(crate) cold_sends: VecDeque<Micros>,
@@ -269,9 +271,15 @@
 }
 
 impl Worker {
+    /// Whether it is thought to take orders to load.
+    pub(crate) fn loads(&self, now: Micros) -> bool {
+        self.laden_until <= now
+    }
+
     /// A new process is met without a record.
     pub(crate) fn acquit(&mut self) {
         (self.failed, self.tried, self.rest, self.ill_until, self.full_until) = (0.0, 0.0, 0, 0, 0);
+        self.laden_until = 0;
         (self.on_trial, self.report, self.slow) = (false, None, 0.0);
         self.shut.clear();
     }
--- a/src/telling.rs
+++ b/src/telling.rs
@@ -5,11 +5,15 @@
 
 use crate::interface::*;
 use crate::state::{Core, Router};
-use crate::tidings::{function_key, host_key, period, Place, Word, LEAST};
+use crate::tidings::{function_key, host_key, period, Place, Word, LEAST, NO_FUNCTION};
 
 /// Routers up to which each sees enough of the fleet by itself, and nothing is told.
 pub(crate) const FEW_ROUTERS: u32 = 8;
 
+/// A worker that had no room for a load is thought to have none for so long: copies at work give room up within about
+/// that, and a list tells of a drain in half of it.
+const LADEN: Micros = 1_000_000;
+
 impl Router {
     /// Whether this router tells others anything, and heeds what they tell.
     pub fn tells(&self) -> bool {
@@ -30,6 +34,16 @@
         }
     }
 
+    /// The worker has no room for a load. Where routers tell one another, none orders there for a while: each of hundreds
+    /// would find out by itself, again and again.
+    pub(crate) fn laden(&mut self, n: &WorkerId) {
+        if self.tells() {
+            let until = self.now + LADEN;
+            self.workers.entry(n.clone()).and_modify(|w| w.laden_until = until);
+            self.composer.note((NO_FUNCTION, host_key(n)), Word::Laden);
+        }
+    }
+
     /// Takes what another router told.
     pub(crate) fn hear(&mut self, from: u32, bytes: &[u8]) {
         if !self.tells() || from >= self.settings.routers || from == self.settings.me {
@@ -39,7 +53,9 @@
         let lines = self.heard.take(now, period(self.settings.routers), from, bytes).unwrap_or_default();
         for l in lines {
             let Some(n) = self.host_keys.get(&l.host) else { continue };
-            if let Some(f) = self.function_keys.get(&l.function) {
+            if l.word == Word::Laden {
+                self.workers.entry(n.clone()).and_modify(|w| w.laden_until = now + LADEN);
+            } else if let Some(f) = self.function_keys.get(&l.function) {
                 let f = self.functions.get_mut(f);
                 f.into_iter().for_each(|f| f.told(n, (now, now), keep, l.word));
             } else {
--- a/src/tidings.rs
+++ b/src/tidings.rs
@@ -37,8 +37,8 @@
 const LINE: usize = 5;
 /// Functions are told by this many bits of their hash...
 const FUNCTION_BITS: u32 = 20;
-/// ... where this one is none, and no form has it.
-const NO_FUNCTION: u32 = (1 << FUNCTION_BITS) - 1;
+/// ... where this one is none: the line is of the host.
+pub(crate) const NO_FUNCTION: u32 = (1 << FUNCTION_BITS) - 1;
 /// The most calls that a line tells.
 const MOST_HELD: u8 = 10;
 
@@ -53,6 +53,8 @@
     Gone,
     /// So many copies stand, 2 to 4.
     Copies(u8),
+    /// The host had no room for a load.
+    Laden,
 }
 
 /// A host, a function and what is said of them.
@@ -89,6 +91,7 @@
             Word::Loading => (l.function, 11),
             Word::Gone => (l.function, 12),
             Word::Copies(n) => (l.function, 11 + n.clamp(2, 4)),
+            Word::Laden => (NO_FUNCTION, 0),
         };
         bytes.extend(l.host.to_le_bytes());
         bytes.extend(&(function << 4 | u32::from(code)).to_le_bytes()[..3]);
@@ -109,6 +112,7 @@
         let packed = u32::from_le_bytes([b[2], b[3], b[4], 0]);
         let (function, code) = (packed >> 4, (packed & 15) as u8);
         let word = match (function, code) {
+            (NO_FUNCTION, 0) => Word::Laden,
             (NO_FUNCTION, _) => return None,
             (_, 11) => Word::Loading,
             (_, 12) => Word::Gone,
@@ -205,6 +209,7 @@
     pub(crate) fn keep(&mut self, now: Micros, place: Place, word: Word) {
         match word {
             Word::Gone => drop(self.standing.remove(&place)),
+            Word::Laden => {}
             _ if self.standing.len() >= MOST_PLACES && !self.standing.contains_key(&place) => {}
             Word::Copies(n) => drop(self.standing.insert(place, (now, n))),
             Word::Holds(_) | Word::Loading => self.standing.entry(place).or_insert((now, 1)).0 = now,
@@ -291,7 +296,8 @@
     fn what_is_told_is_read_and_noise_is_not() {
         let words =
             [Word::Holds(0), Word::Holds(10), Word::Loading, Word::Gone, Word::Copies(2), Word::Copies(4)];
-        let lines: Vec<_> = words.into_iter().map(|w| line(0xabcd, NO_FUNCTION - 1, w)).collect();
+        let mut lines: Vec<_> = words.into_iter().map(|w| line(0xabcd, NO_FUNCTION - 1, w)).collect();
+        lines.push(line(7, NO_FUNCTION, Word::Laden));
         let bytes = encode(9, &lines, 256);
         assert_eq!(decode(&bytes), Some((9, lines)));
         let many = vec![line(1, 2, Word::Holds(99)); 99];
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -111,3 +111,36 @@
     fleet.pass(15 * S, 0.0);
     assert!(fleet.seen.orders <= 5, "{} orders without a call", fleet.seen.orders);
 }
+
+/// Found on a day of new hosts: hosts that drained, and were not yet known to, turned every order away within a
+/// millisecond, and each router ordered there again until its ration was gone.
+#[test]
+fn a_host_without_room_for_a_load_gets_no_order_for_a_while() {
+    let mut bed = told_bed();
+    let (r, out) = bed.call(SAFE, "f");
+    let home = sent(&out).expect("an attempt");
+    let out = bed.answer(&r, 0, &home, Outcome::Miss);
+    assert_eq!(loads(&out).first().map(|l| l.0.clone()), Some(home.clone()));
+    let full = |w: &WorkerId, f: &str| Event::LoadEnded {
+        worker: w.clone(),
+        function: f.into(),
+        outcome: Outcome::Full,
+        copies: 0,
+    };
+    let out = bed.event(full(&home, "f"));
+    let other = loads(&out).first().map(|l| l.0.clone()).expect("an order at another host");
+    assert_ne!(other, home);
+    // What it learnt reaches the others: none of them orders there either.
+    let word = bed.pass(S).into_iter().find_map(|a| match a {
+        Action::Tell { data } => Some(data),
+        _ => None,
+    });
+    let mut fellow = told_bed();
+    let (r, out) = fellow.call(SAFE, "f");
+    assert_eq!(sent(&out), Some(home.clone()), "the same order of hosts at each");
+    fellow.pass(700 * MS);
+    fellow.event(Event::Heard { from: 2, data: word.expect("a word") });
+    let out = fellow.answer(&r, 0, &home, Outcome::Miss);
+    // It goes where the first one has its copy loaded by now, and no order goes to the one without room.
+    assert_eq!((sent(&out), loads(&out).len()), (Some(other), 0), "{out:?}");
+}
