--- a/src/rules.rs
+++ b/src/rules.rs
@@ -41,7 +41,7 @@
 const SPREAD: f64 = 4.0;
 /// Loads are told apart in steps of this many requests for mean size: finer ones are chance.
 const LEVEL: f64 = 0.25;
-/// Sums that were told are samples of what came and went: their roots differ by this, whatever their size.
+/// Sums that were told are samples of what came and went: their roots scatter so, whatever their size.
 const SCATTER: f64 = 0.7;
 /// A load report older than this says nothing.
 const REPORT_AGE: Micros = 1_000_000;
