--- a/src/rules.rs
+++ b/src/rules.rs
@@ -455,8 +455,8 @@
         }
         let Some(h) = home else { return Route::Busy };
         let missed = r.tries.iter().any(|t| (told || t.worker == h) && t.ended == Some(Outcome::Miss));
-        // Where all were heard for long enough and none told of a copy, none stands: a call sent to find that out
-        // would take of what a cold worker bears, and open a connection.
+        // Where all were heard for long enough and none told of a copy, none stands: a call that finds that
+        // out takes of what a cold worker bears, and opens a connection.
         let nowhere = f.known && self.heard.whole(self.now, self.settings.keep);
         if self.settings.when_cold == WhenCold::Misses && (missed || nowhere) {
             // After a miss one instance is ordered and the request sent again when it stands.
@@ -580,8 +580,8 @@
             // An order that has come whole stands, also when its connection ends: calls wait for its load.
             Outcome::Reset => (p.warm_until, p.copies) = (now + keep / 2, 1),
             Outcome::ConnectFailed => self.failed(n, end, out),
-            // Its memory is all at work, or it drains and the list does not tell yet: to order there again at once
-            // would spend the ration, at every router of a large fleet.
+            // Its memory is all at work, or it drains and the list does not tell yet: to order there again at
+            // once would spend the ration, at every router of a large fleet.
             Outcome::Full if copies == 0 => self.laden(n),
             _ => {}
         }
