What one router told of lately the others leave out, and every place gets its turn to be told

The period of telling is 1.5 s at 300 activators, and a copy is told of again after a third of its idle time: until the first word of it has reached them, dozens find it and note it too, and each told it, as its own word was not counted as one (Place::told_at was set by hearing alone). Now a router that tells marks the place, and news that a copy stands, which somebody told meanwhile, is left out as the datagram is made.

Each now goes on where the last datagram ended, a quarter of the lines is kept for news, and the last word of a place counts. Two tests fail without this.

--- a/src/state.rs
+++ b/src/state.rs
@@ -515,7 +515,7 @@
         let p = self.places.entry(n.clone()).or_default();
         p.told_at = now;
         match word {
-            Word::Gone => (p.warm_until, p.copies) = (0, 0),
+            Word::Gone => (p.warm_until, p.copies, p.told_at) = (0, 0, 0),
             // What was missed here later is missing.
             _ if p.missed_until - keep / 4 >= at => {}
             _ => {
--- a/src/telling.rs
+++ b/src/telling.rs
@@ -5,7 +5,7 @@
 
 use crate::interface::*;
 use crate::state::{Core, Router};
-use crate::tidings::{function_key, host_key, period, Place, Word, LEAST, NO_FUNCTION};
+use crate::tidings::{function_key, host_key, period, Place, Word, LEAST, NO_FUNCTION, TELL_AGAIN};
 
 /// Routers up to which each sees enough of the fleet by itself, and nothing is told.
 pub(crate) const FEW_ROUTERS: u32 = 8;
@@ -114,7 +114,17 @@
                 f.and_then(|f| f.places.get_mut(&t.worker)).into_iter().for_each(|p| p.told_at = now);
             }
         }
-        let data = self.composer.compose(&held, self.settings.tell);
+        let (function_keys, host_keys, keep) = (&self.function_keys, &self.host_keys, self.settings.keep);
+        // Hundreds find a copy within one period: what one of them has told, the others leave out.
+        let due = |&(function, host): &Place, word| {
+            let f = function_keys.get(&function).and_then(|f| functions.get_mut(f));
+            let p = f.zip(host_keys.get(&host)).and_then(|(f, n)| f.places.get_mut(n));
+            let Some(p) = p else { return true };
+            let due = now - p.told_at > keep / TELL_AGAIN;
+            p.told_at = if word == Word::Gone { 0 } else { p.told_at.max(if due { now } else { 0 }) };
+            due
+        };
+        let data = self.composer.compose(&held, self.settings.tell, due);
         out.extend(data.map(|data| Action::Tell { data }));
     }
 }
--- a/src/tidings.rs
+++ b/src/tidings.rs
@@ -10,6 +10,7 @@
 //! `src/telling.rs` feeds and asks them, and what is done about it is decided in `src/rules.rs`.
 
 use std::collections::BTreeMap;
+use std::ops::Bound;
 
 use crate::hash::hash;
 use crate::interface::{FunctionId, Micros, WorkerId};
@@ -29,6 +30,8 @@
 const MOST_PLACES: usize = 8_192;
 /// News that wait for the next datagram.
 const MOST_NEWS: usize = 256;
+/// One in so many lines of a datagram is kept for news, as long as there are any.
+const NEWS_PART: usize = 4;
 /// Others are told anew that a copy stands after this part of the time that it may lie idle.
 pub(crate) const TELL_AGAIN: Micros = 3;
 /// The first byte of every datagram: the form and its version.
@@ -257,12 +260,20 @@
     next: Micros,
     number: u8,
     news: BTreeMap<Place, Word>,
+    /// What was told last, of what is out and of news: where there is more to say than one datagram holds, the next
+    /// one goes on behind it, so that each place gets its turn.
+    turns: (Place, Place),
+}
+
+/// All entries, from the first one behind this place round to it.
+fn from<T>(map: &BTreeMap<Place, T>, after: Place) -> impl Iterator<Item = (&Place, &T)> {
+    map.range((Bound::Excluded(after), Bound::Unbounded)).chain(map.range(..=after))
 }
 
 impl Composer {
-    /// Something that the others may not know of this place.
+    /// Something that the others may not know of this place: the last word of it counts.
     pub(crate) fn note(&mut self, place: Place, word: Word) {
-        if self.news.len() < MOST_NEWS {
+        if self.news.len() < MOST_NEWS || self.news.contains_key(&place) {
             self.news.insert(place, word);
         }
     }
@@ -286,15 +297,32 @@
         due
     }
 
-    /// A datagram of at most so many bytes: what is out, then news. `None`: there is nothing to tell.
-    pub(crate) fn compose(&mut self, held: &BTreeMap<Place, u8>, most: usize) -> Option<Vec<u8>> {
+    /// A datagram of at most so many bytes: what is out, then news. `due` is asked of each news whether nobody has
+    /// told it lately, and knows from then on that it was told. `None`: there is nothing to tell.
+    pub(crate) fn compose(
+        &mut self,
+        held: &BTreeMap<Place, u8>,
+        most: usize,
+        mut due: impl FnMut(&Place, Word) -> bool,
+    ) -> Option<Vec<u8>> {
         let line = |&(function, host): &Place, word| Line { host, function, word };
-        let mut lines: Vec<_> = held.iter().map(|(place, n)| line(place, Word::Holds(*n))).collect();
         let spare = most.saturating_sub(HEAD) / LINE;
+        // What is out must not keep news from being told at all.
+        let of_held = spare - self.news.len().min(spare / NEWS_PART);
+        let mut lines = Vec::new();
+        for (place, n) in from(held, self.turns.0).take(of_held) {
+            lines.push(line(place, Word::Holds(*n)));
+            self.turns.0 = *place;
+        }
         while lines.len() < spare {
-            let Some((place, word)) = self.news.pop_last() else { break };
-            // What is out there tells that a copy stands.
-            if word != Word::Holds(0) || !held.contains_key(&place) {
+            let Some((place, word)) = from(&self.news, self.turns.1).next().map(|(p, w)| (*p, *w)) else {
+                break;
+            };
+            self.news.remove(&place);
+            self.turns.1 = place;
+            // What is out there tells that a copy stands, and so does what another told since.
+            let due = due(&place, word) && !held.contains_key(&place);
+            if due || word != Word::Holds(0) {
                 lines.push(line(&place, word));
             }
         }
@@ -378,6 +406,41 @@
         assert!(heard.standing.is_empty());
     }
 
+    /// Found by reading: what is out was told from the lowest key up and news from the highest down, both cut at one
+    /// datagram, so that with more to say the same places were told of each time, and the others never.
+    #[test]
+    fn where_there_is_more_to_say_each_place_gets_its_turn() {
+        let mut composer = Composer::default();
+        let held: BTreeMap<Place, u8> = (0..120).map(|f| ((f, 1), 3)).collect();
+        let mut told = std::collections::BTreeMap::new();
+        for round in 0..8 {
+            (0..60).for_each(|f| composer.note((f, 2), if f % 2 == 0 { Word::Loading } else { Word::Gone }));
+            let bytes = composer.compose(&held, 256, |_, _| true).expect("something to tell");
+            let (number, lines) = decode(&bytes).expect("it can be read");
+            assert_eq!((number, lines.len()), (round + 1, 50));
+            lines.iter().for_each(|l| *told.entry((l.host, l.function)).or_insert(0) += 1);
+        }
+        assert_eq!(told.len(), 180, "every place");
+        assert!(told.values().all(|n| (1..=4).contains(n)), "about as often: {told:?}");
+    }
+
+    #[test]
+    fn news_are_bounded_the_last_word_counts_and_what_is_known_is_not_told() {
+        let mut composer = Composer::default();
+        (0..2 * MOST_NEWS as u32).for_each(|f| composer.note((f, 0), Word::Loading));
+        assert_eq!(composer.entries(), MOST_NEWS);
+        composer.note((3, 0), Word::Gone);
+        let bytes =
+            composer.compose(&BTreeMap::new(), 256, |_, _| false).expect("loads are told in any case");
+        let (_, lines) = decode(&bytes).unwrap();
+        assert!(lines.contains(&line(0, 3, Word::Gone)) && !lines.contains(&line(0, 3, Word::Loading)));
+        let mut composer = Composer::default();
+        (0..4).for_each(|f| composer.note((f, 0), Word::Holds(0)));
+        let bytes =
+            composer.compose(&BTreeMap::new(), 256, |place, _| place.0 == 2).expect("one that is not known");
+        assert_eq!(decode(&bytes).unwrap().1, vec![line(0, 2, Word::Holds(0))]);
+    }
+
     #[test]
     fn keys_tell_a_fleet_apart() {
         let hosts: std::collections::BTreeSet<_> =
