--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -195,3 +195,55 @@
         bed.event(Event::LoadEnded { worker: worker.clone(), function, outcome: Outcome::Done, copies: 1 });
     assert_eq!(sent(&out), Some(worker));
 }
+
+/// Word from numbers that no router has, of an older form, forged or of a fleet of another size: dropped or bounded, and
+/// never the end of the process.
+#[test]
+fn word_from_nowhere_changes_nothing_and_a_fleet_may_grow_and_shrink() {
+    let mut bed = told_bed();
+    let before = bed.router.entries();
+    let word = |number: u8| {
+        let mut data = vec![0x57, number, 0, 1, 2, 3, 4, 5, 9, 8, 7, 6, 5];
+        data[2] = data.iter().fold(0x9d, |sum: u8, b| (sum.rotate_left(3) ^ b).wrapping_add(7));
+        data
+    };
+    for from in [0, 12, 13, 999, u32::MAX] {
+        bed.event(Event::Heard { from, data: word(200) });
+    }
+    let older = [vec![0x56, 1, 0], vec![], vec![0x57], vec![0x57; 256], word(1)[..9].to_vec()];
+    older.into_iter().for_each(|data| drop(bed.event(Event::Heard { from: 3, data })));
+    assert_eq!(bed.router.entries(), before, "its own number, none of the fleet's, and what cannot be read");
+
+    // One that takes another's number is believed as that one, no more: a datagram replaces the last.
+    let large = |routers| Settings {
+        routers,
+        tell: 256,
+        when_cold: WhenCold::Misses,
+        fall_multiple: 6.0,
+        ..settings()
+    };
+    bed.event(Event::Settings(Box::new(large(1000))));
+    for number in 0..20 {
+        (1..1100).for_each(|from| drop(bed.event(Event::Heard { from, data: word(number) })));
+        bed.pass(100 * MS);
+    }
+    let grown = bed.router.entries();
+    assert!(
+        (before + 999..before + 1000 * 3 + 100).contains(&grown),
+        "{grown} entries for a thousand routers"
+    );
+    let (r, out) = bed.call(SAFE, "f");
+    let worker = sent(&out).expect("an attempt");
+    bed.answer(&r, 0, &worker, Outcome::Done);
+    for routers in [5, 12, 1] {
+        bed.event(Event::Settings(Box::new(large(routers))));
+        (0..1100).for_each(|from| drop(bed.event(Event::Heard { from, data: word(77) })));
+        bed.pass(6 * S);
+        let (r, out) = bed.call(SAFE, "g");
+        let worker = sent(&out).or_else(|| loads(&out).first().map(|l| l.0.clone()));
+        assert!(worker.is_some(), "{routers} routers: {out:?}");
+        bed.event(Event::ClientLeft { request: r });
+    }
+    bed.pass(20 * S);
+    assert!(bed.router.entries() < before + 100, "{} entries are left of {grown}", bed.router.entries());
+}
