--- a/src/rules.rs
+++ b/src/rules.rs
@@ -746,6 +746,8 @@
             Outcome::Error if !known && errors > 1 => return self.give_up(id, out),
             // Nor does it say anything of the worker, where others are seen often enough to tell.
             Outcome::Error if !known && self.trust() > 0.5 => {}
+            // A client that gave up early tells nothing; seen seldom, a worker would rest for that alone.
+            Outcome::TimedOut if self.tells() && duration < self.old() => {}
             // A time-out speaks against the worker only when it has been silent since.
             Outcome::TimedOut if !warm || self.workers.get(n).is_none_or(|w| w.heard > sent) => {}
             _ => self.failed(n, outcome, out),
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -247,3 +247,31 @@
     bed.pass(20 * S);
     assert!(bed.router.entries() < before + 100, "{} entries are left of {grown}", bed.router.entries());
 }
+
+/// Found on a day of clients that give up early: 4,301 of 5,151 rests, of eight seconds each, were for time-outs of under
+/// 0.9 s, as each router hears next to nothing of a host and took the first one for silence.
+#[test]
+fn a_client_that_gives_up_early_does_not_rest_a_host_that_is_seldom_seen() {
+    for (patience, rests) in [(300 * MS, false), (1900 * MS, true)] {
+        let mut bed = told_bed();
+        let (r, out) = bed.call(SAFE, "f");
+        let home = sent(&out).expect("an attempt");
+        bed.answer(&r, 0, &home, Outcome::Done);
+        let (request, out) = bed.call(SAFE, "f");
+        assert_eq!(sent(&out).as_ref(), Some(&home));
+        bed.now += patience;
+        let out = bed.event(Event::Answer {
+            request,
+            attempt: 0,
+            worker: home,
+            outcome: Outcome::TimedOut,
+            finished: true,
+            duration: patience,
+            found: None,
+            crowd: None,
+            holding: None,
+        });
+        let rested = out.iter().any(|a| matches!(a, Action::Log { text } if text.contains("rests")));
+        assert_eq!(rested, rests, "after {} ms", patience / MS);
+    }
+}
