--- a/src/interface.rs
+++ b/src/interface.rs
@@ -273,7 +273,8 @@
     pub loaded: Vec<Loaded>,
     /// What it took and ordered lately: the ration counts both routers as one.
     pub tallies: Vec<Tally>,
-    /// Answers a second that it was given: starting workers get a share of them.
+    /// Answers a second that it would be given if all workers were warm, as far as it saw: starting workers get
+    /// a share of them.
     pub served: f64,
     /// When it sent attempts to starting workers lately: what these can stand counts both routers as one.
     pub sends: Vec<(WorkerId, Vec<Micros>)>,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -75,7 +75,10 @@
 const RENEW_FOR: f64 = 2.5;
 /// A tenant is over its share above this multiple of it: traffic is bursty and seen in part.
 const OVER: f64 = 1.1;
-/// A worker whose answers take more than this share of their aim is given less: work varies.
+/// Running at the worker of mean size above which it gets no more: what runs shares the cores, so that more
+/// makes all of it late and none of it sooner, while what is held here may go wherever room comes first.
+const ENOUGH: f64 = 9.0;
+/// A worker whose answers take more than this share of their aim is passed over for others: work varies.
 const PRESSURE: f64 = 0.3;
 /// When the fleet's answers take more than this share of their aim, a part of the requests is refused.
 const SHED: f64 = 0.6;
@@ -220,6 +223,7 @@
             if e.ready_at > w.started || e.condition == Condition::Gone {
                 // A new process holds nothing and has no record.
                 w.acquit();
+                w.cold_sends.retain(|t| *t >= e.ready_at);
                 (w.started, w.cold_since) = (w.started.max(e.ready_at), w.started.max(e.ready_at));
                 self.functions.values_mut().for_each(|f| f.lose(&e.worker));
             }
@@ -254,9 +258,11 @@
         let fade = (1.0 - SMOOTHING).powf(ticks);
         let (slower, slowest) = (fade.powf(0.25), fade.powf(0.1));
         self.done_rate *= fade;
+        self.learn_capacity(ticks * TICK as f64, fade);
         self.tenant_rates.iter_mut().for_each(|r| *r *= fade);
         for w in self.workers.values_mut() {
             w.mean_in_flight += (w.in_flight as f64 - w.mean_in_flight) * (1.0 - fade);
+            w.mean_awaiting += (w.awaiting as f64 - w.mean_awaiting) * (1.0 - fade);
             w.slow *= slowest;
             w.tried *= slower;
             w.failed *= slower;
@@ -421,7 +427,7 @@
         }
         // One alone in being slow is passed over. Where all are, ever more copies only push out others.
         let rest = |w: &Worker| (self.totals.slow - w.slow).max(0.0) / (self.totals.up - 1.0).max(1.0);
-        let alone = |w: &Worker| !self.admits(w) && w.slow > ALONE * rest(w) && rest(w) < PRESSURE;
+        let alone = |w: &Worker| w.slow > PRESSURE.max(ALONE * rest(w)) && rest(w) < PRESSURE;
         let home = fit.iter().find(|(_, w)| !alone(w)).filter(|(_, w)| self.admits(w));
         // Told of the loads, all pass over the same crowded ones.
         let roomy = |w: &Worker| self.admits(w) && pressure(w) < limit && w.loads(self.now);
@@ -627,7 +633,7 @@
                 }
                 place.in_flight += 1;
                 if let Some(w) = self.workers.get_mut(&n) {
-                    w.in_flight += 1;
+                    (w.in_flight, w.awaiting) = (w.in_flight + 1, w.awaiting + u32::from(!warm));
                     w.cold_sends.push_back(now);
                     w.cold_sends.retain(|t| now - t <= self.settings.fall_window);
                 }
@@ -684,6 +690,7 @@
         }
         if let Some(w) = self.workers.get_mut(n) {
             w.in_flight = w.in_flight.saturating_sub(1);
+            w.awaiting = w.awaiting.saturating_sub(u32::from(!warm));
             if let Some(h) = holding {
                 w.report = Some((now, h));
             }
@@ -791,13 +798,13 @@
         }
     }
 
-    /// Whether the worker has room for one more of ours. One whose answers take too much of their aim gets
-    /// as much less as would bring them back (its queue is what makes them slow), and never less than one.
+    /// Whether the worker has room for one more of ours, by what runs there alone: an estimate of its speed
+    /// that only answers refresh would, once wrong, keep them away. What awaits a load takes no core.
     fn admits(&self, w: &Worker) -> bool {
-        let room = w.slow <= PRESSURE
-            || self.load(w) < UNCROWDED * w.size / self.mean_size()
-            || (w.in_flight as f64) < (w.mean_in_flight * PRESSURE / w.slow).max(1.0);
-        room && w.full_until <= self.now
+        let awaiting = f64::from(w.awaiting) + (self.settings.routers - 1) as f64 * w.mean_awaiting;
+        let room = self.load(w) - awaiting < ENOUGH * w.size / self.mean_size();
+        // What many tell is old by a period: a bound on that would turn them all away at once, and back.
+        (room || self.heard.well) && w.full_until <= self.now
     }
 
     /// Whether the request may have another attempt somewhere.
@@ -841,9 +848,10 @@
         if share >= 1.0 {
             return true;
         }
-        // Cold ones serve their part of what is seen: counted as warm, they would starve each other.
-        let warm_rate = self.done_rate * w.size / self.totals.warm.max(1e-9);
+        let warm_rate = self.capacity.max(self.warm_rate()) * w.size;
         let budget = COLD_MARGIN * s.fall_multiple * share * warm_rate * s.fall_window as f64 / 1e6;
+        // Never nothing from all of us together: what is not asked can neither warm up nor be told well.
+        let budget = budget.max(1.0 / s.routers as f64);
         // A part of a request is admitted by lot, drawn anew each half window, so that hundreds of routers
         // whose share is far below one keep the limit together and none is shut out for ever.
         let slot = 2 * self.now / s.fall_window.max(1);
--- a/src/state.rs
+++ b/src/state.rs
@@ -5,6 +5,7 @@
 use crate::hash::hash;
 use crate::interface::*;
 use crate::succession::Succession;
+use crate::telling::FEW_ROUTERS;
 use crate::tidings::{Composer, Table, Word};
 
 /// Shares of fewer calls than this are taken as of so many.
@@ -18,6 +19,9 @@
 /// A connection that was used within this is thought to stand: hosts close idle ones after half a minute. A wrong
 /// guess costs no more than a connection.
 const HELD: Micros = 20_000_000;
+/// Time in which a higher rate than was seen before is believed, and in which one seen once is forgotten.
+const RISES: f64 = 3e6;
+const FALLS: f64 = 120e6;
 /// Weight of one answer in the averages of durations.
 pub(crate) const LEARN: f64 = 0.05;
 
@@ -93,7 +97,10 @@
     /// Its start, or the last sign of one.
     pub(crate) cold_since: Micros,
     pub(crate) in_flight: u32,
+    /// Of these, sent for a load that they begin or await.
+    pub(crate) awaiting: u32,
     pub(crate) mean_in_flight: f64,
+    pub(crate) mean_awaiting: f64,
     pub(crate) report: Option<(Micros, f64)>,
     pub(crate) heard: Micros,
     /// When an answer came over a connection; 0: never.
@@ -183,6 +190,10 @@
     /// Share of the attempts that grew old whose answer never came.
     pub(crate) lost: f64,
     pub(crate) done_rate: f64,
+    /// The most that was served for long enough to be believed: answers a second for each size that is warm.
+    pub(crate) capacity: f64,
+    /// Sizes that were warm, over the same time as `done_rate`.
+    pub(crate) mean_warm: f64,
     pub(crate) held_worth: f64,
     /// Attempts elsewhere of the request that arrives next.
     pub(crate) past: Vec<Try>,
@@ -238,7 +249,8 @@
         let sends = self.0.workers.iter().filter(|(_, w)| self.0.warmth(w) < 1.0);
         let sends = sends.map(|(n, w)| (n.clone(), w.cold_sends.iter().copied().collect())).collect();
         let (loaded, tallies) = (self.0.loaded(), self.0.tallies(0, false));
-        Legacy { loaded, tallies, served: self.0.done_rate, sends, beside: false }
+        let served = self.0.done_rate.max(self.0.capacity * self.0.totals.size);
+        Legacy { loaded, tallies, served, sends, beside: false }
     }
 
     /// Calls and orders of its own since then that count for the ration, for such a router.
@@ -354,6 +366,24 @@
         }
     }
 
+    /// What one of size 1 is seen to serve. Cold ones serve their part of it: counted as warm, they would starve
+    /// each other. Where few routers see all, the best of times counts for minutes: a fleet that is sent little
+    /// serves little, and what its cold ones may be sent must not follow that down. Of what a router of many
+    /// sees chance makes a peak soon, so there it is the rate of now.
+    pub(crate) fn learn_capacity(&mut self, passed: f64, fade: f64) {
+        self.mean_warm = self.totals.warm + (self.mean_warm - self.totals.warm) * fade;
+        let rate = self.warm_rate();
+        let time = if rate > self.capacity { RISES } else { FALLS };
+        let weight = if self.settings.routers <= FEW_ROUTERS { 1.0 - (-passed / time).exp() } else { 1.0 };
+        self.capacity += (rate - self.capacity) * weight;
+    }
+
+    /// Answers a second for each size that was warm, both over the last second: those that all began anew a
+    /// moment ago did not serve what is remembered of that time.
+    pub(crate) fn warm_rate(&self) -> f64 {
+        self.done_rate / self.mean_warm.max(1e-9)
+    }
+
     pub(crate) fn mean_size(&self) -> f64 {
         (self.totals.size / self.totals.up.max(1.0)).max(1e-9)
     }
@@ -445,7 +475,9 @@
     /// took and ordered as its own: calls as early as they may have been, orders as late.
     pub(crate) fn inherit(&mut self, legacy: Legacy) {
         let Legacy { loaded, tallies, served, sends, beside } = legacy;
-        self.done_rate = self.done_rate.max(if served.is_finite() { served } else { 0.0 });
+        let served =
+            if served.is_finite() && self.totals.size > 0.0 { served / self.totals.size } else { 0.0 };
+        self.capacity = self.capacity.max(served);
         for (n, times) in sends {
             let (now, window) = (self.now, self.settings.fall_window);
             self.workers.entry(n).and_modify(|w| {
