--- a/node/src/front/platform/frames.rs
+++ b/node/src/front/platform/frames.rs
@@ -41,6 +41,8 @@
     pub repeat: bool,
     pub key: Option<String>,
     pub lanes: u32,
+    /// Work expected, in microseconds; 0 where it is not told.
+    pub hint: i64,
     pub body: Vec<u8>,
 }
 
@@ -104,8 +106,10 @@
                 Some(lanes) => request.lanes = lanes,
                 None => figures = false,
             },
-            // A hint that no decision uses; but who sends nonsense is told so.
-            "ms" => figures &= figure(value).is_some(),
+            "ms" => match figure(value) {
+                Some(ms) => request.hint = (ms * 1000.0) as i64,
+                None => figures = false,
+            },
             // What is not known is skipped.
             _ => {}
         }
--- a/node/src/hosts/lines.rs
+++ b/node/src/hosts/lines.rs
@@ -3,7 +3,7 @@
 use std::fmt::Write;
 
 use wheellink::engine::AttemptEnd;
-use wheellink::{Found, Outcome};
+use wheellink::{Found, LoadReport, Outcome};
 
 use crate::ring::Ring;
 
@@ -76,7 +76,18 @@
         };
         let counted = counts_alike && matches!(outcome, Outcome::Done | Outcome::Full);
         let held = self.field("queue_fn").and_then(|n| n.parse().ok()).unwrap_or(0);
-        AttemptEnd { outcome, found, crowd: counted.then_some(held) }
+        AttemptEnd { outcome, found, crowd: counted.then_some(held), report: self.report() }
+    }
+
+    /// The load report that it carries, as in `outstanding:7.3;backlog:2`; other figures are passed over.
+    fn report(&self) -> Option<LoadReport> {
+        let figures = self.field("meter")?;
+        let figure = |names: [&str; 2]| {
+            let named = figures.split(';').filter_map(|f| f.split_once(':')).find(|(n, _)| names.contains(n));
+            named.map(|(_, n)| n.parse().unwrap_or(f64::NAN))
+        };
+        let waiting = figure(["backlog", "queue"]).unwrap_or(0.0);
+        LoadReport::new(figure(["outstanding", "inflight"])?, waiting)
     }
 
     pub fn outcome(&self) -> Outcome {
@@ -183,6 +194,21 @@
         assert_eq!((end.outcome, end.found, end.crowd), (outcome, found, crowd));
     }
 
+    #[rstest]
+    #[case::both("meter=outstanding:22.379;backlog:14.997", LoadReport::new(22.379, 14.997))]
+    #[case::as_the_page_has_it("tell=warm,meter=inflight:7;util:0.61", LoadReport::new(7.0, 0.0))]
+    #[case::more_wait_than_are_held("meter=inflight:15;queue:16", LoadReport::new(15.0, 15.0))]
+    #[case::others_only("meter=utilization:0.3;x1:2", None)]
+    #[case::no_number("meter=outstanding:x", None)]
+    #[case::waits_no_number("meter=outstanding:3;backlog:", None)]
+    #[case::absurd("meter=outstanding:1e300", None)]
+    #[case::negative("meter=outstanding:-1", None)]
+    #[case::none("-", None)]
+    fn an_answer_carries_the_hosts_load(#[case] fields: &str, #[case] report: Option<LoadReport>) {
+        let text = format!("a 200 {fields} 0\r\n\r\n");
+        assert_eq!(parse(text.as_bytes()).unwrap().unwrap().attempt_end(true, true).report, report);
+    }
+
     #[rstest]
     #[case::three_words("a 200 0\r\n")]
     #[case::five_words("a 200 - 0 0\r\n")]
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -102,6 +102,8 @@
     timeout: Micros,
     lanes: u32,
     repeat: bool,
+    /// Work expected; 0 where it is not told.
+    hint: Micros,
     key: Option<String>,
     body: Vec<u8>,
 }
--- a/node/src/node/requests.rs
+++ b/node/src/node/requests.rs
@@ -94,6 +94,7 @@
             timeout: (request.timeout * 1000).min(longest),
             lanes: request.lanes,
             repeat: request.repeat,
+            hint: request.hint,
             key: request.key,
             body: request.body,
         };
@@ -120,6 +121,7 @@
             timeout: call.timeout.unwrap_or(usual).min(settings.give_up.max(deferred)),
             lanes: call.lanes.unwrap_or(lanes),
             repeat: call.repeat,
+            hint: 0,
             key: call.key.or_else(|| keyed.then(|| id.clone())),
             body: call.body,
             id,
@@ -140,6 +142,7 @@
             due: now + (incoming.timeout - DUE_MARGIN).max(0),
             lanes: incoming.lanes,
             repeat: incoming.repeat,
+            hint: incoming.hint,
         };
         let call = Call {
             id: incoming.id.into(),
--- a/node/src/node/rollout/candidate.rs
+++ b/node/src/node/rollout/candidate.rs
@@ -77,6 +77,8 @@
             due: passed.due,
             lanes: passed.lanes,
             repeat: passed.repeat,
+            // The holder's word has no room for it; a call without one teaches nothing of speed.
+            hint: 0,
         };
         let call = Call {
             id: passed.id.into(),
--- a/simhost/src/wire.rs
+++ b/simhost/src/wire.rs
@@ -48,6 +48,7 @@
         callee: String,
         due_us: i64,
         concurrency: Option<f64>,
+        weight_hint_us: Option<i64>,
         opts: Option<i64>,
     },
     #[serde(rename = "DROPPED")]
@@ -128,7 +129,17 @@
             let event = Raw::List { kind, members: members.unwrap_or_default() };
             Ok(Line::Event { instance: i, name: "SYNC", event })
         }
-        Message::Ingress { i, request_id, cls, client_group, callee, due_us, concurrency, opts } => {
+        Message::Ingress {
+            i,
+            request_id,
+            cls,
+            client_group,
+            callee,
+            due_us,
+            concurrency,
+            weight_hint_us,
+            opts,
+        } => {
             let tenant = match client_group {
                 None | Some(Value::Null) | Some(Value::Number(_)) => None,
                 Some(Value::String(name)) => Some(name),
@@ -142,6 +153,7 @@
                 due: due_us,
                 lanes: concurrency.map_or(1, |c| c as u32),
                 repeat: opts.unwrap_or(0) & 2 != 0,
+                hint: weight_hint_us.filter(|_| opts.unwrap_or(0) & 1 != 0).unwrap_or(0).max(0),
             };
             Ok(Line::Event {
                 instance: i,
@@ -163,7 +175,10 @@
                 duration: duration_us.unwrap_or(0),
                 found: None,
                 crowd: None,
-                holding: pressure.as_ref().and_then(|p| p.get("outstanding")).and_then(Value::as_f64),
+                report: pressure.as_ref().and_then(|p| {
+                    let figure = |name| p.get(name).and_then(Value::as_f64);
+                    LoadReport::new(figure("outstanding")?, figure("backlog").unwrap_or(0.0))
+                }),
             };
             let event = Raw::Answer { info: info.unwrap_or(0), ending, event };
             Ok(Line::Event { instance: i, name: "ANSWER", event })
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -41,6 +41,8 @@
     pub lanes: u32,
     /// A client's repeat of a try that failed.
     pub repeat: bool,
+    /// Work expected, as time on a standard core; 0 where it is not told.
+    pub hint: Micros,
 }
 
 /// How an attempt ended, as its host adapter saw it.
@@ -52,11 +54,13 @@
     pub found: Option<Found>,
     /// Requests for the same function that the host held.
     pub crowd: Option<u32>,
+    /// What the answer told of the host's load.
+    pub report: Option<LoadReport>,
 }
 
 impl From<Outcome> for AttemptEnd {
     fn from(outcome: Outcome) -> Self {
-        Self { outcome, found: None, crowd: None }
+        Self { outcome, found: None, crowd: None, report: None }
     }
 }
 
@@ -229,8 +233,8 @@
         if !past.is_empty() {
             self.tell(Event::Attempted(past), out);
         }
-        let NewRequest { class, tenant, function, due, lanes, repeat } = new;
-        self.tell(Event::Arrival { request: id, class, tenant, function, due, lanes, repeat }, out);
+        let NewRequest { class, tenant, function, due, lanes, repeat, hint } = new;
+        self.tell(Event::Arrival { request: id, class, tenant, function, due, lanes, repeat, hint }, out);
         ticket
     }
 
@@ -270,7 +274,7 @@
             duration: self.now - attempt.sent,
             found: end.found,
             crowd: end.crowd,
-            holding: None,
+            report: end.report,
         };
         if served {
             out.push(Command::Answer { ticket: id.ticket, verdict: Verdict::Served(id) });
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -336,6 +336,26 @@
     LoadFailed,
 }
 
+/// What a worker reports of its load: late, rounded, and for all routers together.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LoadReport {
+    /// Requests that it holds.
+    pub holding: f64,
+    /// Of these, such as wait there and take no core; 0 where that is not told.
+    pub waiting: f64,
+}
+
+impl LoadReport {
+    /// More requests than any worker holds: a report above that is noise.
+    const MOST: f64 = 1e6;
+
+    /// A report of these figures; `None` where one is none.
+    pub fn new(holding: f64, waiting: f64) -> Option<Self> {
+        let figures = [holding, waiting].iter().all(|n| (0.0..=Self::MOST).contains(n));
+        figures.then_some(Self { holding, waiting: waiting.min(holding) })
+    }
+}
+
 /// What the router is told.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
@@ -362,6 +382,8 @@
         lanes: u32,
         /// A repeat by the client of a try that failed, where clients mark them.
         repeat: bool,
+        /// Work expected, as time on a standard core; 0 where it is not told.
+        hint: Micros,
     },
     /// The client has left: nothing is owed any more.
     ClientLeft {
@@ -386,8 +408,8 @@
         found: Option<Found>,
         /// Requests for the same function that the worker held when this one came.
         crowd: Option<u32>,
-        /// Requests that the worker holds, as it last reported.
-        holding: Option<f64>,
+        /// What the worker last reported of its load.
+        report: Option<LoadReport>,
     },
     /// A streamed answer has begun: its attempt now belongs to the client.
     StreamStarted {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod bound;
 pub mod engine;
 mod hash;
 pub mod interface;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -43,8 +43,6 @@
 const LEVEL: f64 = 0.25;
 /// Sums that were told are samples of what came and went: their roots scatter so, whatever their size.
 const SCATTER: f64 = 0.7;
-/// A load report older than this says nothing.
-const REPORT_AGE: Micros = 1_000_000;
 /// A worker is silent when attempts on loaded copies are older than this multiple of the usual answer...
 const SILENT_MULTIPLE: f64 = 5.0;
 /// ... and than this, since short calls scatter more.
@@ -67,6 +65,8 @@
 const ILL_FAILURES: f64 = 2.0;
 /// Share of the cold worker's budget that is used: the rest covers chance and unequal work.
 const COLD_MARGIN: f64 = 0.6;
+/// Never nothing from all of us together: what is not asked can neither warm up nor be told well.
+const LEAST_COLD: f64 = 2.0;
 /// For so long one that was put back is given copies of functions ahead of their calls.
 const RETURNING: Micros = 5_000_000;
 /// A copy is renewed when it has less than this to live: time for an order and for its load.
@@ -75,9 +75,6 @@
 const RENEW_FOR: f64 = 2.5;
 /// A tenant is over its share above this multiple of it: traffic is bursty and seen in part.
 const OVER: f64 = 1.1;
-/// Running at the worker of mean size above which it gets no more: what runs shares the cores, so that more
-/// makes all of it late and none of it sooner, while what is held here may go wherever room comes first.
-const ENOUGH: f64 = 9.0;
 /// A worker whose answers take more than this share of their aim is passed over for others: work varies.
 const PRESSURE: f64 = 0.3;
 /// When the fleet's answers take more than this share of their aim, a part of the requests is refused.
@@ -120,7 +117,7 @@
         }
         match event {
             Event::List { kind, entries } => self.list(kind, entries),
-            Event::Arrival { request, class, tenant, function, due, lanes, repeat } => {
+            Event::Arrival { request, class, tenant, function, due, lanes, repeat, hint } => {
                 let tries = std::mem::take(&mut self.past);
                 if class >= self.settings.classes.len() || self.requests.contains_key(&request) {
                     return;
@@ -141,6 +138,7 @@
                     counted,
                     streaming: false,
                     lot: 1.0 - self.rng.f64(),
+                    hint,
                 };
                 self.mean_worth = learn(self.mean_worth, fresh.worth, LEARN);
                 self.requests.insert(request.clone(), fresh);
@@ -170,9 +168,9 @@
                 self.forget(&request);
             }
             Event::Answer {
-                request, attempt, worker, outcome, finished, duration, found, holding, ..
+                request, attempt, worker, outcome, finished, duration, found, report, ..
             } => {
-                let seen = (outcome, finished, duration, found, holding);
+                let seen = (outcome, finished, duration, found, report);
                 self.answer(&request, attempt, &worker, seen, out);
             }
             Event::StreamStarted { request } => {
@@ -304,24 +302,6 @@
 }
 
 impl Core {
-    /// Requests that the worker is thought to hold: our own, and for those of the others its fresh report or
-    /// what our own share lets us expect, which is the fleet's mean where we see too little of each worker.
-    pub(crate) fn load(&self, w: &Worker) -> f64 {
-        if self.heard.well {
-            return w.in_flight as f64 + self.heard.at_host(w.key);
-        }
-        let others = (self.settings.routers - 1) as f64;
-        let fair = self.totals.in_flight * w.size / self.totals.size.max(1e-9);
-        let trust = self.trust();
-        let guess = w.in_flight as f64 + others * (fair + trust * (w.mean_in_flight - fair));
-        match w.report {
-            Some((at, holding)) if self.now - at < REPORT_AGE => {
-                (holding * (2.0 - trust) + guess * trust) / 2.0
-            }
-            _ => guess,
-        }
-    }
-
     /// The load per size above which a worker is crowded.
     fn crowding(&self) -> f64 {
         let mean = self.totals.load / self.totals.up.max(1.0);
@@ -428,7 +408,7 @@
         // One alone in being slow is passed over. Where all are, ever more copies only push out others.
         let rest = |w: &Worker| (self.totals.slow - w.slow).max(0.0) / (self.totals.up - 1.0).max(1.0);
         let alone = |w: &Worker| w.slow > PRESSURE.max(ALONE * rest(w)) && rest(w) < PRESSURE;
-        let home = fit.iter().find(|(_, w)| !alone(w)).filter(|(_, w)| self.admits(w));
+        let home = fit.iter().find(|(_, w)| !alone(w)).or(fit.first()).filter(|(_, w)| self.admits(w));
         // Told of the loads, all pass over the same crowded ones.
         let roomy = |w: &Worker| self.admits(w) && pressure(w) < limit && w.loads(self.now);
         let near = self.ranked(f).find(|(n, w)| told && usable(n, w) && roomy(w));
@@ -626,8 +606,10 @@
             }
             Route::Send(n) => {
                 r.held = false;
+                let lanes = self.functions.get(&r.function).map_or(1, |f| f.lanes.max(1));
                 let place = place(&mut self.functions, &r.function, &n);
                 let warm = place.warm_until > now;
+                let clear = warm && place.in_flight < lanes * place.copies.max(1);
                 if !warm && self.settings.when_cold == WhenCold::Loads {
                     place.loading = place.loading.or(Some(now));
                 }
@@ -637,7 +619,7 @@
                     w.cold_sends.push_back(now);
                     w.cold_sends.retain(|t| now - t <= self.settings.fall_window);
                 }
-                r.tries.push(Try { worker: n.clone(), sent: now, warm, ended: None });
+                r.tries.push(Try { worker: n.clone(), sent: now, warm, clear, ended: None });
                 // No time-out but the client's: beginning anew what waits for a load or a lane adds to both.
                 out.push(Action::Send { request: id.clone(), worker: n, timeout: None });
             }
@@ -664,7 +646,7 @@
         id: &RequestId,
         attempt: u32,
         n: &WorkerId,
-        (outcome, finished, duration, found, holding): (Outcome, bool, Micros, Option<Found>, Option<f64>),
+        (outcome, finished, duration, found, report): Seen,
         out: &mut Vec<Action>,
     ) {
         let now = self.now;
@@ -676,7 +658,7 @@
         };
         t.ended = Some(outcome);
         let (warm, function, sent, arrived) = (t.warm, r.function.clone(), t.sent, r.arrived);
-        let (class, tenant, aim) = (r.class, r.tenant, r.terms.aim);
+        let (class, tenant, aim, hint, clear) = (r.class, r.tenant, r.terms.aim, r.hint, t.clear);
         let errors = r.tries.iter().filter(|t| t.ended == Some(Outcome::Error)).count();
         let knows = matches!(outcome, Outcome::Done | Outcome::Miss);
         let counts = knows && !r.counted;
@@ -691,9 +673,7 @@
         if let Some(w) = self.workers.get_mut(n) {
             w.in_flight = w.in_flight.saturating_sub(1);
             w.awaiting = w.awaiting.saturating_sub(u32::from(!warm));
-            if let Some(h) = holding {
-                w.report = Some((now, h));
-            }
+            report.into_iter().for_each(|r| w.learn_others(now, r));
             w.tried += 1.0;
             let silent = [Outcome::TimedOut, Outcome::ConnectFailed, Outcome::Cancelled, Outcome::NotSent];
             if !silent.contains(&outcome) {
@@ -732,6 +712,7 @@
                 }
                 if loaded {
                     self.usual = learn(self.usual, duration as f64, LEARN);
+                    self.learn_bound(n, (duration, hint), clear);
                     self.learn_slow(n, of_aim(duration));
                 }
             }
@@ -801,8 +782,7 @@
     /// Whether the worker has room for one more of ours, by what runs there alone: an estimate of its speed
     /// that only answers refresh would, once wrong, keep them away. What awaits a load takes no core.
     fn admits(&self, w: &Worker) -> bool {
-        let awaiting = f64::from(w.awaiting) + (self.settings.routers - 1) as f64 * w.mean_awaiting;
-        let room = self.load(w) - awaiting < ENOUGH * w.size / self.mean_size();
+        let room = self.running(w) < self.bound.get() * w.size / self.mean_size();
         // What many tell is old by a period: a bound on that would turn them all away at once, and back.
         (room || self.heard.well) && w.full_until <= self.now
     }
@@ -850,8 +830,7 @@
         }
         let warm_rate = self.capacity.max(self.warm_rate()) * w.size;
         let budget = COLD_MARGIN * s.fall_multiple * share * warm_rate * s.fall_window as f64 / 1e6;
-        // Never nothing from all of us together: what is not asked can neither warm up nor be told well.
-        let budget = budget.max(1.0 / s.routers as f64);
+        let budget = budget.max(LEAST_COLD / s.routers as f64);
         // A part of a request is admitted by lot, drawn anew each half window, so that hundreds of routers
         // whose share is far below one keep the limit together and none is shut out for ever.
         let slot = 2 * self.now / s.fall_window.max(1);
--- a/src/state.rs
+++ b/src/state.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
+use crate::bound::Bound;
 use crate::hash::hash;
 use crate::interface::*;
 use crate::succession::Succession;
@@ -19,6 +20,8 @@
 /// A connection that was used within this is thought to stand: hosts close idle ones after half a minute. A wrong
 /// guess costs no more than a connection.
 const HELD: Micros = 20_000_000;
+/// A load report older than this says nothing.
+const REPORT_AGE: Micros = 1_000_000;
 /// Time in which a higher rate than was seen before is believed, and in which one seen once is forgotten.
 const RISES: f64 = 3e6;
 const FALLS: f64 = 120e6;
@@ -54,6 +57,7 @@
     /// Mean numbers of our own requests there.
     pub(crate) in_flight: f64,
     pub(crate) load: f64,
+    pub(crate) running: f64,
     pub(crate) ill: f64,
     /// Times of their answers, over their aim.
     pub(crate) slow: f64,
@@ -76,6 +80,16 @@
     pub(crate) ranked_at: u64,
 }
 
+/// What the other routers have on a worker: running means of what it reported, less our own.
+#[derive(Clone, Copy, Default)]
+pub(crate) struct Others {
+    /// When it last reported; 0: never.
+    pub(crate) at: Micros,
+    pub(crate) holding: f64,
+    /// Without those that wait there.
+    pub(crate) running: f64,
+}
+
 #[derive(Default)]
 pub(crate) struct Worker {
     /// What stands for it where routers tell one another.
@@ -101,7 +115,8 @@
     pub(crate) awaiting: u32,
     pub(crate) mean_in_flight: f64,
     pub(crate) mean_awaiting: f64,
-    pub(crate) report: Option<(Micros, f64)>,
+    /// What the other routers have there, by its load reports.
+    pub(crate) others: Others,
     pub(crate) heard: Micros,
     /// When an answer came over a connection; 0: never.
     pub(crate) spoke: Micros,
@@ -123,10 +138,15 @@
     pub(crate) learnt: Micros,
 }
 
+/// How an attempt ended, whether that finished its request, after how long, and what the answer told.
+pub(crate) type Seen = (Outcome, bool, Micros, Option<Found>, Option<LoadReport>);
+
 pub(crate) struct Try {
     pub(crate) worker: WorkerId,
     pub(crate) sent: Micros,
     pub(crate) warm: bool,
+    /// It found a lane free, as far as is known here.
+    pub(crate) clear: bool,
     pub(crate) ended: Option<Outcome>,
 }
 
@@ -148,6 +168,8 @@
     /// Counts for the ration of load orders.
     pub(crate) counted: bool,
     pub(crate) streaming: bool,
+    /// Work that it was said to take, as time on a standard core; 0: not told.
+    pub(crate) hint: Micros,
     /// Drawn in (0, 1]; where only a part is admitted, those above it wait.
     pub(crate) lot: f64,
 }
@@ -190,6 +212,8 @@
     /// Share of the attempts that grew old whose answer never came.
     pub(crate) lost: f64,
     pub(crate) done_rate: f64,
+    /// Calls that a worker of mean size is to run at once.
+    pub(crate) bound: Bound,
     /// The most that was served for long enough to be believed: answers a second for each size that is warm.
     pub(crate) capacity: f64,
     /// Sizes that were warm, over the same time as `done_rate`.
@@ -319,11 +343,22 @@
         self.laden_until <= now
     }
 
+    /// Takes in a load report. It is late and counts our own too, which we know as of now: only its mean over
+    /// some reports tells what the others have there.
+    pub(crate) fn learn_others(&mut self, now: Micros, report: LoadReport) {
+        let holding = report.holding - f64::from(self.in_flight);
+        let running = report.holding - report.waiting - f64::from(self.in_flight - self.awaiting);
+        let weight = if self.others.at == 0 { 1.0 } else { LEARN };
+        let mean = |before: f64, now: f64| before + (now - before) * weight;
+        let Others { holding: held, running: ran, .. } = self.others;
+        self.others = Others { at: now, holding: mean(held, holding), running: mean(ran, running) };
+    }
+
     /// A new process is met without a record.
     pub(crate) fn acquit(&mut self) {
         (self.failed, self.tried, self.rest, self.ill_until, self.full_until) = (0.0, 0.0, 0, 0, 0);
         self.laden_until = 0;
-        (self.on_trial, self.report, self.slow) = (false, None, 0.0);
+        (self.on_trial, self.others, self.slow) = (false, Others::default(), 0.0);
         self.shut.clear();
     }
 }
@@ -344,6 +379,35 @@
         f.ranked.iter().filter_map(|n| self.workers.get_key_value(n))
     }
 
+    /// Requests that the worker is thought to hold: our own, and for those of the others what its reports say
+    /// or what our own share lets us expect, which is the fleet's mean where we see too little of each worker.
+    pub(crate) fn load(&self, w: &Worker) -> f64 {
+        let own = w.in_flight as f64;
+        if self.heard.well {
+            return own + self.heard.at_host(w.key);
+        }
+        if let Some(others) = self.others(w) {
+            return own + others.holding.max(0.0);
+        }
+        let others = (self.settings.routers - 1) as f64;
+        let fair = self.totals.in_flight * w.size / self.totals.size.max(1e-9);
+        own + others * (fair + self.trust() * (w.mean_in_flight - fair))
+    }
+
+    /// Requests that take the worker's cores: what awaits a load takes none, nor does what waits in a queue.
+    pub(crate) fn running(&self, w: &Worker) -> f64 {
+        match self.others(w) {
+            Some(others) => f64::from(w.in_flight - w.awaiting) + others.running.max(0.0),
+            None => self.load(w) - w.awaiting as f64 - (self.settings.routers - 1) as f64 * w.mean_awaiting,
+        }
+    }
+
+    /// What the others have there, by its reports, as long as they are fresh. A router alone has no others.
+    fn others(&self, w: &Worker) -> Option<Others> {
+        let told = self.settings.routers > 1 && w.others.at > 0 && self.now - w.others.at < REPORT_AGE;
+        told.then_some(w.others)
+    }
+
     /// How far our own requests tell what the others do: next to nothing when they are few for each worker.
     pub(crate) fn trust(&self) -> f64 {
         let seen = (self.totals.in_flight / self.totals.up.max(1.0)).powi(2) + 1e-9;
@@ -366,6 +430,14 @@
         }
     }
 
+    /// Takes in what a call took that found its copy and a lane, of one that has warmed up.
+    pub(crate) fn learn_bound(&mut self, n: &WorkerId, (took, work): (Micros, Micros), clear: bool) {
+        if clear && self.workers.get(n).is_some_and(|w| self.warmth(w) >= 1.0) {
+            let up = self.totals.up.max(1.0);
+            self.bound.learn(took as f64, work as f64, self.totals.running / up, up);
+        }
+    }
+
     /// What one of size 1 is seen to serve. Cold ones serve their part of it: counted as warm, they would starve
     /// each other. Where few routers see all, the best of times counts for minutes: a fleet that is sent little
     /// serves little, and what its cold ones may be sent must not follow that down. Of what a router of many
@@ -400,8 +472,10 @@
             ill: up().filter(|w| w.ill_until > self.now || w.on_trial).count() as f64,
             slow: up().map(|w| w.slow).sum(),
             load: 0.0,
+            running: 0.0,
         };
         self.totals.load = self.workers.values().filter(|w| w.up).map(|w| self.load(w)).sum();
+        self.totals.running = self.workers.values().filter(|w| w.up).map(|w| self.running(w).max(0.0)).sum();
     }
 
     /// A call that came then counts for the ration of orders.
@@ -467,7 +541,13 @@
     pub(crate) fn attempted(&mut self, past: Vec<PastAttempt>) {
         let past = past.into_iter();
         self.past = past
-            .map(|p| Try { worker: p.worker, sent: p.sent, warm: false, ended: Some(p.outcome) })
+            .map(|p| Try {
+                worker: p.worker,
+                sent: p.sent,
+                warm: false,
+                clear: false,
+                ended: Some(p.outcome),
+            })
             .collect();
     }
 
