--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -115,6 +115,21 @@
         })
     }
 
+    /// The answer of a first attempt that found a copy, after so long.
+    pub fn found(&mut self, request: &RequestId, worker: &WorkerId, duration: Micros) -> Vec<Action> {
+        self.event(Event::Answer {
+            request: request.clone(),
+            attempt: 0,
+            worker: worker.clone(),
+            outcome: Outcome::Done,
+            finished: true,
+            duration,
+            found: Some(Found::Warm),
+            crowd: None,
+            report: None,
+        })
+    }
+
     /// Calls a function and serves it; where it went.
     pub fn serve(&mut self, class: usize, function: &str) -> WorkerId {
         let (request, out) = self.call(class, function);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -574,17 +574,7 @@
         let worker = sent(&out).expect("an attempt");
         let duration = if worker == slow { 400 * MS } else { 60 * MS };
         bed.now += 20 * MS;
-        bed.event(Event::Answer {
-            request,
-            attempt: 0,
-            worker,
-            outcome: Outcome::Done,
-            finished: true,
-            duration,
-            found: Some(Found::Warm),
-            crowd: None,
-            report: None,
-        });
+        bed.found(&request, &worker, duration);
     }
     // What it is first for is more than it is given now.
     let sends: Vec<_> = (0..60).filter_map(|i| sent(&bed.call(SAFE, &format!("g{i}")).1)).collect();
@@ -779,17 +769,7 @@
         let (request, out) = bed.call(SAFE, &format!("f{}", i % 8));
         let worker = sent(&out).expect("an attempt");
         bed.now += 20 * MS;
-        bed.event(Event::Answer {
-            request,
-            attempt: 0,
-            worker,
-            outcome: Outcome::Done,
-            finished: true,
-            duration: 900 * MS,
-            found: Some(Found::Warm),
-            crowd: None,
-            report: None,
-        });
+        bed.found(&request, &worker, 900 * MS);
     }
     let sends = (0..16).filter(|i| sent(&bed.call(SAFE, &format!("f{}", i % 8)).1).is_some()).count();
     assert!(sends >= 12, "{sends} of 16");
