Membership bound to the program: activators watch each other, off without [members]

node/src/fellows.rs carries the datagrams of crates/members: a clock that nobody sets (the hub's stands still when the system's goes back, and a member that stands still is gone), names and addresses from an operator's file, what has come read before what is due. GET /members, POST /members/leave, one log line a change with its evidence; SIGTERM leaves; a reload takes other members up without a new life; in an upgrade the name passes with the clients and the old process falls silent without a leave. A datagram must name the sender whose address it came from.

Not built: the fault lab as a program, what the fleet makes of the view.

--- a/crates/members/src/members.rs
+++ b/crates/members/src/members.rs
@@ -156,18 +156,19 @@
         self.timers.next()
     }
 
-    /// A datagram has come. One that cannot be read, or that is of nobody on the roster, is dropped.
-    pub fn heard(&mut self, now: Duration, data: &[u8], out: &mut Vec<Out>) {
+    /// A datagram has come from where this member sends. One that cannot be read, that names another sender, or that is
+    /// of nobody on the roster, is dropped.
+    pub fn heard(&mut self, now: Duration, from: Name, data: &[u8], out: &mut Vec<Out>) {
         self.notice_pause(now);
         if self.left || data.len() > self.settings.datagram {
             return;
         }
         let Ok((header, _)) = postcard::take_from_bytes::<Header<Life>>(data) else { return };
-        if !self.roster.contains(&header.src.name) {
+        if header.src.name != from || !self.roster.contains(&from) {
             return;
         }
         self.doubt.heard(now, self.settings.period);
-        self.seen.entry(header.src.name).or_default().heard = Some(now);
+        self.seen.entry(from).or_default().heard = Some(now);
         // What cannot be read whole was forged or cut short on its way: it says nothing.
         let _ = self.run(now, out, |protocol, taken| protocol.handle_data(data, taken));
     }
--- a/crates/members/tests/networks.rs
+++ b/crates/members/tests/networks.rs
@@ -17,13 +17,13 @@
     members: Members,
     stopped: bool,
     /// What came in while it was stopped.
-    unread: Vec<Vec<u8>>,
+    unread: Vec<(Name, Vec<u8>)>,
     /// Each time another came or went, as it holds it.
     changes: Vec<(Duration, Name, State)>,
 }
 
-/// When it comes, its turn among those that come together, to whom, and what it holds.
-type Datagram = (Duration, u64, usize, Vec<u8>);
+/// When it comes, its turn among those that come together, from whom, to whom, and what it holds.
+type Datagram = (Duration, u64, usize, usize, Vec<u8>);
 
 /// Members and the links between them.
 struct Net {
@@ -91,8 +91,8 @@
         p.stopped = false;
         let mut out = Vec::new();
         p.members.wake(now, &mut out);
-        for data in std::mem::take(&mut p.unread) {
-            p.members.heard(now, &data, &mut out);
+        for (from, data) in std::mem::take(&mut p.unread) {
+            p.members.heard(now, from, &data, &mut out);
         }
         self.carry_out(i, out);
     }
@@ -142,7 +142,13 @@
                     let copies = 1 + usize::from(self.rng.f64() < self.doubled);
                     for _ in 0..copies {
                         let late = self.delay.mul_f64(self.rng.f64());
-                        self.under_way.push(Reverse((self.now + late, self.rng.u64(..), to, data.clone())));
+                        self.under_way.push(Reverse((
+                            self.now + late,
+                            self.rng.u64(..),
+                            from,
+                            to,
+                            data.clone(),
+                        )));
                     }
                 }
                 Out::Changed { name, state } => {
@@ -165,12 +171,12 @@
             let mut out = Vec::new();
             match (datagram, wake) {
                 (Some(at), wake) if at <= end && wake.is_none_or(|(w, _)| at <= w) => {
-                    let Some(Reverse((at, _, to, data))) = self.under_way.pop() else { break };
+                    let Some(Reverse((at, _, from, to, data))) = self.under_way.pop() else { break };
                     self.now = self.now.max(at);
-                    let now = self.now;
+                    let (now, from) = (self.now, Name(from as u32));
                     match &mut self.each[to] {
-                        Some(p) if p.stopped => p.unread.push(data),
-                        Some(p) => p.members.heard(now, &data, &mut out),
+                        Some(p) if p.stopped => p.unread.push((from, data)),
+                        Some(p) => p.members.heard(now, from, &data, &mut out),
                         None => {}
                     }
                     self.carry_out(to, out);
@@ -431,11 +437,11 @@
     datagrams.extend((0..2_000).map(|_| (0..rng.usize(..80)).map(|_| rng.u8(..4)).collect()));
     let mut out = Vec::new();
     for data in datagrams.iter().take(5) {
-        net.process(0).members.heard(now, data, &mut out);
+        net.process(0).members.heard(now, Name(1), data, &mut out);
     }
     assert!(out.is_empty() && net.process(0).members.view() == before, "{out:?}");
     for data in &datagrams {
-        net.process(0).members.heard(now, data, &mut out);
+        net.process(0).members.heard(now, Name(1), data, &mut out);
     }
     assert!(net.process(0).members.entries() < 100, "however many");
 }
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -14,6 +14,7 @@
 use wheellink_settings::{Deployment, Options};
 
 use crate::bus::{self, Event};
+use crate::fellows::Setup;
 use crate::front::invoke::results::Bounds;
 use crate::peers::Addresses;
 
@@ -35,6 +36,8 @@
     pub rollout: Option<rollout::Setup>,
     /// Who is let in, where that is set up.
     pub admission: Option<Rules>,
+    /// Which activators watch each other, where that is set up.
+    pub members: Option<Setup>,
     /// The file as it was read, but for the host list: what a new file must not lack.
     form: Value,
 }
@@ -174,6 +177,7 @@
         form,
         rollout: file.rollout,
         admission: file.admission,
+        members: None,
         side: Side::Platform { bus: address("bus", &file.bus)?, offset: file.known.offset, known: known? },
     })
 }
@@ -203,6 +207,7 @@
     #[rstest]
     #[case::invoke(include_str!("../../deploy/invoke.toml"), false)]
     #[case::admission(include_str!("../../deploy/admission.toml"), false)]
+    #[case::members(include_str!("../../deploy/members.toml"), false)]
     #[case::rollout(include_str!("../../deploy/rollout.toml"), true)]
     fn the_files_under_deploy_are_taken(#[case] text: &str, #[case] rollout: bool) {
         let config = operator(text).unwrap_or_else(|e| panic!("{e}"));
--- a/node/src/config/operator.rs
+++ b/node/src/config/operator.rs
@@ -24,6 +24,7 @@
     results: Results,
     rollout: Option<super::rollout::Setup>,
     admission: Option<wheellink_admission::Rules>,
+    members: Option<crate::fellows::Setup>,
     #[serde(default)]
     class: Vec<ClassTable>,
     #[serde(default)]
@@ -163,6 +164,7 @@
     wrong(file.results.most == 0 || file.results.megabytes == 0, "results must leave room for one")?;
     file.rollout.as_ref().map_or(Ok(()), super::rollout::Setup::check)?;
     super::check(file.admission.as_ref(), file.sockets)?;
+    file.members.as_ref().map_or(Ok(()), crate::fellows::Setup::check)?;
     let mut names: Vec<_> = file.class.iter().map(|c| &c.name).collect();
     names.sort();
     wrong(names.windows(2).any(|w| w[0] == w[1]), "two classes of one name")?;
@@ -244,6 +246,7 @@
         side,
         rollout: file.rollout,
         admission: file.admission,
+        members: file.members,
     })
 }
 
--- a/node/src/control.rs
+++ b/node/src/control.rs
@@ -40,6 +40,8 @@
     Rollout(RolloutCall),
     /// Of who is let in.
     Admission(AdmissionCall),
+    /// Which other activators are alive; or that this one leaves them.
+    Members { leave: bool },
 }
 
 /// What an operator asks of admission.
@@ -135,7 +137,7 @@
 pub fn call(request: &Request) -> Result<Call, Response> {
     let path = request.path.split('?').next().unwrap_or_default();
     let wanted = match (path, request.method.as_str()) {
-        ("/status" | "/admission", _) | ("/rollout", "GET" | "HEAD") => "GET",
+        ("/status" | "/admission" | "/members", _) | ("/rollout", "GET" | "HEAD") => "GET",
         _ => "POST",
     };
     let call = match path {
@@ -143,6 +145,7 @@
         "/maintenance/enter" | "/maintenance/exit" => {
             Call::Host { id: String::new(), out: path.ends_with("enter") }
         }
+        "/members" | "/members/leave" => Call::Members { leave: path.ends_with("leave") },
         "/standby" | "/active" => Call::Standby(path == "/standby"),
         "/rollout" | "/rollout/step" | "/rollout/hold" | "/rollout/back" | "/rollout/complete" => {
             Call::Rollout(RolloutCall::Show)
--- /dev/null
+++ b/node/src/fellows.rs
@@ -0,0 +1,264 @@
+//! Which of the other activators are alive, on the network: the datagrams, clock and names of `crates/members`.
+//! Off without `[members]` in an operator's file.
+
+use std::collections::{BTreeMap, HashMap};
+use std::io::{self, ErrorKind};
+use std::net::{SocketAddr, UdpSocket};
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use calloop::generic::Generic;
+use calloop::{Interest, Mode, PostAction, RegistrationToken};
+use serde::Deserialize;
+use serde_json::{json, Value};
+use socket2::{Domain, Protocol, Socket, Type};
+use wheellink::Micros;
+use wheellink_members::{Life, Members, Name, Out, Settings, State};
+
+use crate::wake::{Handle, Wake};
+
+/// Datagrams taken at one go: a flood of them must not keep the loop.
+const AT_ONCE: usize = 64;
+/// The longest name: it is logged and shown.
+const LONGEST_NAME: usize = 64;
+
+/// What an operator sets.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Setup {
+    /// This activator's name, the same over all its starts.
+    name: String,
+    /// Where it hears the others.
+    listen: SocketAddr,
+    /// Between two probes by one member; the same for all of them.
+    #[serde(default = "period")]
+    period_ms: u64,
+    /// The others.
+    #[serde(default)]
+    other: Vec<Other>,
+}
+
+/// One of the others.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Other {
+    name: String,
+    /// Where it hears this one, and where its datagrams come from.
+    address: SocketAddr,
+}
+
+fn period() -> u64 {
+    500
+}
+
+/// What stands for a name in datagrams (FNV-1a).
+fn number(name: &str) -> Name {
+    Name(name.bytes().fold(0x811c_9dc5, |h, byte| (h ^ u32::from(byte)).wrapping_mul(0x0100_0193)))
+}
+
+impl Setup {
+    /// What is wrong with it, in one line.
+    pub fn check(&self) -> Result<(), String> {
+        let names = || self.other.iter().map(|o| &o.name).chain([&self.name]);
+        if names().any(|name| name.is_empty() || name.len() > LONGEST_NAME || name.contains(char::is_control))
+        {
+            return Err(format!("members: a name is 1 to {LONGEST_NAME} bytes of text"));
+        }
+        let mut numbers: Vec<Name> = names().map(|name| number(name)).collect();
+        numbers.sort();
+        if let Some(twice) = numbers.windows(2).find(|w| w[0] == w[1]) {
+            let twice: Vec<&str> = names().filter(|n| number(n) == twice[0]).map(|n| n.as_str()).collect();
+            return Err(format!("members: {} cannot be told apart", twice.join(" and ")));
+        }
+        let mut addresses: Vec<SocketAddr> = self.other.iter().map(|o| o.address).collect();
+        addresses.sort();
+        if addresses.windows(2).any(|w| w[0] == w[1]) {
+            return Err("members: two others of one address".into());
+        }
+        if self.other.iter().any(|o| o.address.is_ipv4() != self.listen.is_ipv4()) {
+            return Err("members: addresses are all of one family".into());
+        }
+        self.settings().check().map_err(|e| e.to_string())
+    }
+
+    fn settings(&self) -> Settings {
+        let period = Duration::from_millis(self.period_ms);
+        Settings { period, expected: self.other.len() + 1, ..Settings::default() }
+    }
+}
+
+/// See the module's page.
+pub struct Fellows {
+    handle: Handle,
+    socket: Rc<UdpSocket>,
+    token: RegistrationToken,
+    members: Members,
+    /// Times of the members run from here, on a clock that nobody sets.
+    origin: Instant,
+    setup: Setup,
+    /// By what stands for their names: name and address.
+    others: BTreeMap<Name, (String, SocketAddr)>,
+    names: HashMap<SocketAddr, Name>,
+    left: bool,
+}
+
+impl Fellows {
+    /// Begins a life of this activator's name.
+    pub fn open(handle: &Handle, setup: &Setup, seed: u64) -> io::Result<Self> {
+        let socket = Socket::new(Domain::for_address(setup.listen), Type::DGRAM, Some(Protocol::UDP))?;
+        // In an upgrade two processes stand at one address for a moment, and the later one hears.
+        socket.set_reuse_address(true)?;
+        socket.bind(&setup.listen.into())?;
+        socket.set_nonblocking(true)?;
+        let socket: Rc<UdpSocket> = Rc::new(socket.into());
+        // Level-triggered: what is left by one go is taken by the next.
+        let source = Generic::new(socket.clone(), Interest::READ, Mode::Level);
+        let token = handle.insert_source(source, |_, _, wakes| {
+            wakes.push(Wake::Members);
+            Ok(PostAction::Continue)
+        });
+        let token = token.map_err(|e| io::Error::other(e.error.to_string()))?;
+        let start = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64;
+        let life = Life::new(number(&setup.name), start);
+        let members = Members::new(setup.settings(), life, [], seed, Duration::ZERO);
+        let members = members.map_err(|e| io::Error::new(ErrorKind::InvalidInput, e))?;
+        let (origin, setup) = (Instant::now(), setup.clone());
+        let (others, names, left) = (BTreeMap::new(), HashMap::new(), false);
+        let mut fellows =
+            Self { handle: handle.clone(), socket, token, members, origin, setup, others, names, left };
+        fellows.meet();
+        Ok(fellows)
+    }
+
+    /// Knows the others of its setup, and nobody else.
+    fn meet(&mut self) {
+        let other = |o: &Other| (number(&o.name), (o.name.clone(), o.address));
+        self.others = self.setup.other.iter().map(other).collect();
+        self.names = self.others.iter().map(|(number, (_, address))| (*address, *number)).collect();
+        self.members.set_roster(self.others.keys().copied());
+    }
+
+    /// Whether it can go on with this setup, which it then does: others may come and go, the rest asks for a new life.
+    pub fn retune(&mut self, setup: &Setup) -> bool {
+        let same = Setup { other: self.setup.other.clone(), ..setup.clone() } == self.setup;
+        if same && self.setup != *setup {
+            self.setup = setup.clone();
+            self.meet();
+        }
+        same
+    }
+
+    fn now(&self) -> Duration {
+        self.origin.elapsed()
+    }
+
+    /// Reads what has come. What is to be logged is returned. What is from no known address is dropped.
+    pub fn ready(&mut self) -> Vec<String> {
+        let mut buf = [0; 1_500];
+        let mut out = Vec::new();
+        for _ in 0..AT_ONCE {
+            match self.socket.recv_from(&mut buf) {
+                Ok((n, from)) => {
+                    let (now, from) = (self.now(), self.names.get(&from));
+                    from.into_iter().for_each(|from| self.members.heard(now, *from, &buf[..n], &mut out));
+                }
+                // Word that one of them does not listen is read as an error of its own.
+                Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionRefused) => {}
+                Err(_) => break,
+            }
+        }
+        self.carry_out(out)
+    }
+
+    /// Does what is due, after what has come was read: after a pause it speaks for the others.
+    pub fn tick(&mut self) -> Vec<String> {
+        if self.members.wake_at().is_none_or(|at| at > self.now()) {
+            return Vec::new();
+        }
+        let mut lines = self.ready();
+        let (now, mut out) = (self.now(), Vec::new());
+        self.members.wake(now, &mut out);
+        lines.extend(self.carry_out(out));
+        lines
+    }
+
+    /// When something is due, on the caller's clock.
+    pub fn next_tick(&self, now: Micros) -> Micros {
+        let wait = self.members.wake_at().map(|at| at.saturating_sub(self.now()));
+        wait.map_or(Micros::MAX, |wait| now.saturating_add(wait.as_micros() as Micros))
+    }
+
+    /// Tells the others that this one goes.
+    pub fn leave(&mut self) -> Vec<String> {
+        if std::mem::replace(&mut self.left, true) {
+            return Vec::new();
+        }
+        let (now, mut out) = (self.now(), Vec::new());
+        self.members.leave(now, &mut out);
+        let mut lines = self.carry_out(out);
+        lines.push("left the other activators".into());
+        lines
+    }
+
+    /// Falls silent without a word: another process of this name goes on.
+    pub fn close(self) {
+        self.handle.remove(self.token);
+    }
+
+    fn carry_out(&mut self, out: Vec<Out>) -> Vec<String> {
+        let mut lines = Vec::new();
+        for o in out {
+            match o {
+                Out::Send { to, data } => {
+                    if let Some((_, address)) = self.others.get(&to) {
+                        // One that cannot be sent is lost, as any may be.
+                        let _ = self.socket.send_to(&data, address);
+                    }
+                }
+                Out::Changed { name, state } => lines.push(self.changed(name, state)),
+                Out::Returned => lines.push("others held this activator for gone; it is back".into()),
+            }
+        }
+        lines
+    }
+
+    /// A change with its evidence.
+    fn changed(&self, name: Name, state: State) -> String {
+        let view = self.members.view();
+        let told = self.others.get(&name).map_or("?", |(told, _)| told.as_str());
+        let member = view.members.iter().find(|m| m.name == name);
+        let heard = member.and_then(|m| m.heard).map(|heard| self.now().saturating_sub(heard));
+        let heard =
+            heard.map_or("never heard here".into(), |ago| format!("heard {} ms ago", ago.as_millis()));
+        let renewed = member.map_or(0, |m| m.incarnation);
+        let there = 1 + view.there().count();
+        let (all, majority) = (view.members.len() + 1, if view.majority { "" } else { ", no majority" });
+        format!("activator {told} is {}: {heard}, spoke for itself {renewed} times; {there} of {all} there{majority}",
+            word(state))
+    }
+
+    /// What this one holds of the others.
+    pub fn show(&self) -> Value {
+        let (now, view) = (self.now(), self.members.view());
+        let ago = |at: Option<Duration>| at.map(|at| now.saturating_sub(at).as_millis() as u64);
+        let member = |m: &wheellink_members::Member| {
+            let (name, address) = &self.others[&m.name];
+            json!({"name": name, "address": address, "state": word(m.state), "start_ms": m.start,
+                "incarnation": m.incarnation, "since_ms": ago(m.since), "heard_ms": ago(m.heard)})
+        };
+        let known = view.members.iter().filter(|m| self.others.contains_key(&m.name));
+        json!({"name": self.setup.name, "start_ms": self.members.life().start, "left": self.left,
+            "majority": view.majority, "pauses": view.pauses, "stretch": view.stretch,
+            "members": known.map(member).collect::<Vec<_>>()})
+    }
+}
+
+fn word(state: State) -> &'static str {
+    match state {
+        State::Alive => "alive",
+        State::Suspect => "suspect",
+        State::Gone => "gone",
+        State::Left => "left",
+        State::Unmet => "unmet",
+    }
+}
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -9,6 +9,7 @@
 mod dnssd;
 mod door;
 mod faults;
+mod fellows;
 mod front;
 mod hosts;
 mod http;
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -29,6 +29,7 @@
 use crate::control::{self, Control};
 use crate::dnssd::{Browser, DnsSd};
 use crate::door::{self, Door};
+use crate::fellows::Fellows;
 use crate::front::invoke::{self, Invoke};
 use crate::front::platform::frames::Request;
 use crate::front::platform::{self, Platform};
@@ -140,6 +141,7 @@
     side: Side,
     hosts: Hosts,
     peers: Option<Peers>,
+    fellows: Option<Fellows>,
     door: Option<Door>,
     control_door: Option<Door>,
     control: Control,
@@ -227,6 +229,7 @@
             side,
             hosts: Hosts::new(handle.clone(), transport, (most, share)),
             peers: None,
+            fellows: None,
             config,
             clock,
             log: Log::new(),
@@ -283,7 +286,8 @@
         let doors = self.door.iter().chain(&self.control_door).map(Door::next_tick).min();
         let doors = doors.unwrap_or(Micros::MAX);
         let house = self.kept_house + HOUSEKEEPING;
-        engine.min(hosts).min(news).min(doors).min(house).min(self.gradual.next_tick(now))
+        let fellows = self.fellows.as_ref().map_or(Micros::MAX, |f| f.next_tick(now));
+        engine.min(hosts).min(news).min(fellows).min(doors).min(house).min(self.gradual.next_tick(now))
     }
 
     /// Whether a client was left with more to read, so that others had their turn.
@@ -308,6 +312,7 @@
             Wake::Callers => self.accept_callers(),
             Wake::Guests => self.guests_ready(),
             Wake::Fellows => self.fellows_ready(),
+            Wake::Members => self.members_ready(),
             Wake::Stop => self.stop(),
             Wake::Reload => {}
         }
@@ -326,6 +331,7 @@
         if self.next_tick(now) <= now {
             self.run_engine(|engine, out| engine.tick(now, out));
             self.hosts.tick(now, &mut self.log);
+            self.tend_members(now);
             let keep_house = self.kept_house + HOUSEKEEPING <= now;
             if keep_house {
                 self.kept_house = now;
--- a/node/src/node/life.rs
+++ b/node/src/node/life.rs
@@ -85,6 +85,8 @@
                 self.log.line(now, "the new process takes clients");
                 self.succeeded = true;
                 self.door.iter_mut().for_each(|door| door.shut(Micros::MAX));
+                // It is another life of this one's name, and two would accuse each other's friends.
+                self.fellows.take().into_iter().for_each(Fellows::close);
                 self.part(now);
             }
             News::Said(Message::Host { id, out }) => {
@@ -114,6 +116,7 @@
                     // The new one has failed: this one serves on.
                     self.door.iter_mut().for_each(Door::reopen);
                     self.part(now);
+                    self.attend_members();
                     self.shine(now);
                 }
             }
@@ -151,6 +154,7 @@
         self.door = Some(door.map_err(|e| format!("cannot listen on {}: {e}", self.config.listen))?);
         self.upgrade.tell(&Message::Ready);
         self.log.line(now, "taking clients");
+        self.attend_members();
         self.shine(now);
         Ok(())
     }
@@ -238,6 +242,7 @@
             self.log.line(now, format_args!("told to stop with {} requests open", self.engine.open()));
             self.stopping = Some(now);
             self.end_rollout(now);
+            self.leave_members(now);
             self.part(now);
             self.settle();
         }
@@ -304,6 +309,9 @@
         let settings = self.binding();
         self.run_engine(|engine, out| engine.settings(now, settings, patience, out));
         self.attend_peers();
+        if self.door.is_some() && !self.succeeded {
+            self.attend_members();
+        }
         self.rebind(now);
         self.resize();
         Ok(what)
--- a/node/src/node/news.rs
+++ b/node/src/node/news.rs
@@ -140,4 +140,41 @@
         }
         self.settle();
     }
+
+    /// Watches the other activators, where that is set up.
+    pub(super) fn attend_members(&mut self) {
+        let now = self.clock.now();
+        if self.stopping.is_some() {
+            return;
+        }
+        let Some(setup) = &self.config.members else {
+            self.leave_members(now);
+            return self.fellows.take().into_iter().for_each(Fellows::close);
+        };
+        if self.fellows.as_mut().is_some_and(|fellows| fellows.retune(setup)) {
+            return;
+        }
+        self.fellows.take().into_iter().for_each(Fellows::close);
+        match Fellows::open(&self.handle, setup, self.config.seed) {
+            Ok(fellows) => self.fellows = Some(fellows),
+            Err(e) => self.log.line(now, format_args!("the other activators are not watched: {e}")),
+        }
+    }
+
+    pub(super) fn members_ready(&mut self) {
+        let now = self.clock.now();
+        let lines = self.fellows.as_mut().map(Fellows::ready).unwrap_or_default();
+        lines.into_iter().for_each(|line| self.log.line(now, line));
+    }
+
+    pub(super) fn tend_members(&mut self, now: Micros) {
+        let lines = self.fellows.as_mut().map(Fellows::tick).unwrap_or_default();
+        lines.into_iter().for_each(|line| self.log.line(now, line));
+    }
+
+    /// Says goodbye to the other activators.
+    pub(super) fn leave_members(&mut self, now: Micros) {
+        let lines = self.fellows.as_mut().map(Fellows::leave).unwrap_or_default();
+        lines.into_iter().for_each(|line| self.log.line(now, line));
+    }
 }
--- a/node/src/node/operators.rs
+++ b/node/src/node/operators.rs
@@ -32,6 +32,15 @@
             control::Call::Status => self.status(now),
             control::Call::Rollout(call) => self.operate_rollout(now, call),
             control::Call::Admission(call) => self.operate_admission(now, call),
+            control::Call::Members { leave } => {
+                if leave {
+                    self.leave_members(now);
+                }
+                match &self.fellows {
+                    Some(fellows) => Response::json(200, fellows.show()),
+                    None => Response::problem(404, "this activator watches no others"),
+                }
+            }
             control::Call::Host { id, out } => {
                 let host: WorkerId = id.as_str().into();
                 if !self.hosts.knows(&host) {
--- a/node/src/wake.rs
+++ b/node/src/wake.rs
@@ -26,6 +26,8 @@
     ResolverConn(ConnId),
     /// Other activators of the tier have told something.
     Fellows,
+    /// Other activators have sent word of who is alive.
+    Members,
     /// Connections of clients wait to be accepted.
     Clients,
     /// Connections of operators wait to be accepted.
