--- /dev/null
+++ b/node/src/datagrams.rs
@@ -0,0 +1,33 @@
+//! Where datagrams are heard.
+
+use std::io;
+use std::net::{SocketAddr, UdpSocket};
+use std::rc::Rc;
+
+use calloop::generic::Generic;
+use calloop::{Interest, Mode, PostAction, RegistrationToken};
+use socket2::{Domain, Protocol, Socket, Type};
+
+use crate::wake::{Handle, Wake};
+
+/// A socket in the loop, which says this when it can be read.
+pub fn open(
+    handle: &Handle,
+    listen: SocketAddr,
+    wake: Wake,
+) -> io::Result<(Rc<UdpSocket>, RegistrationToken)> {
+    let socket = Socket::new(Domain::for_address(listen), Type::DGRAM, Some(Protocol::UDP))?;
+    // In an upgrade two processes stand at one address, and the later one hears.
+    socket.set_reuse_address(true)?;
+    socket.bind(&listen.into())?;
+    socket.set_nonblocking(true)?;
+    let socket: Rc<UdpSocket> = Rc::new(socket.into());
+    // Level-triggered: what is left by one go is taken by the next.
+    let source = Generic::new(socket.clone(), Interest::READ, Mode::Level);
+    let token = handle.insert_source(source, move |_, _, wakes| {
+        wakes.push(wake);
+        Ok(PostAction::Continue)
+    });
+    let token = token.map_err(|e| io::Error::other(e.error.to_string()))?;
+    Ok((socket, token))
+}
--- a/node/src/fellows.rs
+++ b/node/src/fellows.rs
@@ -7,14 +7,13 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use calloop::generic::Generic;
-use calloop::{Interest, Mode, PostAction, RegistrationToken};
+use calloop::RegistrationToken;
 use serde::Deserialize;
 use serde_json::{json, Value};
-use socket2::{Domain, Protocol, Socket, Type};
 use wheellink::Micros;
 use wheellink_members::{Life, Members, Name, Out, Settings, State};
 
+use crate::datagrams;
 use crate::wake::{Handle, Wake};
 
 /// Datagrams taken at one go: a flood of them must not keep the loop.
@@ -105,19 +104,7 @@
 impl Fellows {
     /// Begins a life of this activator's name.
     pub fn open(handle: &Handle, setup: &Setup, seed: u64) -> io::Result<Self> {
-        let socket = Socket::new(Domain::for_address(setup.listen), Type::DGRAM, Some(Protocol::UDP))?;
-        // In an upgrade two processes stand at one address for a moment, and the later one hears.
-        socket.set_reuse_address(true)?;
-        socket.bind(&setup.listen.into())?;
-        socket.set_nonblocking(true)?;
-        let socket: Rc<UdpSocket> = Rc::new(socket.into());
-        // Level-triggered: what is left by one go is taken by the next.
-        let source = Generic::new(socket.clone(), Interest::READ, Mode::Level);
-        let token = handle.insert_source(source, |_, _, wakes| {
-            wakes.push(Wake::Members);
-            Ok(PostAction::Continue)
-        });
-        let token = token.map_err(|e| io::Error::other(e.error.to_string()))?;
+        let (socket, token) = datagrams::open(handle, setup.listen, Wake::Members)?;
         let start = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64;
         let life = Life::new(number(&setup.name), start);
         let members = Members::new(setup.settings(), life, [], seed, Duration::ZERO);
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -6,6 +6,7 @@
 mod config;
 mod conn;
 mod control;
+mod datagrams;
 mod dnssd;
 mod door;
 mod faults;
--- a/node/src/peers.rs
+++ b/node/src/peers.rs
@@ -5,10 +5,9 @@
 use std::net::{SocketAddr, UdpSocket};
 use std::rc::Rc;
 
-use calloop::generic::Generic;
-use calloop::{Interest, Mode, PostAction, RegistrationToken};
-use socket2::{Domain, Protocol, Socket, Type};
+use calloop::RegistrationToken;
 
+use crate::datagrams;
 use crate::wake::{Handle, Wake};
 
 /// The longest datagram that may be sent, and the longest that is taken.
@@ -38,19 +37,7 @@
 
 impl Peers {
     pub fn open(handle: &Handle, addresses: Addresses) -> io::Result<Self> {
-        let socket = Socket::new(Domain::for_address(addresses.listen), Type::DGRAM, Some(Protocol::UDP))?;
-        // In an upgrade two processes stand at one address, and the later one hears.
-        socket.set_reuse_address(true)?;
-        socket.bind(&addresses.listen.into())?;
-        socket.set_nonblocking(true)?;
-        let socket: Rc<UdpSocket> = Rc::new(socket.into());
-        // Level-triggered: what is left by one go is taken by the next.
-        let source = Generic::new(socket.clone(), Interest::READ, Mode::Level);
-        let token = handle.insert_source(source, |_, _, wakes| {
-            wakes.push(Wake::Fellows);
-            Ok(PostAction::Continue)
-        });
-        let token = token.map_err(|e| io::Error::other(e.error.to_string()))?;
+        let (socket, token) = datagrams::open(handle, addresses.listen, Wake::Fellows)?;
         let numbers = addresses.each.iter().zip(0..).map(|(address, number)| (*address, number)).collect();
         Ok(Self { handle: handle.clone(), socket, token, numbers, addresses })
     }
