--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -454,16 +454,27 @@
     }
 }
 
+/// Reads the first byte of something; `None` at the end. A wait with a time-out may be broken off by any signal.
+fn first_byte(stream: &mut impl Read) -> Option<u8> {
+    let mut byte = [0];
+    loop {
+        match stream.read(&mut byte) {
+            Ok(n) => return (n > 0).then_some(byte[0]),
+            Err(e) if e.kind() == std::io::ErrorKind::Interrupted => {}
+            Err(e) => panic!("nothing in time: {e}"),
+        }
+    }
+}
+
 /// Reads one response; `None` at the end of the connection.
 pub fn read_reply(stream: &mut impl Read) -> Option<Reply> {
     let mut head = Vec::new();
     while !head.ends_with(b"\r\n\r\n") {
-        let mut byte = [0];
-        if stream.read(&mut byte).expect("an answer in time") == 0 {
+        let Some(byte) = first_byte(stream) else {
             assert!(head.is_empty(), "cut off: {}", String::from_utf8_lossy(&head));
             return None;
-        }
-        head.push(byte[0]);
+        };
+        head.push(byte);
     }
     let head = String::from_utf8(head).unwrap();
     let mut reply = Reply { status: head[9..12].parse().unwrap(), head, body: Vec::new() };
@@ -760,10 +771,7 @@
 
 /// Reads one frame; `None` at the end of the connection.
 pub fn read_frame(stream: &mut impl Read) -> Option<Frame> {
-    let mut length = [0; 4];
-    if stream.read(&mut length[..1]).expect("a frame in time") == 0 {
-        return None;
-    }
+    let mut length = [first_byte(stream)?, 0, 0, 0];
     stream.read_exact(&mut length[1..]).unwrap();
     let mut bytes = vec![0; u32::from_le_bytes(length) as usize];
     stream.read_exact(&mut bytes).unwrap();
