Measure: membership in simulated fleets of 5 to 1,000, make measure WHAT=members

The simulated network of the tests moves to tests/net, where the measurement takes it from: time to notice a death, false deaths, bytes a second and member, changes a death, at 0, 10 and 30 in 100 lost.

--- a/node/tests/measure.rs
+++ b/node/tests/measure.rs
@@ -2,6 +2,8 @@
 //! They take long and tell of this machine; nothing here is asserted but what must be 0.
 
 mod common;
+#[path = "../../crates/members/tests/net/mod.rs"]
+mod net;
 
 use std::time::Instant;
 
@@ -465,3 +467,44 @@
     }
     spent.as_nanos() as f64 / f64::from(counted)
 }
+
+/// Simulated fleets that watch each other: a calm minute, then a death, for each size and share of lost datagrams.
+#[test]
+#[ignore = "a measurement"]
+fn members() {
+    use net::{ms, Net};
+    use wheellink_members::{Name, Settings, State};
+    for n in [5, 50, 300, 1_000] {
+        for loss in [0.0, 0.1, 0.3] {
+            let seeds = if n < 1_000 { 5 } else { 1 };
+            let (mut times, mut wrong, mut bytes, mut changes, mut calm) = (Vec::new(), 0, 0, 0, 0.0);
+            for seed in 0..seeds {
+                let mut net = Net::new(n, seed, Settings::default());
+                net.run(4 * net.settings.bound());
+                net.forget_changes();
+                (net.loss, net.delay, net.doubled) = (loss, ms(40), 0.1);
+                let before = net.bytes;
+                net.run(ms(60_000));
+                bytes += net.bytes - before;
+                calm += 60.0 * n as f64;
+                wrong += net.deaths(&(0..n).collect::<Vec<_>>());
+                net.forget_changes();
+                net.kill(0);
+                let died = net.now;
+                net.run(2 * net.settings.bound());
+                for p in net.each.iter().flatten() {
+                    let gone =
+                        p.changes.iter().find(|(_, who, state)| (*who, *state) == (Name(0), State::Gone));
+                    times.push(gone.map_or(f64::INFINITY, |(at, ..)| (*at - died).as_secs_f64()));
+                    changes = changes.max(p.changes.len());
+                }
+            }
+            let name = |what: &str| format!("members.{what}_{n}_lost_{}", (loss * 100.0) as u32);
+            tell(&name("notice_median"), format!("{:.2}", quantile(&mut times, 0.5)), "s");
+            tell(&name("notice_p99"), format!("{:.2}", quantile(&mut times, 0.99)), "s");
+            tell(&name("false_deaths"), wrong as f64 / (calm / 3_600.0) * 1_000.0, "per_1000_member_hours");
+            tell(&name("sent"), format!("{:.0}", bytes as f64 / calm), "bytes_a_second_and_member");
+            tell(&name("changes_at_a_death"), changes, "most_at_a_member");
+        }
+    }
+}
