--- a/Makefile
+++ b/Makefile
@@ -25,7 +25,8 @@
 
 # One measurement, WHAT=rollout: `name value unit`, one a line. Takes minutes; not part of CI.
 measure:
-	@cargo test --locked --release -p wheellink-node --test measure -- --ignored --exact $(WHAT) --nocapture \
+	@{ test -f crates/$(WHAT)/tests/measure.rs && package=wheellink-$(WHAT) || package=wheellink-node; \
+		cargo test --locked --release -p $$package --test measure -- --ignored --exact $(WHAT) --nocapture; } \
 		| sed -n 's/^.*measure \([a-z]*\.\)/\1/p'
 
 check:
