Members: their socket carries other parts' datagrams, told apart by four bytes and a kind

Accord, drafts and turns need a way between activators. One more socket each would be one more address to set and to cut in every test of faults. Datagrams that begin with FF 57 4C 01 and a kind are handed out by kind; a name whose own datagrams could begin like that is refused. Unknown kinds, and what is too long, are dropped and counted at GET /members. Ruled out: a frame round the members' own datagrams, which older programs could not read.

--- a/node/src/fellows.rs
+++ b/node/src/fellows.rs
@@ -1,5 +1,8 @@
 //! Which of the other activators are alive, on the network: the datagrams, clock and names of `crates/members`.
-//! Off without `[members]` in an operator's file.
+//! The same socket carries what other parts say to their like at the other activators ([`parcel`]). Off without
+//! `[members]` in an operator's file.
+
+pub mod parcel;
 
 use std::collections::{BTreeMap, HashMap};
 use std::io::{self, ErrorKind};
@@ -16,6 +19,7 @@
 
 use crate::datagrams;
 use crate::wake::{Handle, Wake};
+use parcel::{Kind, Parcel};
 
 /// Datagrams taken at one go: a flood of them must not keep the loop.
 const AT_ONCE: usize = 64;
@@ -52,7 +56,7 @@
 }
 
 /// What stands for a name in datagrams, at every activator and in every version.
-fn number(name: &str) -> Name {
+pub fn number(name: &str) -> Name {
     Name(SipHasher13::new().hash(name.as_bytes()) as u32)
 }
 
@@ -64,6 +68,11 @@
         {
             return Err(format!("members: a name is 1 to {LONGEST_NAME} bytes of text"));
         }
+        if let Some(name) = names().find(|name| !parcel::differs(number(name))) {
+            return Err(format!(
+                "members: {name} cannot be a name: its datagrams would be taken for others'"
+            ));
+        }
         let mut numbers: Vec<Name> = names().map(|name| number(name)).collect();
         numbers.sort();
         if let Some(twice) = numbers.windows(2).find(|w| w[0] == w[1]) {
@@ -81,6 +90,12 @@
         self.settings().check().map_err(|e| e.to_string())
     }
 
+    #[allow(dead_code)] // Until the first part is bound.
+    /// This one's name, and the others'.
+    pub fn names(&self) -> impl Iterator<Item = &str> {
+        [&self.name].into_iter().chain(self.other.iter().map(|o| &o.name)).map(String::as_str)
+    }
+
     fn settings(&self) -> Settings {
         let period = Duration::from_millis(self.period_ms);
         Settings { period, expected: self.other.len() + 1, ..Settings::default() }
@@ -100,6 +115,10 @@
     others: BTreeMap<Name, (String, SocketAddr)>,
     names: HashMap<SocketAddr, Name>,
     left: bool,
+    /// Heard for other parts and not yet taken by the hub; see [`AT_ONCE`].
+    parcels: Vec<Parcel>,
+    /// Parcels that were dropped: of a kind that this program does not know, too long, or too many at one go.
+    dropped: u64,
 }
 
 impl Fellows {
@@ -112,8 +131,9 @@
         let members = members.map_err(|e| io::Error::new(ErrorKind::InvalidInput, e))?;
         let (origin, setup) = (Instant::now(), setup.clone());
         let (others, names, left) = (BTreeMap::new(), HashMap::new(), false);
+        let (handle, parcels, dropped) = (handle.clone(), Vec::new(), 0);
         let mut fellows =
-            Self { handle: handle.clone(), socket, token, members, origin, setup, others, names, left };
+            Self { handle, socket, token, members, origin, setup, others, names, left, parcels, dropped };
         fellows.meet();
         Ok(fellows)
     }
@@ -147,8 +167,16 @@
         for _ in 0..AT_ONCE {
             match self.socket.recv_from(&mut buf) {
                 Ok((n, from)) => {
-                    let (now, from) = (self.now(), self.names.get(&from));
-                    from.into_iter().for_each(|from| self.members.heard(now, *from, &buf[..n], &mut out));
+                    let (now, Some(from)) = (self.now(), self.names.get(&from)) else { continue };
+                    match parcel::read(&buf[..n]) {
+                        parcel::Read::Not => self.members.heard(now, *from, &buf[..n], &mut out),
+                        parcel::Read::Unknown => self.dropped += 1,
+                        // What is left of one go is taken before the next: else nobody takes any.
+                        parcel::Read::Parcel(..) if self.parcels.len() >= AT_ONCE => self.dropped += 1,
+                        parcel::Read::Parcel(kind, data) => {
+                            self.parcels.push(Parcel { from: *from, kind, data: data.to_vec() })
+                        }
+                    }
                 }
                 // Word that one of them does not listen is read as an error of its own.
                 Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionRefused) => {}
@@ -158,6 +186,19 @@
         self.carry_out(out)
     }
 
+    /// What was heard for other parts since this was last asked.
+    pub fn parcels(&mut self) -> Vec<Parcel> {
+        std::mem::take(&mut self.parcels)
+    }
+
+    #[allow(dead_code)] // Until the first part is bound.
+    /// Sends another part's bytes, at most [`parcel::LONGEST`], to its like. They may be lost, doubled or late.
+    pub fn send(&self, to: Name, kind: Kind, data: &[u8]) {
+        if let (Some((_, address)), Some(datagram)) = (self.others.get(&to), parcel::write(kind, data)) {
+            let _ = self.socket.send_to(&datagram, address);
+        }
+    }
+
     /// Does what is due, after what has come was read: after a pause it speaks for the others.
     pub fn tick(&mut self) -> Vec<String> {
         if self.members.wake_at().is_none_or(|at| at > self.now()) {
@@ -236,7 +277,7 @@
         };
         let known = view.members.iter().filter(|m| self.others.contains_key(&m.name));
         json!({"name": self.setup.name, "start_ms": self.members.life().start, "left": self.left,
-            "majority": view.majority, "pauses": view.pauses, "stretch": view.stretch,
+            "majority": view.majority, "dropped": self.dropped, "pauses": view.pauses, "stretch": view.stretch,
             "members": known.map(member).collect::<Vec<_>>()})
     }
 }
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -7,6 +7,7 @@
 mod operators;
 mod requests;
 mod rollout;
+mod together;
 
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::TcpListener;
--- a/node/src/node/news.rs
+++ b/node/src/node/news.rs
@@ -165,11 +165,14 @@
         let now = self.clock.now();
         let lines = self.fellows.as_mut().map(Fellows::ready).unwrap_or_default();
         lines.into_iter().for_each(|line| self.log.line(now, line));
+        self.hand_on_parcels(now);
+        self.settle();
     }
 
     pub(super) fn tend_members(&mut self, now: Micros) {
         let lines = self.fellows.as_mut().map(Fellows::tick).unwrap_or_default();
         lines.into_iter().for_each(|line| self.log.line(now, line));
+        self.hand_on_parcels(now);
     }
 
     /// Says goodbye to the other activators.
--- a/node/tests/members.rs
+++ b/node/tests/members.rs
@@ -294,6 +294,28 @@
     assert_eq!(fleet.host.calls(), 1);
 }
 
+#[test]
+fn what_comes_for_a_part_that_is_not_known_is_dropped_and_counted() {
+    let other = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let stranger = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let listen = UdpSocket::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let setup = format!("[members]\nname = \"a\"\nlisten = \"{listen}\"\n[[members.other]]\nname = \"b\"");
+    let file = operator_file("127.0.0.1:9".parse().unwrap());
+    let address = other.local_addr().unwrap();
+    let program = Program::start(&format!("{file}\n{setup}\naddress = \"{address}\"\n"), true);
+    assert_eq!(program.operate("GET", "/members", ""), 200, "it listens by now");
+    for kind in [0, 1, 9] {
+        for from in [&other, &stranger] {
+            from.send_to(&[0xff, 0x57, 0x4c, 0x01, kind, b'x'], listen).unwrap();
+        }
+    }
+    other.send_to(b"no datagram of any kind", listen).unwrap();
+    let dropped = || program.ask("GET", "/members", "").1["dropped"].as_u64().unwrap();
+    wait_for("its count", || dropped() == 2);
+    sleep(ms(100));
+    assert_eq!(dropped(), 2, "of a stranger nothing is read at all");
+}
+
 #[rstest]
 #[case::nameless("name = \"\"", "a name is 1 to 64 bytes")]
 #[case::twice("name = \"b\"", "b and b cannot be told apart")]
