--- /dev/null
+++ b/crates/accord/src/settings.rs
@@ -0,0 +1,183 @@
+//! Settings, checked whole.
+
+use std::fmt;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::document::Document;
+use crate::schema;
+
+/// A member of the fleet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Name(pub u32);
+
+impl fmt::Display for Name {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+/// What the accord is told at its start. All members of a fleet are told the same voters, lease and drift.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Who chooses versions and grants leases: 3 to 9 names, the same list for all.
+    pub voters: Vec<Name>,
+    /// All who may act, voters among them: at most 4,096.
+    pub roster: Vec<Name>,
+    /// How long a lease lasts: 6 periods to an hour.
+    pub lease: Duration,
+    /// How often something unanswered is sent again: 10 ms to 60 s.
+    pub period: Duration,
+    /// How far a monotonic clock may be from true time, parts in a million: at most 100,000.
+    pub drift_ppm: u32,
+    /// How long a version waits for those who neither took it up nor refused it: at least a lease.
+    pub patience: Duration,
+    /// Most bytes of documents a member sends in a period: at least 2,400.
+    pub pace: usize,
+    /// What is in force where no member knows of any version.
+    pub document: Document,
+    /// What this one acts on while it has no lease, by its own file. Covers the document's floor on every hard key.
+    pub floor: Document,
+}
+
+/// Why settings are refused.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SettingsError {
+    /// The key as it is named in an operator's file below `[accord]`.
+    pub key: &'static str,
+    /// What is wrong with it.
+    pub reason: String,
+}
+
+impl fmt::Display for SettingsError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "accord.{}: {}", self.key, self.reason)
+    }
+}
+
+impl std::error::Error for SettingsError {}
+
+/// Most members: what a voter keeps a lease for.
+const MOST_MEMBERS: usize = 4_096;
+
+impl Default for Settings {
+    fn default() -> Settings {
+        Settings {
+            voters: Vec::new(),
+            roster: Vec::new(),
+            lease: Duration::from_secs(6),
+            period: Duration::from_millis(500),
+            drift_ppm: 500,
+            patience: Duration::from_secs(60),
+            pace: 120_000,
+            document: Document::default(),
+            floor: Document::default(),
+        }
+    }
+}
+
+impl Settings {
+    /// Looks at all of it.
+    ///
+    /// # Errors
+    /// The first key that is out of its range, or a document that its own floor or the file's does not cover.
+    pub fn check(&self) -> Result<(), SettingsError> {
+        let refuse = |key, reason: String| Err(SettingsError { key, reason });
+        if !(3..=9).contains(&self.voters.len()) {
+            return refuse("voters", format!("{} names, 3 to 9 are allowed", self.voters.len()));
+        }
+        let mut sorted = self.voters.clone();
+        sorted.sort_unstable();
+        sorted.dedup();
+        if sorted.len() != self.voters.len() {
+            return refuse("voters", "a name stands twice".into());
+        }
+        if let Some(name) = self.voters.iter().find(|name| !self.roster.contains(name)) {
+            return refuse("voters", format!("{name} is not among the members"));
+        }
+        if self.roster.len() > MOST_MEMBERS {
+            return refuse(
+                "voters",
+                format!("{} members, at most {MOST_MEMBERS} are allowed", self.roster.len()),
+            );
+        }
+        if !(Duration::from_millis(10)..=Duration::from_secs(60)).contains(&self.period) {
+            return refuse("period_ms", format!("{:?} is not 10 ms to 60 s", self.period));
+        }
+        // Six tries at 30 in 100 lost each way leave one lease in a hundred to chance.
+        if self.lease < self.period * 6 || self.lease > Duration::from_secs(3600) {
+            return refuse("lease_ms", format!("{:?} is not six periods to an hour", self.lease));
+        }
+        if self.drift_ppm > 100_000 {
+            return refuse("drift_ppm", format!("{} is above 100000", self.drift_ppm));
+        }
+        if self.patience < self.lease {
+            return refuse("patience_ms", format!("{:?} is less than a lease", self.patience));
+        }
+        if self.pace < 2_400 {
+            return refuse("pace_bytes", format!("{} is less than 2400", self.pace));
+        }
+        for (name, document) in [("document", &self.document), ("floor", &self.floor)] {
+            if let Some(error) = document.iter().find_map(|(key, value)| schema::check(key, value).err()) {
+                return refuse(name, error.to_string());
+            }
+            if !document.fits() {
+                return refuse(name, format!("{} entries, {} bytes", document.len(), document.bytes()));
+            }
+        }
+        if let Some(key) = self.floor.iter().find_map(|(key, _)| key.floored()) {
+            return refuse("floor", format!("floor/{key}: keys of the floor have no floor/ before them"));
+        }
+        for (of, key) in [
+            ("the document is stricter", schema::uncovered(&self.first(), &self.floor)),
+            ("the document's floor is stricter", schema::uncovered(&self.first().floor(), &self.floor)),
+        ] {
+            if let Some(key) = key {
+                return refuse("floor", format!("{key}: {of}, so one that is cut off would contradict it"));
+            }
+        }
+        Ok(())
+    }
+
+    /// The promise T: from the moment the first activator acts on a version, after this none acts on one that contradicts
+    /// it. A lease is never granted on the old once a majority took the new, so what is left of leases is at most one of
+    /// them; a period more for the loop that is to notice; and the drift of the clock that measures it.
+    pub fn bound(&self) -> Duration {
+        self.longer(self.lease + self.period)
+    }
+
+    /// The document at the very start: the file's, with the file's floor where it says none.
+    pub(crate) fn first(&self) -> Document {
+        let mut first = self.document.clone();
+        if first.iter().all(|(key, _)| key.floored().is_none()) {
+            for (key, value) in self.floor.iter() {
+                if let Some(key) = key.floor() {
+                    first.set(key, value.clone());
+                }
+            }
+        }
+        first.seal();
+        first
+    }
+
+    /// How many voters a majority is.
+    pub fn majority(&self) -> usize {
+        self.voters.len() / 2 + 1
+    }
+
+    /// A time on the holder's side: over before it is over for anybody else.
+    pub(crate) fn shorter(&self, time: Duration) -> Duration {
+        time - self.drift(time)
+    }
+
+    /// A time on the grantor's side: over after it is over for everybody else.
+    pub(crate) fn longer(&self, time: Duration) -> Duration {
+        time + self.drift(time)
+    }
+
+    fn drift(&self, time: Duration) -> Duration {
+        // Rounded up, so that a drift of nothing but rounding errs on the safe side.
+        time * self.drift_ppm / 1_000_000 + Duration::from_micros(1)
+    }
+}
