Turns: sites by held prefix, learnt from answers, sends and other activators

A turn of a conversation costs its whole prefix anew where its blocks do not lie. The crate keeps a bounded table of prefixes by site, learns each site's own horizon of eviction from what answers found, replicates common prefixes as far as their use pays, holds sites to a bounded load, and shares a budget of computing anew after a site is lost.

Ruled out: one entry a hash of every prefix (64 times the memory of one entry a conversation).

--- a/crates/turns/src/lib.rs
+++ b/crates/turns/src/lib.rs
@@ -1,3 +1,30 @@
-//! Which site a conversation's turn goes to. See docs/design/together.md for the seams.
+//! Which site a conversation's turn goes to: the one that holds most of its prefix, against load.
+//!
+//! This crate owns what is believed of sites' caches: which prefix lies where (`table.rs`), how long a site keeps what
+//! it was sent (`sites.rs`), which prefixes are common to many conversations (`sketch.rs`), whose word is not to be
+//! trusted (`trust.rs`), and what activators tell each other of it (`wire.rs`). From that it advises a few sites for a
+//! turn (`place.rs`), or has it wait for a share of what sites may compute anew. It promises that advice names only
+//! sites that were told as being there, that none stands above its bounded load while another has room, that its memory
+//! is bounded whatever comes, and that a belief that was wrong costs one miss.
+//!
+//! It knows nothing of hosts, calls, classes, sockets or clocks: time is an argument, and the same seed and inputs
+//! always give the same advice and the same datagrams. docs/design/turns.md weighs the ways.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
+
+mod learn;
+mod place;
+mod sites;
+mod sketch;
+mod table;
+mod terms;
+mod trust;
+mod view;
+mod wire;
+
+pub use place::Turns;
+pub use terms::{
+    Advice, BadTurn, Choice, Name, Out, Reason, Settings, SettingsError, Site, SiteNow, Token, Turn,
+    LONGEST_PREFIX, MOST_CHOICES, MOST_SITES, USUAL_WEIGHT,
+};
+pub use view::{SiteView, View};
--- /dev/null
+++ b/crates/turns/src/trust.rs
@@ -0,0 +1,69 @@
+//! Whose turns tell the truth: a tenant whose prefixes are seldom found where they must lie is not believed, so that
+//! its hashes neither steer nor teach.
+
+/// Tenants are told apart in so many places; two that share one share its trust.
+const PLACES: usize = 1024;
+/// Weight of one answer.
+const PACE: f32 = 0.1;
+/// Below this share of what was expected a tenant is not believed at all.
+const LEAST: f32 = 0.25;
+/// Above this it is believed wholly.
+const WHOLE: f32 = 0.6;
+
+/// See the module's page.
+pub(crate) struct Trust {
+    shares: Vec<f32>,
+    /// Of everybody's answers: a site that loses much makes nobody a liar.
+    all: f32,
+}
+
+impl Trust {
+    pub fn new() -> Self {
+        Self { shares: vec![1.0; PLACES], all: 1.0 }
+    }
+
+    fn place(tenant: u32) -> usize {
+        (u64::from(tenant).wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 54) as usize % PLACES
+    }
+
+    /// How far the tenant's hashes are believed, 0 to 1.
+    pub fn of(&self, tenant: u32) -> f64 {
+        let share = self.shares[Self::place(tenant)] / self.all.max(LEAST);
+        f64::from(((share - LEAST) / (WHOLE - LEAST)).clamp(0.0, 1.0))
+    }
+
+    /// A turn of the tenant that was expected to find all of its prefix found this share of it.
+    pub fn learn(&mut self, tenant: u32, share: f32) {
+        let share = share.clamp(0.0, 1.0);
+        let place = &mut self.shares[Self::place(tenant)];
+        *place += (share - *place) * PACE;
+        // One tenant with many turns moves the mean slowly.
+        self.all += (share - self.all) * PACE * 0.1 * (0.1 + *place);
+    }
+
+    /// Tenants that are not believed, or half.
+    pub fn doubted(&self) -> usize {
+        self.shares.iter().filter(|s| **s / self.all.max(LEAST) < WHOLE).count()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_liar_is_not_believed_and_all_together_are_no_liars() {
+        let mut trust = Trust::new();
+        for _ in 0..60 {
+            trust.learn(1, 0.0);
+            trust.learn(2, 1.0);
+        }
+        assert_eq!((trust.of(1), trust.of(2), trust.doubted()), (0.0, 1.0, 1));
+        (0..40).for_each(|_| trust.learn(1, 1.0));
+        assert_eq!(trust.of(1), 1.0);
+        // A fleet that finds 4 in 10 everywhere: nobody is doubted for it.
+        let mut trust = Trust::new();
+        (0..4_000).for_each(|i| trust.learn(i % 50, 0.4));
+        assert!((0..50).all(|tenant| trust.of(tenant) > 0.9));
+    }
+}
--- /dev/null
+++ b/crates/turns/src/wire.rs
@@ -0,0 +1,122 @@
+//! What activators tell each other of turns: loads they made, and where prefixes were sent lately.
+
+use serde::{Deserialize, Serialize};
+
+/// Bytes of one datagram: 1,200, less what says whose it is.
+pub(crate) const LONGEST: usize = 1_194;
+/// Placements that one datagram holds at most.
+const MOST: usize = 128;
+/// Of the form of what is told; another form is dropped.
+const FORM: u8 = 1;
+
+/// That a prefix was sent to a site.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Placed {
+    /// The hash, as bytes: it would take ten as a number.
+    pub key: [u8; 8],
+    pub conversation: u16,
+    /// The site's place in the datagram's list.
+    pub site: u8,
+    pub depth: u8,
+    pub extra: u16,
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub(crate) struct Told {
+    form: u8,
+    /// Of the teller's process, and the number of the telling.
+    pub life: u32,
+    pub number: u32,
+    /// All sites that are named, with the load that the teller made there.
+    pub loads: Vec<(u32, f32)>,
+    pub placed: Vec<Placed>,
+}
+
+impl Told {
+    pub fn new(life: u32, number: u32, loads: Vec<(u32, f32)>) -> Self {
+        Self { form: FORM, life, number, loads, placed: Vec::new() }
+    }
+
+    /// The datagram, with as many of the placements as fit, first ones first; and how many those were.
+    pub fn encode(mut self, placed: &[Placed]) -> (Vec<u8>, usize) {
+        self.loads.truncate(64);
+        let empty = postcard::to_stdvec(&self).map_or(LONGEST, |b| b.len());
+        let mut left = LONGEST.saturating_sub(empty + 1);
+        for p in placed.iter().take(MOST) {
+            // Fixed parts, and numbers of 1 to 3 bytes.
+            let size = 8
+                + 1
+                + 1
+                + short(p.conversation)
+                + short(p.extra)
+                + usize::from(p.depth > 127)
+                + usize::from(p.site > 127);
+            if size > left {
+                break;
+            }
+            left -= size;
+            self.placed.push(*p);
+        }
+        let taken = self.placed.len();
+        (postcard::to_stdvec(&self).unwrap_or_default(), taken)
+    }
+
+    /// Reads one; none where it is no whole datagram of this form.
+    pub fn decode(data: &[u8]) -> Option<Self> {
+        if data.len() > LONGEST || data.first() != Some(&FORM) {
+            return None;
+        }
+        let (told, rest) = postcard::take_from_bytes::<Self>(data).ok()?;
+        let fits = rest.is_empty() && told.placed.len() <= MOST && told.loads.len() <= 256;
+        fits.then_some(told)
+    }
+}
+
+/// Bytes of a number on the way.
+fn short(n: u16) -> usize {
+    match n {
+        0..=127 => 1,
+        128..=16_383 => 2,
+        _ => 3,
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_datagram_never_is_too_long_and_comes_back_as_it_was() {
+        let mut rng = fastrand::Rng::with_seed(3);
+        for round in 0..200 {
+            let loads = (0..rng.usize(..300)).map(|_| (rng.u32(..), rng.f32() * 1e6)).collect();
+            let placed: Vec<Placed> = (0..rng.usize(..200))
+                .map(|_| Placed {
+                    key: rng.u64(..).to_le_bytes(),
+                    conversation: rng.u16(..),
+                    site: rng.u8(..),
+                    depth: rng.u8(..),
+                    extra: rng.u16(..) >> rng.u8(..16),
+                })
+                .collect();
+            let told = Told::new(rng.u32(..), rng.u32(..), loads);
+            let (bytes, taken) = told.clone().encode(&placed);
+            assert!(bytes.len() <= LONGEST, "round {round}: {}", bytes.len());
+            let back = Told::decode(&bytes).expect("own words are read");
+            assert_eq!((&back.placed[..], back.life), (&placed[..taken], told.life));
+            let cut = rng.usize(..bytes.len());
+            assert_eq!(Told::decode(&bytes[..cut]), None);
+        }
+    }
+
+    #[test]
+    fn noise_is_no_datagram() {
+        let mut rng = fastrand::Rng::with_seed(4);
+        for _ in 0..20_000 {
+            let noise: Vec<u8> = (0..rng.usize(..1_300)).map(|_| rng.u8(..)).collect();
+            if let Some(told) = Told::decode(&noise) {
+                assert!(told.placed.len() <= MOST && told.loads.len() <= 256);
+            }
+        }
+    }
+}
