Handoff: work and products between the loop and a thread, every interleaving played by loom

Preparing 100,000 entries must not stall calls. Ruled out: bounded channels (a full one blocks the loop or loses the newest), shuttle (the whole is small enough to be played).

--- a/Makefile
+++ b/Makefile
@@ -5,8 +5,10 @@
 build:
 	cargo build --locked --release
 
+# The second plays every interleaving of two threads: crates/handoff/tests/loom.rs.
 test:
 	cargo test --locked --workspace
+	RUSTFLAGS="--cfg loom" cargo test --locked -p wheellink-handoff --test loom --release --target-dir target/loom
 
 lint:
 	cargo fmt --all --check
--- /dev/null
+++ b/crates/handoff/src/sync.rs
@@ -0,0 +1,13 @@
+//! Locks and threads: those of the standard library, or those whose interleavings are played.
+
+#[cfg(not(loom))]
+pub(crate) use std::sync::{
+    atomic::{AtomicBool, Ordering},
+    Arc, Condvar, Mutex, MutexGuard,
+};
+
+#[cfg(loom)]
+pub(crate) use loom::sync::{
+    atomic::{AtomicBool, Ordering},
+    Arc, Condvar, Mutex, MutexGuard,
+};
