Advice comes in with an arrival: among warm workers with room, those advised go first

A turn is best served where its prefix lies. What knows that is no part of the decision module, which takes at most three spots (zone, cell or worker) as an event before the arrival, as it takes past attempts, and prefers them where it would choose by load among warm workers with room whose answers are not slow. Nothing else hears of advice: listing, bars, keyed scopes, budgets of cold workers and attempts stay as they were.

Ruled out: a field of the arrival, which every embedder and test would have to fill with nothing.

--- a/src/engine.rs
+++ b/src/engine.rs
@@ -212,6 +212,21 @@
         self.request_again(now, new, Vec::new(), out)
     }
 
+    /// Takes a request that is best served at these spots; see [`Event::Advised`]. No spot changes nothing.
+    pub fn request_advised(
+        &mut self,
+        now: Micros,
+        new: NewRequest,
+        advice: Vec<Spot>,
+        out: &mut Vec<Command>,
+    ) -> Ticket {
+        if !advice.is_empty() {
+            self.advance(now);
+            self.tell(Event::Advised(advice), out);
+        }
+        self.request(now, new, out)
+    }
+
     /// Takes a request that had attempts in a process that is gone, all of which have ended. They count as this
     /// engine's own: for the number that it may have, and for where and whether it may be repeated or refused.
     pub fn request_again(
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -447,10 +447,39 @@
     Inherited(Legacy),
     /// The next [`Event::Arrival`] has had these attempts elsewhere: they count as this router's own.
     Attempted(Vec<PastAttempt>),
+    /// The next [`Event::Arrival`] is best served at these spots, best first; [`MOST_ADVISED`] of them at most are
+    /// heeded, and nothing else is changed by it: what may be used, and how much of it, stays this router's own affair.
+    Advised(Vec<Spot>),
     /// Time has passed; asked for by [`Action::Wake`].
     Woken,
 }
 
+/// Spots of an advice that are heeded.
+pub const MOST_ADVISED: usize = 3;
+
+/// Workers that an advice names.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Spot {
+    /// Those of a zone.
+    Zone(u32),
+    /// Those of a cell.
+    Cell(i64),
+    /// This one.
+    Worker(WorkerId),
+}
+
+impl Spot {
+    /// The first of the spots at which this worker stands; past all of them for one that is not advised.
+    pub(crate) fn rank(spots: &[Spot], worker: &WorkerId, zone: u32, cell: i64) -> usize {
+        let stands = |spot: &Spot| match spot {
+            Spot::Zone(z) => *z == zone,
+            Spot::Cell(c) => *c == cell,
+            Spot::Worker(w) => w == worker,
+        };
+        spots.iter().take(MOST_ADVISED).position(stands).unwrap_or(MOST_ADVISED)
+    }
+}
+
 /// What the router wants done, at once and in this order.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -118,7 +118,7 @@
         match event {
             Event::List { kind, entries } => self.list(kind, entries),
             Event::Arrival { request, class, tenant, function, due, lanes, repeat, hint } => {
-                let tries = std::mem::take(&mut self.past);
+                let (tries, advice) = (std::mem::take(&mut self.past), std::mem::take(&mut self.advice));
                 if class >= self.settings.classes.len() || self.requests.contains_key(&request) {
                     return;
                 }
@@ -139,6 +139,7 @@
                     streaming: false,
                     lot: 1.0 - self.rng.f64(),
                     hint,
+                    advice,
                 };
                 self.mean_worth = learn(self.mean_worth, fresh.worth, LEARN);
                 self.requests.insert(request.clone(), fresh);
@@ -184,6 +185,7 @@
             Event::Heard { from, data } => self.hear(from, &data),
             Event::Inherited(legacy) => self.inherit(legacy),
             Event::Attempted(past) => self.attempted(past),
+            Event::Advised(advice) => self.advice = advice,
             Event::Woken => {}
         }
         if self.wake_at <= self.now {
@@ -366,7 +368,12 @@
         let known = f.places.iter().filter(|(n, _)| !presumed.contains(n));
         let places = known.chain(presumed.iter().map(|n| (*n, f.places.get(n).unwrap_or(&nothing))));
         // The ordinary path: warm with room, least loaded; of those about equal one at random, by size.
-        let mut best: Option<(f64, f64, WorkerId)> = None;
+        // Where a prefix lies goes before load, as long as answers there are not slow.
+        let advised = |n: &WorkerId, w: &Worker| match w.slow < PRESSURE {
+            true => Spot::rank(&r.advice, n, w.zone, w.cell),
+            false => MOST_ADVISED,
+        };
+        let mut best: Option<(usize, f64, f64, WorkerId)> = None;
         let mut waiting: Option<(f64, WorkerId)> = None;
         for (n, p) in places {
             let Some(w) = self.workers.get(n).filter(|w| usable(n, w) && self.admits(w)) else { continue };
@@ -385,8 +392,9 @@
                 } else {
                     ((height / LEVEL).round(), -rng.f64().max(1e-9).ln() / w.size)
                 };
-                if best.as_ref().is_none_or(|(least, t, _)| (level, tie) < (*least, *t)) {
-                    best = Some((level, tie, n.clone()));
+                let at = advised(n, w);
+                if best.as_ref().is_none_or(|(a, least, t, _)| (at, level, tie) < (*a, *least, *t)) {
+                    best = Some((at, level, tie, n.clone()));
                 }
             } else {
                 let wait = queue + per_size / limit + if warm { 0.0 } else { 1.0 };
@@ -399,7 +407,7 @@
         let lacks = |n| f.places.get(n).is_none_or(|p| p.warm_until <= self.now && p.loading.is_none());
         let back = |n, w: &Worker| w.back > 0 && self.now - w.back < RETURNING && f.known && lacks(n);
         let back = fit.iter().find(|(n, w)| back(*n, w)).map(|(n, _)| (*n).clone());
-        if let Some((_, _, n)) = best {
+        if let Some((.., n)) = best {
             if let Some(back) = back {
                 self.order(&back, &function, 1, true, out);
             }
--- a/src/state.rs
+++ b/src/state.rs
@@ -172,6 +172,8 @@
     pub(crate) hint: Micros,
     /// Drawn in (0, 1]; where only a part is admitted, those above it wait.
     pub(crate) lot: f64,
+    /// Where it is best served, best first.
+    pub(crate) advice: Vec<Spot>,
 }
 
 /// The decisions of one router. Feed it events in order; it answers with actions.
@@ -221,6 +223,8 @@
     pub(crate) held_worth: f64,
     /// Attempts elsewhere of the request that arrives next.
     pub(crate) past: Vec<Try>,
+    /// ... and where it is best served.
+    pub(crate) advice: Vec<Spot>,
     pub(crate) beside: Beside,
     pub(crate) heard: Table,
     pub(crate) composer: Composer,
