--- /dev/null
+++ b/crates/drafts/tests/fleet/mod.rs
@@ -0,0 +1,358 @@
+//! A fleet in simulated time: members that serve calls of known acceptance and cost, a network between them, and one agreed table.
+#![allow(dead_code)] // Each test takes what it needs.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use wheellink_drafts::{Draft, Drafts, Name, Out, Ran, Settings, Table, Workload, MOST_BYTES};
+
+pub const STEP: Duration = Duration::from_millis(250);
+
+/// What is true of a workload: by drafter (from 1) and position, the rate of acceptance given that the one before was accepted; by
+/// band, microseconds of a round and of each drafted token.
+#[derive(Clone)]
+pub struct Truth {
+    pub rates: Vec<[f64; 8]>,
+    pub costs: [(f64, f64); 4],
+    /// Spread of a call's time, as a share.
+    pub noise: f64,
+}
+
+impl Truth {
+    /// A chat model beside a small one: the later a position, the better it goes on; a full host pays for each drafted token.
+    pub fn chat() -> Self {
+        let rates = vec![[0.72, 0.75, 0.78, 0.78, 0.75, 0.7, 0.65, 0.6]];
+        Self {
+            rates,
+            costs: [(30_000.0, 2_000.0), (31_000.0, 3_500.0), (36_000.0, 9_000.0), (48_000.0, 40_000.0)],
+            noise: 0.15,
+        }
+    }
+
+    /// Form scripts: the step asked for takes 9 ms; a likely next one run ahead takes its time on an idle host in part only.
+    pub fn form() -> Self {
+        let rates = vec![[0.85, 0.6, 0.35, 0.2, 0.1, 0.05, 0.02, 0.01]];
+        Self {
+            rates,
+            costs: [(9_000.0, 900.0), (9_300.0, 2_500.0), (11_000.0, 7_000.0), (16_000.0, 15_000.0)],
+            noise: 0.25,
+        }
+    }
+
+    pub fn of(&self, draft: Draft, band: u8) -> (f64, f64) {
+        let (mut tokens, mut chance) = (1.0, 1.0);
+        if draft.drafter > 0 {
+            for rate in &self.rates[draft.drafter as usize - 1][..draft.length as usize] {
+                chance *= rate;
+                tokens += chance;
+            }
+        }
+        let (base, each) = self.costs[band as usize];
+        (tokens, base + each * f64::from(draft.length))
+    }
+
+    /// Useful tokens a second.
+    pub fn value(&self, draft: Draft, band: u8) -> f64 {
+        let (tokens, micros) = self.of(draft, band);
+        1e6 * tokens / micros
+    }
+
+    pub fn best(&self, settings: &Settings, band: u8) -> (Draft, f64) {
+        let drafted = (1..=settings.drafters)
+            .flat_map(|d| (1..=settings.longest).map(move |l| Draft { drafter: d, length: l }));
+        let all = drafted.chain([Draft::OFF]).map(|d| (d, self.value(d, band)));
+        all.max_by(|a, b| a.1.total_cmp(&b.1)).unwrap()
+    }
+
+    pub fn ran(
+        &self,
+        rng: &mut fastrand::Rng,
+        workload: &Workload,
+        draft: Draft,
+        band: u8,
+        version: u64,
+        rounds: u32,
+    ) -> Ran {
+        let mut accepted = vec![0; draft.length as usize];
+        for _ in 0..rounds {
+            for (at, k) in accepted.iter_mut().enumerate() {
+                if rng.f64() >= self.rates[draft.drafter as usize - 1][at] {
+                    break;
+                }
+                *k += 1;
+            }
+        }
+        let tokens = rounds + accepted.iter().sum::<u32>();
+        let micros =
+            self.of(draft, band).1 * f64::from(rounds) * (1.0 + self.noise * (rng.f64() - 0.5) * 3.46);
+        Ran {
+            workload: workload.clone(),
+            draft,
+            band,
+            version,
+            rounds,
+            accepted,
+            tokens,
+            time: Duration::from_micros(micros as u64),
+        }
+    }
+}
+
+/// A draft of the first drafter.
+pub fn one(length: u8) -> Draft {
+    Draft { drafter: u8::from(length > 0), length }
+}
+
+pub fn word(text: &str) -> Workload {
+    Workload::new(text).unwrap()
+}
+
+pub struct Member {
+    pub name: Name,
+    pub drafts: Drafts,
+    pub table: Table,
+    pub version: u64,
+    /// It changes each count that it would tell.
+    pub forge: Option<fn(&mut Ran)>,
+    pub calls: f64,
+    pub alive: bool,
+    pub bytes: u64,
+}
+
+pub struct Fleet {
+    pub settings: Settings,
+    pub now: Duration,
+    pub rng: fastrand::Rng,
+    pub members: Vec<Member>,
+    pub truths: Vec<(Workload, Truth)>,
+    /// The band that calls run in.
+    pub band: u8,
+    pub rounds: u32,
+    pub loss: f64,
+    pub double: f64,
+    /// Pairs between which nothing goes, in this direction.
+    pub cut: BTreeSet<(u32, u32)>,
+    /// Members that can agree on a version, as a part: fewer than a majority cannot.
+    pub parts: Vec<BTreeSet<u32>>,
+    pub version: u64,
+    pub table: Table,
+    pub versions: Vec<(Duration, Table)>,
+    pub tells: bool,
+    wire: Vec<(Duration, Name, Name, Vec<u8>)>,
+    /// Expected tokens and microseconds of what was run.
+    pub tokens: f64,
+    pub micros: f64,
+    pub notes: Vec<String>,
+    lives: u64,
+}
+
+impl Fleet {
+    pub fn new(
+        settings: Settings,
+        members: u32,
+        truths: Vec<(Workload, Truth)>,
+        calls: f64,
+        seed: u64,
+    ) -> Self {
+        let mut fleet = Self {
+            now: Duration::ZERO,
+            rng: fastrand::Rng::with_seed(seed),
+            members: Vec::new(),
+            truths,
+            band: 0,
+            rounds: 20,
+            loss: 0.0,
+            double: 0.0,
+            cut: BTreeSet::new(),
+            parts: Vec::new(),
+            version: 1,
+            table: Table::new(),
+            versions: Vec::new(),
+            tells: true,
+            wire: Vec::new(),
+            tokens: 0.0,
+            micros: 0.0,
+            notes: Vec::new(),
+            lives: 0,
+            settings,
+        };
+        for name in 1..=members {
+            let drafts = fleet.life(Name(name), members);
+            let (table, version) = (Table::new(), 1);
+            fleet.members.push(Member {
+                name: Name(name),
+                drafts,
+                table,
+                version,
+                forge: None,
+                calls,
+                alive: true,
+                bytes: 0,
+            });
+        }
+        fleet
+    }
+
+    fn life(&mut self, name: Name, members: u32) -> Drafts {
+        self.lives += 1;
+        let seed = self.rng.u64(..);
+        let mut drafts = Drafts::new(self.settings.clone(), name, self.lives, seed, self.now).unwrap();
+        let heard = if self.tells { members as usize - 1 } else { 0 };
+        let others = if self.tells { members } else { 0 };
+        drafts.set_members((1..=others).map(Name), heard);
+        drafts
+    }
+
+    /// The same, each by itself: nobody tells, and each has a table of its own.
+    pub fn apart(mut self) -> Self {
+        self.tells = false;
+        let count = self.members.len() as u32;
+        for at in 0..self.members.len() {
+            self.members[at].drafts = self.life(self.members[at].name, count);
+        }
+        self
+    }
+
+    pub fn restart(&mut self, at: usize) {
+        let (name, count) = (self.members[at].name, self.members.len() as u32);
+        self.members[at].drafts = self.life(name, count);
+        self.members[at].alive = true;
+        let (now, table, version) = (self.now, self.table.clone(), self.version);
+        let m = &mut self.members[at];
+        (m.table, m.version) = (table.clone(), version);
+        m.drafts.set_table(now, version, table);
+    }
+
+    fn calls(&mut self, at: usize) {
+        let due = self.members[at].calls * STEP.as_secs_f64();
+        let calls = due as u32 + u32::from(self.rng.f64() < due.fract());
+        for _ in 0..calls {
+            let (workload, truth) = &self.truths[self.rng.usize(..self.truths.len())];
+            let m = &mut self.members[at];
+            let draft = m.drafts.pick(workload, self.band, &m.table, self.rng.f64());
+            let mut ran = truth.ran(&mut self.rng, workload, draft, self.band, m.version, self.rounds);
+            let (tokens, micros) = truth.of(draft, self.band);
+            self.tokens += tokens * f64::from(self.rounds);
+            self.micros += micros * f64::from(self.rounds);
+            if let Some(forge) = m.forge {
+                forge(&mut ran);
+            }
+            let _ = m.drafts.served(self.now, &ran);
+        }
+    }
+
+    fn deliver(&mut self) {
+        let due;
+        (due, self.wire) = std::mem::take(&mut self.wire).into_iter().partition(|w| w.0 <= self.now);
+        let mut due: Vec<_> = due;
+        self.rng.shuffle(&mut due);
+        for (_, from, to, data) in due {
+            let m = &mut self.members[to.0 as usize - 1];
+            if m.alive {
+                m.drafts.heard(self.now, from, &data, &mut Vec::new());
+            }
+        }
+    }
+
+    fn post(&mut self, from: Name, to: Name, data: Vec<u8>) {
+        assert!(data.len() <= MOST_BYTES);
+        if self.cut.contains(&(from.0, to.0)) || self.rng.f64() < self.loss {
+            return;
+        }
+        for _ in 0..1 + usize::from(self.rng.f64() < self.double) {
+            let late = Duration::from_millis(self.rng.u64(1..1_500));
+            self.wire.push((self.now + late, from, to, data.clone()));
+        }
+    }
+
+    fn may_agree(&self, name: Name) -> bool {
+        let part = self.parts.iter().find(|p| p.contains(&name.0));
+        part.is_none_or(|p| p.len() * 2 > self.members.len())
+    }
+
+    fn propose(&mut self, at: usize) {
+        let (name, now) = (self.members[at].name, self.now);
+        if self.tells && !self.may_agree(name) {
+            return;
+        }
+        let m = &mut self.members[at];
+        let Some(table) = m.drafts.proposal(now, &m.table, m.version) else { return };
+        if self.tells && m.version != self.version {
+            return;
+        }
+        self.version += 1;
+        self.versions.push((now, table.clone()));
+        if self.tells {
+            self.table = table;
+        } else {
+            (m.table, m.version) = (table.clone(), self.version);
+            m.drafts.set_table(now, self.version, table);
+        }
+    }
+
+    pub fn step(&mut self) {
+        self.now += STEP;
+        self.deliver();
+        for at in 0..self.members.len() {
+            if !self.members[at].alive {
+                continue;
+            }
+            if self.tells && self.members[at].version != self.version && self.may_agree(self.members[at].name)
+            {
+                let (now, version, table) = (self.now, self.version, self.table.clone());
+                let m = &mut self.members[at];
+                (m.table, m.version) = (table.clone(), version);
+                m.drafts.set_table(now, version, table);
+            }
+            self.calls(at);
+            if self.members[at].drafts.wake_at().is_some_and(|w| w <= self.now) {
+                let mut out = Vec::new();
+                let now = self.now;
+                self.members[at].drafts.wake(now, &mut out);
+                for o in out {
+                    match o {
+                        Out::Send { to, data } => {
+                            self.members[at].bytes += data.len() as u64;
+                            self.post(self.members[at].name, to, data);
+                        }
+                        Out::Note(line) => self.notes.push(line),
+                    }
+                }
+            }
+            self.propose(at);
+        }
+    }
+
+    pub fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.step();
+        }
+    }
+
+    /// What was got over this time, as a share of what one who knows the truth would get.
+    pub fn share(&mut self, time: Duration) -> f64 {
+        (self.tokens, self.micros) = (0.0, 0.0);
+        self.run(time);
+        1e6 * self.tokens / self.micros / self.truths[0].1.best(&self.settings, self.band).1
+    }
+
+    /// Steps until what is in force gives this share of the best; `None` if it does not within the time.
+    pub fn until(&mut self, share: f64, time: Duration) -> Option<Duration> {
+        let begun = self.now;
+        while self.now < begun + time {
+            self.step();
+            let (workload, truth) = &self.truths[0];
+            let draft =
+                self.table.get(&(workload.clone(), self.band)).copied().unwrap_or(self.settings.start);
+            if truth.value(draft, self.band) >= share * truth.best(&self.settings, self.band).1 {
+                return Some(self.now - begun);
+            }
+        }
+        None
+    }
+
+    pub fn draft(&self, workload: &str) -> Draft {
+        self.table.get(&(word(workload), self.band)).copied().unwrap_or(self.settings.start)
+    }
+}
