Accord: versions chosen by a majority, acted on under leases, in two steps

Voters choose each record of a register in a round of two steps; activators act on a version only with a lease of a majority, which they end by their own clock before the voters do; a change is prepared, then obeyed together with the old one, then alone, and the guards of these moves are asked of every voter that accepts. Voters that start from nothing are silent for the longest lease and then learn from a majority of the others, or found a new epoch from the newest document that is left.

--- a/crates/accord/src/document.rs
+++ b/crates/accord/src/document.rs
@@ -174,12 +174,14 @@
     buckets: Vec<Arc<Bucket>>,
     entries: usize,
     bytes: usize,
+    /// None while entries changed since it was sealed.
+    root: Option<Digest>,
 }
 
 impl Default for Document {
     fn default() -> Document {
         let empty = Arc::new(Bucket::default());
-        Document { buckets: vec![empty; BUCKETS], entries: 0, bytes: 0 }
+        Document { buckets: vec![empty; BUCKETS], entries: 0, bytes: 0, root: None }
     }
 }
 
@@ -219,6 +221,7 @@
     /// Sets a key. The bounds are those of [`Document::fits`], which the caller asks once all is set.
     pub fn set(&mut self, key: Key, value: Value) {
         let at = key.bucket();
+        self.root = None;
         self.bytes += weight(&key, &value);
         let bucket = Arc::make_mut(&mut self.buckets[at]);
         bucket.digest = None;
@@ -232,6 +235,7 @@
     pub fn remove(&mut self, key: &Key) -> Option<Value> {
         let at = key.bucket();
         self.buckets[at].entries.get(key)?;
+        self.root = None;
         let bucket = Arc::make_mut(&mut self.buckets[at]);
         bucket.digest = None;
         let old = bucket.entries.remove(key)?;
@@ -245,16 +249,21 @@
         self.entries <= MOST_ENTRIES && self.bytes <= MOST_BYTES
     }
 
-    /// Hashes the buckets that changed, so that [`Document::digest`] of this and of its clones costs only the root.
+    /// Hashes the buckets that changed, and the root, so that
+    /// [`Document::digest`] of this and of its clones costs nothing.
     pub fn seal(&mut self) {
         for bucket in self.buckets.iter_mut().filter(|bucket| bucket.digest.is_none()) {
             let digest = hash_bucket(&bucket.entries);
             Arc::make_mut(bucket).digest = Some(digest);
         }
+        self.root = Some(self.digest());
     }
 
     /// The digest over all entries.
     pub fn digest(&self) -> Digest {
+        if let Some(root) = self.root {
+            return root;
+        }
         let mut root = blake3::Hasher::new();
         root.update(b"wheellink accord document 1");
         for bucket in &self.buckets {
--- a/crates/accord/src/lib.rs
+++ b/crates/accord/src/lib.rs
@@ -9,16 +9,32 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod accord;
 mod change;
 mod document;
+mod fetch;
+mod lease;
+mod round;
 mod schema;
 mod settings;
 mod table;
 mod view;
+mod voter;
+mod wire;
 
+pub use accord::Accord;
 pub use change::{Change, ChangeError};
 pub use document::{Digest, Document, Key, KeyError, Value, MOST_BYTES, MOST_ENTRIES, MOST_WORD};
 pub use schema::{breach, check, hard, stricter, stricter_of, uncovered, SchemaError};
 pub use settings::{Name, Settings, SettingsError};
 pub use table::{legal, Mark, Move, Phase, ProposalId, Record, Version};
 pub use view::{Acting, Out, Refusal, Rejected, Role, View};
+
+/// The protocol's parts, for models and tests of this crate. Not part of the API.
+#[doc(hidden)]
+pub mod parts {
+    pub use crate::lease::Holder;
+    pub use crate::round::{Round, Step};
+    pub use crate::voter::{Accept, Ask, Ballot, Flaws, Promise, Request, Standing, Voter};
+    pub use crate::wire::{decode, encode, Message, MOST_DATAGRAM};
+}
--- /dev/null
+++ b/crates/accord/src/voter.rs
@@ -0,0 +1,487 @@
+//! A voter: what it promised, accepted, knows to be chosen and granted. No clock, no network: the model of
+//! `tests/model.rs` drives this very code through all interleavings.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::settings::{Name, Settings};
+use crate::table::{legal, Mark, Move, Phase, Record, Version};
+use crate::view::Refusal;
+
+/// A round's number, then who runs it.
+pub type Ballot = (u32, Name);
+
+/// Flaws that tests plant to see that they are found. All false in the program: nothing but tests can set one.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Flaws {
+    /// A voter that starts from nothing votes and grants at once.
+    pub votes_at_once: bool,
+    /// The grantor takes a lease for ended before the holder does.
+    pub grantor_first: bool,
+    /// From preparing straight to the new version.
+    pub skips_joint: bool,
+    /// Accepts a lower ballot than it promised.
+    pub breaks_promise: bool,
+    /// Half of the voters pass for a majority.
+    pub half_is_majority: bool,
+    /// A holder that wakes acts on the lease it had when it fell asleep.
+    pub stale_lease: bool,
+    /// The lease is counted from when the grant came in, not from when it was asked for.
+    pub from_arrival: bool,
+}
+
+/// What of the settings a voter goes by.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Limits {
+    /// Voters that make a majority.
+    pub majority: usize,
+    /// How long a grant binds the grantor, by its own clock.
+    pub grant: Duration,
+    /// How long one that starts from nothing stays silent: the longest lease an earlier life may have granted.
+    pub silence: Duration,
+    /// How long a version waits for one that says nothing.
+    pub patience: Duration,
+}
+
+impl Limits {
+    pub(crate) fn of(settings: &Settings) -> Limits {
+        let grant = settings.longer(settings.lease);
+        // A period more than a lease: the earlier life may have been in the middle of a turn of its loop.
+        let silence = settings.longer(settings.lease + settings.period);
+        Limits { majority: settings.majority(), grant, silence, patience: settings.patience }
+    }
+}
+
+/// Whether it votes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Standing {
+    /// Grants, promises and accepts nothing until then, and longer if it `forgot` what it did.
+    Silent {
+        /// By its own clock.
+        until: Duration,
+        /// Whether an earlier life may have voted where this one does not know.
+        forgot: bool,
+    },
+    /// Was silent long enough, and has not learnt from a majority of others: ready for a founding.
+    Ready,
+    /// Votes.
+    Voting,
+}
+
+/// Will you promise?
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Ask {
+    /// For the record at this place.
+    pub mark: Mark,
+    /// Not to accept below this.
+    pub ballot: Ballot,
+    /// What the asker would put there.
+    pub wish: Record,
+}
+
+/// The answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Promise {
+    /// The place.
+    pub mark: Mark,
+    /// What was asked for.
+    pub ballot: Ballot,
+    /// What is promised: another than asked for if the answer is no.
+    pub promised: Ballot,
+    /// The life that promises: it counts for no other.
+    pub life: u64,
+    /// Whether the wish would be accepted now.
+    pub ok: bool,
+    /// What this one accepted before.
+    pub accepted: Option<(Ballot, Record)>,
+}
+
+/// Accept this.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Accept {
+    /// In this round.
+    pub ballot: Ballot,
+    /// The record.
+    pub record: Record,
+    /// The lives whose promises it rests on. A voter that knows a later life of one of them refuses: what the
+    /// earlier one promised is forgotten.
+    pub lives: Vec<(Name, u64)>,
+    /// A founding only: the newest record the founder knows. Who knows a newer one refuses.
+    pub basis: Option<Mark>,
+}
+
+/// An activator asks for a lease.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Request {
+    /// Its life.
+    pub life: u64,
+    /// Sent at this microsecond of its own clock; echoed. The lease is counted from here.
+    pub at: u64,
+    /// The record it obeys: it never again obeys one before this.
+    pub mark: Mark,
+    /// The newest record it knows to be chosen.
+    pub known: Mark,
+    /// What it says of the version on its way.
+    pub word: Option<(Version, Result<(), Refusal>)>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct Grant {
+    life: u64,
+    mark: Mark,
+    until: Duration,
+}
+
+/// A voter's state.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Voter {
+    me: Name,
+    life: u64,
+    limits: Limits,
+    standing: Standing,
+    known: Record,
+    /// When it learnt that.
+    since: Duration,
+    /// For the place after `known`.
+    promised: Ballot,
+    accepted: Option<(Ballot, Record)>,
+    /// By holder: bounded by the roster.
+    grants: BTreeMap<Name, Grant>,
+    /// The latest life known of each other voter.
+    lives: BTreeMap<Name, u64>,
+    /// What members said of the version on its way: bounded by the roster.
+    words: BTreeMap<Name, Result<(), Refusal>>,
+    /// Whether the document on its way is here.
+    holds: bool,
+    /// Whether a version that one refuses goes on without it.
+    go_on: bool,
+    /// Who must say yes to a version whose floor is stricter.
+    needed: BTreeSet<Name>,
+    /// Of a recovery: who did not forget, and answered this life.
+    learnt: BTreeSet<Name>,
+    flaws: Flaws,
+}
+
+impl Voter {
+    /// One that starts from nothing, knowing `first`.
+    pub fn new(me: Name, life: u64, limits: Limits, first: Record, now: Duration) -> Voter {
+        Voter {
+            me,
+            life,
+            limits,
+            standing: Standing::Silent { until: now + limits.silence, forgot: true },
+            known: first,
+            since: now,
+            promised: (0, Name(0)),
+            accepted: None,
+            grants: BTreeMap::new(),
+            lives: BTreeMap::new(),
+            words: BTreeMap::new(),
+            holds: false,
+            go_on: false,
+            needed: BTreeSet::new(),
+            learnt: BTreeSet::new(),
+            flaws: Flaws::default(),
+        }
+    }
+
+    /// For tests: plants flaws.
+    pub fn flawed(mut self, flaws: Flaws) -> Voter {
+        self.flaws = flaws;
+        if flaws.votes_at_once {
+            self.standing = Standing::Voting;
+        }
+        self
+    }
+
+    /// For models: one that votes from the start, as after a founding.
+    pub fn voting(mut self) -> Voter {
+        self.standing = Standing::Voting;
+        self
+    }
+
+    /// Its name.
+    pub fn me(&self) -> Name {
+        self.me
+    }
+
+    /// Its life.
+    pub fn life(&self) -> u64 {
+        self.life
+    }
+
+    /// Whether it votes.
+    pub fn standing(&self) -> Standing {
+        self.standing
+    }
+
+    /// The newest record it knows to be chosen.
+    pub fn known(&self) -> &Record {
+        &self.known
+    }
+
+    /// When it learnt of that.
+    pub fn since(&self) -> Duration {
+        self.since
+    }
+
+    /// What it promised for the place after that.
+    pub fn promised(&self) -> Ballot {
+        self.promised
+    }
+
+    /// What it accepted there.
+    pub fn accepted(&self) -> Option<&(Ballot, Record)> {
+        self.accepted.as_ref()
+    }
+
+    /// What members said of the version on its way.
+    pub fn words(&self) -> &BTreeMap<Name, Result<(), Refusal>> {
+        &self.words
+    }
+
+    /// Whether the document on its way is here; what the one in force says of refusals; who must agree to a stricter
+    /// floor.
+    pub fn told(&mut self, holds: bool, go_on: bool, needed: BTreeSet<Name>) {
+        self.holds = holds;
+        self.go_on = go_on;
+        self.needed = needed;
+    }
+
+    /// A record that a majority chose.
+    pub fn learn(&mut self, now: Duration, record: &Record) -> bool {
+        if record.mark <= self.known.mark {
+            return false;
+        }
+        let founded_here = self.accepted.is_some_and(|(_, accepted)| accepted.mark.same_epoch(record.mark));
+        if !record.mark.same_epoch(self.known.mark) {
+            match self.standing {
+                // It was silent before it accepted the founding, and granted nothing since.
+                Standing::Ready if founded_here => self.standing = Standing::Voting,
+                // Two foundings follow no table: leases under the one are kept from those under the other by silence.
+                Standing::Voting => {
+                    self.standing = Standing::Silent { until: now + self.limits.silence, forgot: false };
+                    self.grants.clear();
+                }
+                Standing::Silent { .. } | Standing::Ready => {}
+            }
+        }
+        if record.coming() != self.known.coming() {
+            self.words.clear();
+        }
+        if self.accepted.is_some_and(|(_, accepted)| accepted.mark <= record.mark) {
+            self.accepted = None;
+        }
+        self.known = *record;
+        self.since = now;
+        self.promised = (0, Name(0));
+        self.holds = false;
+        true
+    }
+
+    /// Another voter started anew, or speaks for the first time.
+    pub fn met(&mut self, voter: Name, life: u64) {
+        let known = self.lives.entry(voter).or_default();
+        *known = life.max(*known);
+    }
+
+    /// Another voter's state, said to this life: of a recovery, by one that did not forget.
+    pub fn recall(
+        &mut self,
+        now: Duration,
+        from: Name,
+        known: &Record,
+        promised: Ballot,
+        accepted: Option<(Ballot, Record)>,
+    ) {
+        self.learn(now, known);
+        if !matches!(self.standing, Standing::Silent { forgot: true, .. } | Standing::Ready) {
+            return;
+        }
+        self.learnt.insert(from);
+        if known.mark != self.known.mark {
+            return;
+        }
+        self.promised = self.promised.max(promised);
+        match (accepted, self.accepted) {
+            (Some((ballot, record)), Some((mine, _))) if ballot > mine => {
+                self.accepted = Some((ballot, record))
+            }
+            (Some(found), None) if found.1.mark == self.known.mark.next() => self.accepted = Some(found),
+            _ => {}
+        }
+    }
+
+    /// Ends a silence that is over. True if the standing changed.
+    pub fn wake(&mut self, now: Duration) -> bool {
+        let learnt = self.learnt.len() >= self.limits.majority;
+        let next = match self.standing {
+            Standing::Silent { until, forgot } if now >= until => match forgot {
+                false => Standing::Voting,
+                true if learnt => Standing::Voting,
+                true => Standing::Ready,
+            },
+            Standing::Ready if learnt => Standing::Voting,
+            other => other,
+        };
+        let changed = next != self.standing;
+        self.standing = next;
+        if changed && next == Standing::Voting {
+            self.learnt.clear();
+        }
+        changed
+    }
+
+    /// Gives up its vote as if it had started from nothing, but for what it knows: too few others vote, and a founding
+    /// needs a majority of those that were silent.
+    pub fn forget(&mut self, now: Duration) {
+        self.standing = Standing::Silent { until: now + self.limits.silence, forgot: true };
+        self.grants.clear();
+        self.learnt.clear();
+        self.accepted = None;
+    }
+
+    /// A promise, or what was promised to another. None if it does not vote, or the place is not the next one.
+    pub fn ask(&mut self, now: Duration, ask: &Ask) -> Option<Promise> {
+        if self.standing != Standing::Voting || ask.mark != self.known.mark.next() {
+            return None;
+        }
+        if ask.ballot > self.promised {
+            self.promised = ask.ballot;
+        }
+        Some(Promise {
+            mark: ask.mark,
+            ballot: ask.ballot,
+            promised: self.promised,
+            life: self.life,
+            ok: self.allows(now, &ask.wish),
+            accepted: self.accepted.filter(|(_, record)| record.mark == ask.mark),
+        })
+    }
+
+    /// Whether it accepts.
+    pub fn accept(&mut self, now: Duration, accept: &Accept) -> bool {
+        let record = &accept.record;
+        let of_me = accept.lives.iter().find(|(name, _)| *name == self.me);
+        if of_me.is_some_and(|(_, life)| *life != self.life) {
+            return false;
+        }
+        let later = |(name, life): &(Name, u64)| self.lives.get(name).is_some_and(|known| known > life);
+        if accept.lives.iter().any(later) {
+            return false;
+        }
+        let may = match self.standing {
+            Standing::Silent { .. } => false,
+            Standing::Voting => {
+                let kept = accept.ballot >= self.promised || self.flaws.breaks_promise;
+                kept && record.mark == self.known.mark.next() && self.allows(now, record)
+            }
+            Standing::Ready => {
+                // Founded by one alone, under a mark of its own: there is nothing to compare ballots with.
+                of_me.is_some()
+                    && accept.basis.is_some_and(|basis| basis >= self.known.mark)
+                    && record.mark.epoch > self.known.mark.epoch
+                    && record.mark.step == 0
+            }
+        };
+        if may {
+            for (name, life) in accept.lives.iter().filter(|(name, _)| *name != self.me) {
+                let known = self.lives.entry(*name).or_default();
+                *known = (*life).max(*known);
+            }
+            self.promised = accept.ballot.max(self.promised);
+            self.accepted = Some((accept.ballot, *record));
+        }
+        may
+    }
+
+    /// Whether the table allows the move, and the guard of the move holds here and now.
+    pub fn allows(&self, now: Duration, record: &Record) -> bool {
+        match legal(&self.known, record) {
+            Some(Move::Take | Move::Withdraw) => true,
+            Some(Move::Join) => self.ready(now),
+            Some(Move::Finish) => self.clear(now),
+            None => {
+                let (prepare, pure) = (self.known.phase, record.phase);
+                self.flaws.skips_joint
+                    && record.mark == self.known.mark.next()
+                    && matches!((prepare, pure), (Phase::Prepare { new, .. }, Phase::Pure(v)) if new == v)
+            }
+        }
+    }
+
+    /// Whether all that hold a lease from this one are ready for the version on its way, or it goes on without them.
+    fn ready(&self, now: Duration) -> bool {
+        let Phase::Prepare { tightens, .. } = self.known.phase else { return false };
+        let late = now >= self.since + self.limits.patience;
+        let fits = |name: &Name| match self.words.get(name) {
+            Some(Ok(())) => true,
+            Some(Err(_)) => self.go_on,
+            None => self.go_on && late,
+        };
+        let holders = self.grants.iter().filter(|(_, grant)| grant.until > now);
+        // Of a stricter floor each must say yes: one that goes on with a looser one would contradict later versions.
+        let floors = !tightens || self.needed.iter().all(|name| self.words.get(name) == Some(&Ok(())));
+        self.holds && floors && holders.map(|(name, _)| name).all(fits)
+    }
+
+    /// Whether no lease that this one granted on the old version alone can still run.
+    fn clear(&self, now: Duration) -> bool {
+        let joint = self.known.least;
+        self.grants.values().all(|grant| grant.mark >= joint || grant.until <= now)
+    }
+
+    /// Whether a lease is granted. It binds this one for [`Limits::grant`] from now.
+    pub fn grant(&mut self, now: Duration, from: Name, request: &Request) -> bool {
+        let held = self.grants.get(&from).copied();
+        if held.is_some_and(|held| held.life > request.life) {
+            return false;
+        }
+        if let Some((version, word)) = &request.word {
+            if self.known.coming() == Some(*version) {
+                self.words.insert(from, word.clone());
+            }
+        }
+        let again = held.filter(|held| held.life == request.life);
+        if again.is_some_and(|held| held.mark > request.mark) {
+            return false; // overtaken by a later one of the same holder
+        }
+        if let Some(held) = self.grants.get_mut(&from).filter(|held| held.life == request.life) {
+            held.mark = request.mark; // it says that it left what is before this
+        }
+        // Once it took a joint record it grants nothing below it: from the first that acts on the new version, a
+        // majority has stopped renewing the old one. That is what the bound rests on.
+        let joint = self.accepted.is_some_and(|(_, record)| matches!(record.phase, Phase::Joint { .. }));
+        let fits = request.mark.same_epoch(self.known.mark)
+            && (self.known.least..=self.known.mark).contains(&request.mark);
+        if self.standing != Standing::Voting || joint || !fits {
+            return false;
+        }
+        let binds = if self.flaws.grantor_first { self.limits.grant / 2 } else { self.limits.grant };
+        let until = (now + binds).max(again.map_or(Duration::ZERO, |held| held.until));
+        self.grants.insert(from, Grant { life: request.life, mark: request.mark, until });
+        true
+    }
+
+    /// Who holds a lease, or must agree, and has said nothing of the version on its way for too long.
+    pub fn waiting(&self, now: Duration) -> Vec<Name> {
+        if !matches!(self.known.phase, Phase::Prepare { .. }) || now < self.since + self.limits.patience {
+            return Vec::new();
+        }
+        let holders = self.grants.iter().filter(|(_, grant)| grant.until > now).map(|(name, _)| *name);
+        let all: BTreeSet<Name> = holders.chain(self.needed.iter().copied()).collect();
+        all.into_iter().filter(|name| !self.words.contains_key(name)).collect()
+    }
+
+    /// Drops grants that ended: for the bound on memory, and for models.
+    pub fn sweep(&mut self, now: Duration) {
+        self.grants.retain(|_, grant| grant.until > now);
+    }
+
+    /// How many grants it keeps.
+    pub fn granted(&self) -> usize {
+        self.grants.len()
+    }
+}
--- /dev/null
+++ b/crates/accord/tests/net/mod.rs
@@ -0,0 +1,434 @@
+//! A simulated network of members with clocks that drift, and a checker that sees what each acts on at every event.
+#![allow(dead_code)] // each test file uses a part of it
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::sync::Arc;
+use std::time::Duration;
+
+use wheellink_accord::parts::Flaws;
+use wheellink_accord::*;
+
+pub fn key(path: &str) -> Key {
+    Key::new(path).unwrap()
+}
+
+pub fn document(entries: &[(&str, Value)]) -> Document {
+    entries.iter().map(|(path, value)| (key(path), value.clone())).collect()
+}
+
+pub fn word(word: &str) -> Value {
+    Value::Word(word.into())
+}
+
+/// As strict as any change of these tests.
+pub fn floor() -> Document {
+    document(&[
+        ("class/a/effect", word("unsafe")),
+        ("class/a/attempts", Value::Int(1)),
+        ("limit/x", Value::Int(0)),
+        ("out/h", Value::Flag(true)),
+    ])
+}
+
+pub fn settings(members: u32, voters: u32) -> Settings {
+    Settings {
+        voters: (1..=voters).map(Name).collect(),
+        roster: (1..=members).map(Name).collect(),
+        lease: Duration::from_secs(3),
+        period: Duration::from_millis(250),
+        drift_ppm: 2_000,
+        patience: Duration::from_secs(10),
+        pace: 120_000,
+        document: document(&[("class/a/attempts", Value::Int(3)), ("class/a/effect", word("safe"))]),
+        floor: floor(),
+    }
+}
+
+enum Event {
+    Datagram { from: Name, to: Name, data: Vec<u8> },
+    Prepared { to: Name, life: u64, version: Version, result: Result<(), Refusal> },
+    Look { to: Name, life: u64 },
+}
+
+pub struct Member {
+    pub accord: Accord,
+    pub life: u64,
+    pub up: bool,
+    pub paused: bool,
+    /// Parts in a million that its clock is fast.
+    drift: i64,
+    born: u64,
+    /// Refuses what has this key.
+    pub unknown: Option<Key>,
+    pub sent: u64,
+    look: u64,
+}
+
+/// What members act on, in a form that compares.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum On {
+    Floor(Digest),
+    One(Version),
+    Both(Version, Version),
+}
+
+impl On {
+    fn newest(self) -> Option<Version> {
+        match self {
+            On::Floor(_) => None,
+            On::One(version) | On::Both(_, version) => Some(version),
+        }
+    }
+
+    fn obeys(self, version: Version) -> bool {
+        match self {
+            On::Floor(_) => false,
+            On::One(one) => one.digest == version.digest,
+            On::Both(a, b) => a.digest == version.digest || b.digest == version.digest,
+        }
+    }
+}
+
+pub struct Net {
+    pub now: u64,
+    pub members: Vec<Member>,
+    pub settings: Settings,
+    pub rng: fastrand::Rng,
+    events: BinaryHeap<Reverse<(u64, u64)>>,
+    waiting: BTreeMap<u64, Event>,
+    count: u64,
+    pub loss: f64,
+    pub double: f64,
+    pub delay: u64,
+    /// Ordered pairs over which nothing comes.
+    pub cuts: BTreeSet<(Name, Name)>,
+    pub flaws: Flaws,
+    pub settled: Vec<(Name, ProposalId, Result<Version, Rejected>)>,
+    pub notes: Vec<String>,
+    pub check: bool,
+    on: Vec<Option<On>>,
+    terms: BTreeMap<On, Arc<Document>>,
+    judged: BTreeMap<(On, On), bool>,
+    first: BTreeMap<Version, u64>,
+    /// Contradictions on hard keys, each with a word of who and what.
+    pub hard: Vec<String>,
+    /// The longest that one acted on another version after the first acted on a newer.
+    pub longest: u64,
+}
+
+impl Net {
+    pub fn new(members: u32, voters: u32, seed: u64) -> Net {
+        Net::with(settings(members, voters), seed, Flaws::default())
+    }
+
+    pub fn with(settings: Settings, seed: u64, flaws: Flaws) -> Net {
+        let mut net = Net {
+            now: 0,
+            members: Vec::new(),
+            rng: fastrand::Rng::with_seed(seed),
+            events: BinaryHeap::new(),
+            waiting: BTreeMap::new(),
+            count: 0,
+            loss: 0.0,
+            double: 0.0,
+            delay: 20_000,
+            cuts: BTreeSet::new(),
+            flaws,
+            settled: Vec::new(),
+            notes: Vec::new(),
+            check: true,
+            on: vec![None; settings.roster.len()],
+            terms: BTreeMap::new(),
+            judged: BTreeMap::new(),
+            first: BTreeMap::new(),
+            hard: Vec::new(),
+            longest: 0,
+            settings,
+        };
+        let most = i64::from(net.settings.drift_ppm);
+        for name in net.settings.roster.clone() {
+            let drift = net.rng.i64(-most..=most);
+            let accord = net.born(name, 1);
+            net.members.push(Member {
+                accord,
+                life: 1,
+                up: true,
+                paused: false,
+                drift,
+                born: 0,
+                unknown: None,
+                sent: 0,
+                look: 0,
+            });
+            net.look(name);
+        }
+        net
+    }
+
+    fn born(&mut self, name: Name, life: u64) -> Accord {
+        let seed = self.rng.u64(..);
+        Accord::new(self.settings.clone(), name, life, seed, Duration::from_secs(7))
+            .unwrap()
+            .flawed(self.flaws)
+    }
+
+    pub fn at(&self, name: Name) -> usize {
+        name.0 as usize - 1
+    }
+
+    pub fn clock(&self, name: Name) -> Duration {
+        let member = &self.members[self.at(name)];
+        let age = (self.now - member.born) as i64;
+        Duration::from_secs(7) + Duration::from_micros((age + age * member.drift / 1_000_000) as u64)
+    }
+
+    fn push(&mut self, at: u64, event: Event) {
+        self.count += 1;
+        self.events.push(Reverse((at, self.count)));
+        self.waiting.insert(self.count, event);
+    }
+
+    fn look(&mut self, name: Name) {
+        let at = self.at(name);
+        let local = self.clock(name);
+        let Some(wake) = self.members[at].accord.wake_at() else { return };
+        let due = self.now + wake.saturating_sub(local).as_micros() as u64 + 1_000;
+        let looks = self.members[at].look;
+        if looks > self.now && looks <= due {
+            return;
+        }
+        self.members[at].look = due;
+        let life = self.members[at].life;
+        self.push(due, Event::Look { to: name, life });
+    }
+
+    fn carry(&mut self, from: Name, outs: Vec<Out>) {
+        for out in outs {
+            match out {
+                Out::Send { to, data } => {
+                    assert!(data.len() <= 1_190, "{} bytes", data.len());
+                    let at = self.at(from);
+                    self.members[at].sent += data.len() as u64;
+                    for _ in 0..if self.rng.f64() < self.double { 2 } else { 1 } {
+                        if self.rng.f64() < self.loss || self.cuts.contains(&(from, to)) {
+                            continue;
+                        }
+                        let due = self.now + self.rng.u64(500..=self.delay);
+                        self.push(due, Event::Datagram { from, to, data: data.clone() });
+                    }
+                }
+                Out::Prepare { version, document } => {
+                    let at = self.at(from);
+                    let unknown = self.members[at].unknown.clone();
+                    let result = match unknown.filter(|key| document.get(key).is_some()) {
+                        Some(key) => Err(Refusal::Unknown(key.to_string())),
+                        None => Ok(()),
+                    };
+                    let due = self.now + self.rng.u64(1_000..=200_000);
+                    let life = self.members[at].life;
+                    self.push(due, Event::Prepared { to: from, life, version, result });
+                }
+                Out::Act(_) => {}
+                Out::Settled { change, result } => self.settled.push((from, change, result)),
+                Out::Note(note) => {
+                    self.notes.push(format!("{:>9.3} {from}: {note}", self.now as f64 / 1e6));
+                }
+            }
+        }
+        self.look(from);
+    }
+
+    /// Plays for so many milliseconds.
+    pub fn run(&mut self, millis: u64) {
+        let end = self.now + millis * 1_000;
+        self.until(end, |_| false);
+        self.now = end;
+    }
+
+    /// Plays until something holds; false if it never did in so many milliseconds.
+    pub fn wait(&mut self, millis: u64, done: impl Fn(&Net) -> bool) -> bool {
+        self.until(self.now + millis * 1_000, done)
+    }
+
+    fn until(&mut self, end: u64, done: impl Fn(&Net) -> bool) -> bool {
+        while let Some(&Reverse((at, id))) = self.events.peek() {
+            if done(self) {
+                return true;
+            }
+            if at > end {
+                break;
+            }
+            self.events.pop();
+            self.now = self.now.max(at);
+            let event = self.waiting.remove(&id).unwrap();
+            self.play(event);
+            self.judge();
+        }
+        done(self)
+    }
+
+    fn play(&mut self, event: Event) {
+        let (to, life) = match &event {
+            Event::Datagram { to, .. } => (*to, None),
+            Event::Prepared { to, life, .. } | Event::Look { to, life } => (*to, Some(*life)),
+        };
+        let (at, now) = (self.at(to), self.clock(to));
+        let member = &mut self.members[at];
+        if !member.up || life.is_some_and(|life| life != member.life) {
+            return;
+        }
+        if member.paused {
+            // It waits in the socket, or in the loop.
+            let due = self.now + 50_000;
+            self.push(due, event);
+            return;
+        }
+        let mut out = Vec::new();
+        match event {
+            Event::Datagram { from, data, .. } => member.accord.heard(now, from, &data, &mut out),
+            Event::Prepared { version, result, .. } => member.accord.prepared(now, version, result, &mut out),
+            Event::Look { .. } => member.accord.wake(now, &mut out),
+        }
+        self.carry(to, out);
+    }
+
+    fn judge(&mut self) {
+        if !self.check {
+            return;
+        }
+        let mut changed = false;
+        for at in 0..self.members.len() {
+            let member = &self.members[at];
+            let on = (member.up && !member.paused).then(|| {
+                let acting = member.accord.acting(self.clock(Name(at as u32 + 1)));
+                let on = match &acting {
+                    Acting::Floor(floor) => On::Floor(floor.digest()),
+                    Acting::One(version, _) => On::One(*version),
+                    Acting::Both { old, new, .. } => On::Both(*old, *new),
+                };
+                (on, acting.terms().clone())
+            });
+            if let Some((on, terms)) = &on {
+                self.terms.entry(*on).or_insert_with(|| terms.clone());
+                if let Some(version) = on.newest() {
+                    self.first.entry(version).or_insert(self.now);
+                }
+            }
+            let on = on.map(|(on, _)| on);
+            changed |= self.on[at] != on;
+            self.on[at] = on;
+        }
+        let now: BTreeSet<On> = self.on.iter().flatten().copied().collect();
+        let newest = now.iter().filter_map(|on| on.newest()).max();
+        for version in now.iter().filter_map(|on| on.newest()) {
+            // Anybody who acts on this one, long after the first acted on a later one.
+            for (other, first) in &self.first {
+                let later = *first > self.first[&version] && other.digest != version.digest;
+                if later && newest.is_some() {
+                    self.longest = self.longest.max(self.now - first);
+                }
+            }
+        }
+        if !changed {
+            return;
+        }
+        for a in &now {
+            for b in &now {
+                let known = self.judged.get(&(*a, *b)).copied();
+                let bad = known.unwrap_or_else(|| contradicts(*a, *b, &self.terms[a], &self.terms[b]));
+                self.judged.insert((*a, *b), bad);
+                if bad {
+                    self.hard.push(format!("{:.3} s: {a:?} and {b:?} at once", self.now as f64 / 1e6));
+                }
+            }
+        }
+    }
+
+    pub fn propose(&mut self, name: Name, change: impl FnOnce(&mut Change)) -> Result<ProposalId, Rejected> {
+        let (at, now) = (self.at(name), self.clock(name));
+        let mut wanted = Change { base: self.members[at].accord.view(now).known.number, ..Change::default() };
+        change(&mut wanted);
+        let mut out = Vec::new();
+        let id = self.members[at].accord.propose(now, wanted, &mut out);
+        self.carry(name, out);
+        id
+    }
+
+    pub fn withdraw(&mut self, name: Name) {
+        let (at, now) = (self.at(name), self.clock(name));
+        let mut out = Vec::new();
+        self.members[at].accord.withdraw(now, &mut out).unwrap();
+        self.carry(name, out);
+    }
+
+    /// Killed; `restart` starts another life from nothing.
+    pub fn kill(&mut self, name: Name) {
+        let at = self.at(name);
+        self.members[at].up = false;
+    }
+
+    pub fn restart(&mut self, name: Name) {
+        let at = self.at(name);
+        let life = self.members[at].life + 1;
+        self.members[at].accord = self.born(name, life);
+        let member = &mut self.members[at];
+        (member.life, member.up, member.paused, member.born, member.look) = (life, true, false, self.now, 0);
+        self.look(name);
+    }
+
+    pub fn pause(&mut self, name: Name, paused: bool) {
+        let at = self.at(name);
+        self.members[at].paused = paused;
+    }
+
+    /// Cuts all ways between the two groups, or only those from the first.
+    pub fn cut(&mut self, from: &[u32], to: &[u32], both: bool) {
+        for a in from {
+            for b in to {
+                self.cuts.insert((Name(*a), Name(*b)));
+                if both {
+                    self.cuts.insert((Name(*b), Name(*a)));
+                }
+            }
+        }
+    }
+
+    pub fn acting(&self, name: Name) -> Acting {
+        self.members[self.at(name)].accord.acting(self.clock(name))
+    }
+
+    pub fn view(&self, name: Name) -> View {
+        self.members[self.at(name)].accord.view(self.clock(name))
+    }
+
+    /// Whether each one that is up acts on one version, the same.
+    pub fn agreed(&self) -> Option<Version> {
+        let mut all = self.members.iter().enumerate().filter(|(_, member)| member.up && !member.paused).map(
+            |(at, _)| match self.acting(Name(at as u32 + 1)) {
+                Acting::One(version, _) => Some(version),
+                _ => None,
+            },
+        );
+        let first = all.next()??;
+        all.all(|other| other == Some(first)).then_some(first)
+    }
+
+    pub fn start(&mut self) {
+        assert!(self.wait(60_000, |net| net.agreed().is_some()), "no start: {:#?}", self.notes);
+    }
+}
+
+fn contradicts(a: On, b: On, of_a: &Document, of_b: &Document) -> bool {
+    match (a, b) {
+        (On::One(_), On::One(_)) => breach(of_a, of_b).is_some(),
+        (On::Floor(_), On::Floor(_)) => false,
+        (On::Floor(_), _) => uncovered(of_b, of_a).is_some(),
+        (_, On::Floor(_)) => uncovered(of_a, of_b).is_some(),
+        (On::Both(..), On::One(one)) if a.obeys(one) => false,
+        (On::One(one), On::Both(..)) if b.obeys(one) => false,
+        (On::Both(x, y), On::Both(..)) if b.obeys(x) || b.obeys(y) => false,
+        // Nothing in common: the one is looser than the other somewhere, or says the same.
+        _ => uncovered(of_b, of_a).is_some() || uncovered(of_a, of_b).is_some(),
+    }
+}
