What an activator sees decides what it heeds, not whether there are more than 8 of them

Each goes by what it guards now: - Word among activators: all tell, and each heeds what is told only while answers reach it from the average host less often than once a period of telling (telling.rs, seldom). A copy's early time-out is forgiven by the same measure. Settings that end telling also end the belief in what was told (it stayed 'heard well' for ever before). - Renewals of idle copies end where three calls of all activators were due in a copy's idle time and none came. - The best rate remembered for cold hosts counts less its scatter, in place of the rate of now for more than 8.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -7,7 +7,6 @@
 use crate::hash::hash;
 use crate::interface::*;
 use crate::state::*;
-use crate::telling::FEW_ROUTERS;
 use crate::tidings::{host_key, Word, TELL_AGAIN};
 
 // ---------------------------------------------------------------------------------------------- constants
@@ -73,6 +72,8 @@
 const RENEW_BEFORE: Micros = 1_500_000;
 /// Functions not called for this multiple of the keep-alive are let go.
 const RENEW_FOR: f64 = 2.5;
+/// So many calls of all routers were due while a copy lay idle: as none came, they have ceased.
+const CEASED: f64 = 3.0;
 /// A tenant is over its share above this multiple of it: traffic is bursty and seen in part.
 const OVER: f64 = 1.1;
 /// A worker whose answers take more than this share of their aim is passed over for others: work varies.
@@ -277,9 +278,7 @@
         }
         self.tell(out);
         self.find_silent(out);
-        if self.settings.routers <= FEW_ROUTERS {
-            self.renew(out);
-        }
+        self.renew(out);
         // Held requests by worth; of equals the newest, so that a queue does not serve only the dead.
         let held = self.requests.iter().filter(|(_, r)| r.held);
         let mut held: Vec<_> = held.map(|(id, r)| (r.worth, r.arrived, id.clone())).collect();
@@ -511,11 +510,14 @@
     }
 
     /// Copies about to be unloaded though calls still come are renewed: what is called at the pace of the
-    /// keep-alive, as by timers, would find each copy just gone. In a large fleet all would renew each.
+    /// keep-alive, as by timers, would find each copy just gone. Each router sees its part of the calls: where
+    /// all should have come often, the others have them, or nobody has.
     fn renew(&mut self, out: &mut Vec<Action>) {
         let (now, pace) = (self.now, (self.settings.keep as f64 * RENEW_FOR) as Micros);
         let soon = |p: &Place| (now + 1..now + RENEW_BEFORE).contains(&p.warm_until) && p.in_flight == 0;
-        let wanted = self.functions.iter().filter(|(_, f)| f.seen > 1 && now - f.last_call < pace);
+        let due = self.settings.routers as f64 * self.settings.keep as f64 / (2 * HALVING) as f64;
+        let comes = |f: &Function| f.seen > 1 && now - f.last_call < pace && f.calls * due < CEASED;
+        let wanted = self.functions.iter().filter(|(_, f)| comes(f));
         let newest =
             wanted.filter_map(|(id, f)| Some((id, f.places.iter().max_by_key(|(_, p)| p.warm_until)?)));
         let due = newest.filter(|(_, (_, p))| soon(p)).map(|(id, (n, _))| (n.clone(), id.clone()));
@@ -743,7 +745,7 @@
             // Nor does it say anything of the worker, where others are seen often enough to tell.
             Outcome::Error if !known && self.trust() > 0.5 => {}
             // A client that gave up early tells nothing; seen seldom, a worker would rest for that alone.
-            Outcome::TimedOut if self.tells() && duration < self.old() => {}
+            Outcome::TimedOut if self.seldom() && duration < self.old() => {}
             // A time-out speaks against the worker only when it has been silent since.
             Outcome::TimedOut if !warm || self.workers.get(n).is_none_or(|w| w.heard > sent) => {}
             _ => self.failed(n, outcome, out),
--- a/src/state.rs
+++ b/src/state.rs
@@ -6,7 +6,6 @@
 use crate::hash::hash;
 use crate::interface::*;
 use crate::succession::Succession;
-use crate::telling::FEW_ROUTERS;
 use crate::tidings::{Composer, Table, Word};
 
 /// Shares of fewer calls than this are taken as of so many.
@@ -443,15 +442,16 @@
     }
 
     /// What one of size 1 is seen to serve. Cold ones serve their part of it: counted as warm, they would starve
-    /// each other. Where few routers see all, the best of times counts for minutes: a fleet that is sent little
-    /// serves little, and what its cold ones may be sent must not follow that down. Of what a router of many
-    /// sees chance makes a peak soon, so there it is the rate of now.
+    /// each other. The best of times counts for minutes: a fleet that is sent little serves little, and what its
+    /// cold ones may be sent must not follow that down. Chance makes peaks, the more the fewer answers this router
+    /// sees: only what is sure to be no chance is remembered.
     pub(crate) fn learn_capacity(&mut self, passed: f64, fade: f64) {
         self.mean_warm = self.totals.warm + (self.mean_warm - self.totals.warm) * fade;
-        let rate = self.warm_rate();
+        // The scatter of what is counted over a fading second: twice that over the time in which it is believed.
+        let chance = (self.done_rate / 2.0).sqrt();
+        let rate = (self.done_rate - chance).max(0.0) / self.mean_warm.max(1e-9);
         let time = if rate > self.capacity { RISES } else { FALLS };
-        let weight = if self.settings.routers <= FEW_ROUTERS { 1.0 - (-passed / time).exp() } else { 1.0 };
-        self.capacity += (rate - self.capacity) * weight;
+        self.capacity += (rate - self.capacity) * (1.0 - (-passed / time).exp());
     }
 
     /// Answers a second for each size that was warm, both over the last second: those that all began anew a
--- a/src/telling.rs
+++ b/src/telling.rs
@@ -7,24 +7,28 @@
 use crate::state::{Core, Router};
 use crate::tidings::{function_key, host_key, period, Place, Word, LEAST, NO_FUNCTION, TELL_AGAIN};
 
-/// Routers up to which each sees enough of the fleet by itself, and nothing is told.
-pub(crate) const FEW_ROUTERS: u32 = 8;
-
 /// A worker that had no room for a load is thought to have none for so long: copies at work give room up within about
 /// that, and a list tells of a drain in half of it.
 const LADEN: Micros = 1_000_000;
 
 impl Router {
-    /// Whether this router tells others anything, and heeds what they tell.
+    /// Whether this router tells others anything, and hears what they tell.
     pub fn tells(&self) -> bool {
         self.0.tells()
     }
 }
 
 impl Core {
-    /// Whether routers of this fleet tell one another at all.
+    /// Whether routers of this fleet tell one another at all. Each does, whatever it sees itself: others may see less.
     pub(crate) fn tells(&self) -> bool {
-        self.settings.tell > LEAST && self.settings.routers > FEW_ROUTERS
+        self.settings.tell > LEAST && self.settings.routers > 1
+    }
+
+    /// Whether this router hears of a host by its own calls less often than others tell of it: only then is what is told
+    /// newer than what is seen, and worth being heeded.
+    pub(crate) fn seldom(&self) -> bool {
+        let period = period(self.settings.routers) as f64 / 1e6;
+        self.settings.routers > 1 && self.done_rate * period < self.totals.up
     }
 
     /// Something that the others may not know of this place.
@@ -96,10 +100,12 @@
     /// Forgets what is old and tells what is due.
     pub(crate) fn tell(&mut self, out: &mut Vec<Action>) {
         if !self.tells() {
-            return;
+            // They may have been told until settings changed.
+            return self.heard.well = false;
         }
         let (now, period) = (self.now, period(self.settings.routers));
-        self.heard.expire(now, (period, self.settings.keep), self.settings.routers);
+        let seldom = self.seldom();
+        self.heard.expire(now, (period, self.settings.keep), self.settings.routers, seldom);
         if !self.composer.due(now, period, &mut self.rng) {
             return;
         }
--- a/src/tidings.rs
+++ b/src/tidings.rs
@@ -180,14 +180,21 @@
         }
     }
 
-    /// Forgets what is too old.
-    pub(crate) fn expire(&mut self, now: Micros, (period, keep): (Micros, Micros), routers: u32) {
+    /// Forgets what is too old. What is left is heeded where hosts are seldom seen, and enough of the routers are heard.
+    pub(crate) fn expire(
+        &mut self,
+        now: Micros,
+        (period, keep): (Micros, Micros),
+        routers: u32,
+        seldom: bool,
+    ) {
         let old = |p: &Peer| !p.held.is_empty() && now - p.at > BELIEVED * period;
         let old: Vec<_> = self.peers.iter().filter(|(_, p)| old(p)).map(|(n, _)| *n).collect();
         old.into_iter().for_each(|n| self.let_go(n));
         self.peers.retain(|_, p| now - p.at <= LATELY);
         self.standing.retain(|_, (at, _)| now - *at < keep);
-        let well = self.peers.len() as f64 >= HEARD * f64::from(routers.saturating_sub(1)) && routers > 1;
+        let enough = self.peers.len() as f64 >= HEARD * f64::from(routers.saturating_sub(1));
+        let well = seldom && enough && routers > 1;
         if well && !self.well {
             self.since = now;
         }
@@ -383,9 +390,9 @@
         assert_eq!((heard.at_host(1), heard.at_place(5, 1)), (3.0, 3.0));
         // One that starts anew is heard once its old word is no longer believed.
         assert!(heard.take(5 + BELIEVED * period, period, 3, &told(200, 5)).is_some());
-        heard.expire(5 + BELIEVED * period, (period, keep), 4);
+        heard.expire(5 + BELIEVED * period, (period, keep), 4, true);
         assert_eq!((heard.at_host(1), heard.well), (5.0, true), "the other's is too old");
-        heard.expire(LATELY * 3, (period, keep), 4);
+        heard.expire(LATELY * 3, (period, keep), 4, true);
         assert!(
             !heard.well && heard.peers.is_empty() && heard.at_host.is_empty() && heard.at_place.is_empty()
         );
@@ -402,7 +409,7 @@
         assert_eq!(heard.standing[&(0, 0)], (2, 3), "a known place is kept up to date");
         heard.keep(3, (0, 0), Word::Gone);
         assert_eq!(heard.standing.len(), MOST_PLACES - 1);
-        heard.expire(6_000_000, (500_000, 5_000_000), 4);
+        heard.expire(6_000_000, (500_000, 5_000_000), 4, true);
         assert!(heard.standing.is_empty());
     }
 
