Drafts bound: calls say what to draft, answers what was accepted, GET /drafts shows what is learnt

The learner stood alone. With [drafts] in an operator's file each call to a host carries draft=DRAFTER:LENGTH, the answer's accepted= is counted, datagrams of kind 2 go over the members' socket, and what the evidence wants is kept for the part that agrees on versions (Drafting::take_wanted, Drafting::set_table). Without the table, and on the platform, the wire is as before.

--- a/crates/drafts/src/drafts.rs
+++ b/crates/drafts/src/drafts.rs
@@ -126,6 +126,11 @@
         }
     }
 
+    /// What it goes by.
+    pub fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
     /// The version in force, and its table.
     pub fn table(&self) -> (u64, &Table) {
         (self.version, &self.table)
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -1,5 +1,6 @@
 //! What the program is started with: the platform's configuration, or an operator's file.
 
+pub mod drafts;
 mod operator;
 pub mod rollout;
 
@@ -38,6 +39,8 @@
     pub admission: Option<Rules>,
     /// Which activators watch each other, where that is set up.
     pub members: Option<Setup>,
+    /// What is learnt of drafts, where that is set up.
+    pub drafts: Option<drafts::Setup>,
     /// The file as it was read, but for the host list: what a new file must not lack.
     form: Value,
 }
@@ -178,6 +181,7 @@
         rollout: file.rollout,
         admission: file.admission,
         members: None,
+        drafts: None,
         side: Side::Platform { bus: address("bus", &file.bus)?, offset: file.known.offset, known: known? },
     })
 }
--- a/node/src/config/operator.rs
+++ b/node/src/config/operator.rs
@@ -25,6 +25,7 @@
     rollout: Option<super::rollout::Setup>,
     admission: Option<wheellink_admission::Rules>,
     members: Option<crate::fellows::Setup>,
+    drafts: Option<super::drafts::Setup>,
     #[serde(default)]
     class: Vec<ClassTable>,
     #[serde(default)]
@@ -165,6 +166,10 @@
     file.rollout.as_ref().map_or(Ok(()), super::rollout::Setup::check)?;
     super::check(file.admission.as_ref(), file.sockets)?;
     file.members.as_ref().map_or(Ok(()), crate::fellows::Setup::check)?;
+    if let Some(drafts) = &file.drafts {
+        let classes: Vec<&str> = file.class.iter().map(|c| c.name.as_str()).collect();
+        drafts.check(&classes, &file.tenant.iter().map(|t| t.name.as_str()).collect::<Vec<_>>())?;
+    }
     let mut names: Vec<_> = file.class.iter().map(|c| &c.name).collect();
     names.sort();
     wrong(names.windows(2).any(|w| w[0] == w[1]), "two classes of one name")?;
@@ -247,6 +252,7 @@
         rollout: file.rollout,
         admission: file.admission,
         members: file.members,
+        drafts: file.drafts,
     })
 }
 
--- a/node/src/control.rs
+++ b/node/src/control.rs
@@ -42,6 +42,8 @@
     Admission(AdmissionCall),
     /// Which other activators are alive; or that this one leaves them.
     Members { leave: bool },
+    /// What is learnt of drafts, and which are in force.
+    Drafts,
 }
 
 /// What an operator asks of admission.
@@ -137,7 +139,7 @@
 pub fn call(request: &Request) -> Result<Call, Response> {
     let path = request.path.split('?').next().unwrap_or_default();
     let wanted = match (path, request.method.as_str()) {
-        ("/status" | "/admission" | "/members", _) | ("/rollout", "GET" | "HEAD") => "GET",
+        ("/status" | "/admission" | "/members" | "/drafts", _) | ("/rollout", "GET" | "HEAD") => "GET",
         _ => "POST",
     };
     let call = match path {
@@ -146,6 +148,7 @@
             Call::Host { id: String::new(), out: path.ends_with("enter") }
         }
         "/members" | "/members/leave" => Call::Members { leave: path.ends_with("leave") },
+        "/drafts" => Call::Drafts,
         "/standby" | "/active" => Call::Standby(path == "/standby"),
         "/rollout" | "/rollout/step" | "/rollout/hold" | "/rollout/back" | "/rollout/complete" => {
             Call::Rollout(RolloutCall::Show)
@@ -346,6 +349,8 @@
     #[case::no_prefix("POST", "/admission/block", "", Err(400))]
     #[case::bad_prefix("POST", "/admission/known", r#"{"prefix":"10.0.0.1/8"}"#, Err(400))]
     #[case::get_block("GET", "/admission/block", "", Err(405))]
+    #[case::drafts("GET", "/drafts", "", Ok(Call::Drafts))]
+    #[case::post_drafts("POST", "/drafts", "", Err(405))]
     #[case::cut("POST", "/maintenance/exit", r#"{"host":"a"#, Err(400))]
     fn a_call_is_read_or_turned_down(
         #[case] method: &str,
--- a/node/src/fellows.rs
+++ b/node/src/fellows.rs
@@ -156,6 +156,16 @@
         same
     }
 
+    /// What stands for this one's name, and for the others' with the names themselves.
+    pub fn roster(&self) -> (Name, impl Iterator<Item = (Name, &str)>) {
+        (number(&self.setup.name), self.others.iter().map(|(number, (name, _))| (*number, name.as_str())))
+    }
+
+    /// How many of the others are there.
+    pub fn there(&self) -> usize {
+        self.members.view().there().count()
+    }
+
     fn now(&self) -> Duration {
         self.origin.elapsed()
     }
--- a/node/src/hosts/lines.rs
+++ b/node/src/hosts/lines.rs
@@ -21,13 +21,20 @@
         && text.bytes().all(|b| b.is_ascii_graphic() && b != b',' && b != b'=')
 }
 
-/// A request. `limit` is how long it will be waited for, in milliseconds.
-pub fn call(id: &str, class: &str, function: &str, limit: i64, key: Option<&str>, body: &[u8]) -> Vec<u8> {
+/// A request. `limit` is how long it will be waited for, in milliseconds. `more` are further fields, each with a comma before it.
+pub fn call(
+    id: &str,
+    (class, function): (&str, &str),
+    limit: i64,
+    key: Option<&str>,
+    more: &str,
+    body: &[u8],
+) -> Vec<u8> {
     let mut line = format!("FN {id} cls={class},item={function},limit={limit}");
     if let Some(key) = key {
         write!(line, ",nonce={key}").expect("writing to a string cannot fail");
     }
-    write!(line, " {}\r\n", body.len()).expect("writing to a string cannot fail");
+    write!(line, "{more} {}\r\n", body.len()).expect("writing to a string cannot fail");
     let mut bytes = line.into_bytes();
     bytes.extend_from_slice(body);
     bytes.extend_from_slice(b"\r\n");
@@ -55,7 +62,7 @@
 pub struct Answer {
     pub id: String,
     pub word: String,
-    fields: Vec<(String, String)>,
+    pub fields: Vec<(String, String)>,
     pub body: Vec<u8>,
 }
 
@@ -106,6 +113,31 @@
     }
 }
 
+/// What an answer says of drafting, `ROUNDS;K1;...;Kn;TOKENS;MICROS`.
+#[derive(Debug, PartialEq)]
+pub struct Accepted {
+    pub rounds: u32,
+    /// By position.
+    pub accepted: Vec<u32>,
+    pub tokens: u32,
+    pub micros: u64,
+}
+
+impl Accepted {
+    /// `None` where it has another form; whether such figures can be is not looked at.
+    pub fn read(text: &str) -> Option<Self> {
+        let mut parts: Vec<&str> = text.split(';').collect();
+        let micros = parts.pop()?.parse().ok()?;
+        let mut figures = parts.into_iter().map(|p| p.parse().ok()).collect::<Option<Vec<u32>>>()?;
+        let tokens = figures.pop()?;
+        if figures.is_empty() || figures.len() > 1 + usize::from(wheellink_drafts::LONGEST) {
+            return None;
+        }
+        let accepted = figures.split_off(1);
+        Some(Self { rounds: figures[0], accepted, tokens, micros })
+    }
+}
+
 /// Takes the next answer off the ring; `None` while it is not whole.
 pub fn next_answer(ring: &mut Ring) -> Result<Option<Answer>, String> {
     let Some(end) = ring.find_line_end() else {
@@ -153,9 +185,11 @@
 
     #[test]
     fn commands_have_the_documented_form() {
-        let bytes = call("9b1f", "save-answers", "7f3a", 1500, Some("k1"), b"a\r\nb");
+        let bytes = call("9b1f", ("save-answers", "7f3a"), 1500, Some("k1"), "", b"a\r\nb");
         assert_eq!(bytes, b"FN 9b1f cls=save-answers,item=7f3a,limit=1500,nonce=k1 4\r\na\r\nb\r\n");
-        assert_eq!(call("1", "c", "f", 9, None, b""), b"FN 1 cls=c,item=f,limit=9 0\r\n\r\n");
+        assert_eq!(call("1", ("c", "f"), 9, None, "", b""), b"FN 1 cls=c,item=f,limit=9 0\r\n\r\n");
+        let drafted = call("1", ("c", "f"), 9, None, ",draft=1:4", b"");
+        assert_eq!(drafted, b"FN 1 cls=c,item=f,limit=9,draft=1:4 0\r\n\r\n");
         assert_eq!(spawn("o7", "7f3a", 2), b"SPAWN o7 item=7f3a,copies=2\r\n");
         let plain = [kill("9b1f"), reap("7f3a"), helo("p1")].concat();
         assert_eq!(plain, b"KILL 9b1f\r\nREAP 7f3a\r\nHELO p1\r\n");
@@ -220,6 +254,22 @@
         assert!(parse(text.as_bytes()).is_err());
     }
 
+    #[rstest]
+    #[case::four("20;15;11;8;6;60;900000", Some((20, vec![15, 11, 8, 6], 60, 900_000)))]
+    #[case::off("20;20;400000", Some((20, vec![], 20, 400_000)))]
+    #[case::short("20;20", None)]
+    #[case::empty("", None)]
+    #[case::word("20;x;20;400000", None)]
+    #[case::negative("20;-1;20;400000", None)]
+    #[case::long("1;1;1;1;1;1;1;1;1;1;1;1", None)]
+    fn an_answer_says_what_was_accepted(
+        #[case] text: &str,
+        #[case] wanted: Option<(u32, Vec<u32>, u32, u64)>,
+    ) {
+        let read = Accepted::read(text).map(|a| (a.rounds, a.accepted, a.tokens, a.micros));
+        assert_eq!(read, wanted);
+    }
+
     #[test]
     fn a_line_without_end_is_cut_off() {
         assert!(parse(&vec![b'a'; LONGEST_LINE + 1]).is_err());
--- a/node/src/hosts/pool.rs
+++ b/node/src/hosts/pool.rs
@@ -32,8 +32,18 @@
 
 /// What the pool has learnt.
 pub enum Notice {
-    Attempt { attempt: AttemptId, end: AttemptEnd, body: Vec<u8> },
-    Order { order: OrderId, outcome: Outcome, copies: u32 },
+    /// With the answer's body and fields, where there is one.
+    Attempt {
+        attempt: AttemptId,
+        end: AttemptEnd,
+        body: Vec<u8>,
+        fields: Vec<(String, String)>,
+    },
+    Order {
+        order: OrderId,
+        outcome: Outcome,
+        copies: u32,
+    },
 }
 
 struct Member {
@@ -329,19 +339,19 @@
         }
     }
 
-    /// Sends an attempt; how it ends is noticed later, once.
+    /// Sends an attempt, with further fields of the call's line; how it ends is noticed later, once.
     pub fn send(
         &mut self,
         now: Micros,
         attempt: AttemptId,
         host: &WorkerId,
-        call: &Call,
+        (call, more): (&Call, &str),
         until: Micros,
         log: &mut Log,
     ) {
         let limit = ((until - now) / 1000).max(1);
-        let bytes =
-            lines::call(&call.id, &call.class, &call.function.0, limit, call.key.as_deref(), &call.body);
+        let what = (call.class.as_str(), &*call.function.0);
+        let bytes = lines::call(&call.id, what, limit, call.key.as_deref(), more, &call.body);
         let fits = |c: &HostConn, streams| c.load() < streams && !c.knows(&call.id);
         match self.pick(now, host, fits, log) {
             Some(id) => {
@@ -573,7 +583,7 @@
         if end.outcome == Outcome::Done {
             self.quiet.learn(now - since);
         }
-        self.notices.push_back(Notice::Attempt { attempt, end, body: answer.body });
+        self.notices.push_back(Notice::Attempt { attempt, end, body: answer.body, fields: answer.fields });
     }
 
     /// Moves queued commands into the socket, one at a time.
@@ -641,7 +651,7 @@
 
     fn end_attempt(&mut self, attempt: AttemptId, end: AttemptEnd) {
         self.attempts.remove(&attempt);
-        self.notices.push_back(Notice::Attempt { attempt, end, body: Vec::new() });
+        self.notices.push_back(Notice::Attempt { attempt, end, body: Vec::new(), fields: Vec::new() });
     }
 
     /// Ends a connection: what had left whole may have run, all else proves that it did not. What has not
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -1,6 +1,7 @@
 //! The node: one engine, the fronts before it, the hosts and the bus behind it, on one thread. It hands what
 //! each of them has learnt to the engine and carries out what the engine commands.
 
+mod drafts;
 mod entrance;
 mod life;
 mod news;
@@ -42,6 +43,7 @@
 use crate::upgrade::{self, Message, News, Place, State, Upgrade};
 use crate::wake::{Handle, Wake};
 
+use drafts::Drafting;
 use entrance::Entrance;
 use rollout::{Gradual, Role};
 
@@ -143,6 +145,7 @@
     hosts: Hosts,
     peers: Option<Peers>,
     fellows: Option<Fellows>,
+    drafting: Option<Box<Drafting>>,
     door: Option<Door>,
     control_door: Option<Door>,
     control: Control,
@@ -231,6 +234,7 @@
             hosts: Hosts::new(handle.clone(), transport, (most, share)),
             peers: None,
             fellows: None,
+            drafting: None,
             config,
             clock,
             log: Log::new(),
@@ -288,7 +292,15 @@
         let doors = doors.unwrap_or(Micros::MAX);
         let house = self.kept_house + HOUSEKEEPING;
         let fellows = self.fellows.as_ref().map_or(Micros::MAX, |f| f.next_tick(now));
-        engine.min(hosts).min(news).min(fellows).min(doors).min(house).min(self.gradual.next_tick(now))
+        let drafting = self.drafting.as_ref().map_or(Micros::MAX, |d| d.next_tick(now));
+        engine
+            .min(hosts)
+            .min(news)
+            .min(fellows)
+            .min(drafting)
+            .min(doors)
+            .min(house)
+            .min(self.gradual.next_tick(now))
     }
 
     /// Whether a client was left with more to read, so that others had their turn.
@@ -333,6 +345,7 @@
             self.run_engine(|engine, out| engine.tick(now, out));
             self.hosts.tick(now, &mut self.log);
             self.tend_members(now);
+            self.tend_drafts(now);
             let keep_house = self.kept_house + HOUSEKEEPING <= now;
             if keep_house {
                 self.kept_house = now;
@@ -437,7 +450,8 @@
     fn host_notice(&mut self, notice: hosts::Notice) {
         let now = self.clock.now();
         match notice {
-            hosts::Notice::Attempt { attempt, end, body } => {
+            hosts::Notice::Attempt { attempt, end, body, fields } => {
+                self.drafted(now, attempt, &end, &fields);
                 if let Some(pending) = self.pending.get_mut(&attempt.ticket) {
                     pending.answer = (end.outcome == Outcome::Done).then_some((attempt, body));
                 }
--- /dev/null
+++ b/node/src/node/drafts.rs
@@ -0,0 +1,251 @@
+//! How far to draft: what calls run, what their answers say of it, and what the fleet makes of that (`crates/drafts`).
+//! Off without `[drafts]` in an operator's file.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
+
+use serde_json::{json, Value};
+use wheellink::engine::AttemptEnd;
+use wheellink_drafts::{Draft, Drafts, Name, Out, Ran, Table, Workload};
+
+use super::*;
+use crate::config::drafts::{workload, Setup};
+use crate::fellows::parcel::Kind;
+use crate::hosts::lines::Accepted;
+
+/// What an attempt that is out runs under.
+struct Running {
+    workload: Workload,
+    draft: Draft,
+    band: u8,
+    version: u64,
+    host: WorkerId,
+}
+
+/// See the module's page.
+pub(super) struct Drafting {
+    setup: Setup,
+    me: Name,
+    drafts: Drafts,
+    /// Its times run from here, on a clock that nobody sets.
+    origin: Instant,
+    lots: fastrand::Rng,
+    /// What runs without a version, and what runs now.
+    floor: Table,
+    table: Table,
+    version: u64,
+    /// One for each attempt that is out.
+    running: HashMap<AttemptId, Running>,
+    /// Of hosts: attempts of this activator that are out there, and calls that the host last said it holds.
+    out: HashMap<WorkerId, u32>,
+    told: HashMap<WorkerId, f64>,
+    /// Names of the others, for staff.
+    names: BTreeMap<Name, String>,
+    /// What should be in force instead, by the evidence here.
+    wanted: Option<(Duration, Table)>,
+    /// Answers that said nothing of drafting, and such as could not be read.
+    silent: u64,
+    unread: u64,
+}
+
+/// Answers whose host tells no load know of this activator's own calls alone.
+fn band(calls: f64, bands: [f64; 3]) -> u8 {
+    bands.iter().filter(|from| calls >= **from).count() as u8
+}
+
+impl Drafting {
+    fn new(setup: &Setup, me: Name, seed: u64) -> Result<Self, String> {
+        let start = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        // Only to tell this life from others of its name.
+        let life = start.as_nanos() as u64;
+        let drafts = Drafts::new(setup.settings()?, me, life, seed ^ life, Duration::ZERO);
+        let mut drafts = drafts.map_err(|e| format!("drafts.{e}"))?;
+        let floor = setup.floor()?;
+        drafts.set_table(Duration::ZERO, 0, floor.clone());
+        Ok(Self {
+            setup: setup.clone(),
+            me,
+            drafts,
+            origin: Instant::now(),
+            lots: fastrand::Rng::with_seed(seed.rotate_left(17) ^ life),
+            table: floor.clone(),
+            floor,
+            version: 0,
+            running: HashMap::new(),
+            out: HashMap::new(),
+            told: HashMap::new(),
+            names: BTreeMap::new(),
+            wanted: None,
+            silent: 0,
+            unread: 0,
+        })
+    }
+
+    fn now(&self) -> Duration {
+        self.origin.elapsed()
+    }
+
+    pub(super) fn next_tick(&self, now: Micros) -> Micros {
+        let wait = self.drafts.wake_at().map(|at| at.saturating_sub(self.now()));
+        wait.map_or(Micros::MAX, |wait| now.saturating_add(wait.as_micros() as Micros))
+    }
+
+    /// The table of this version is in force from now on; `None`: none may be acted on, and the file's own holds.
+    #[allow(dead_code)] // Until versions are bound.
+    pub(super) fn set_table(&mut self, version: Option<(u64, Table)>) {
+        let now = self.now();
+        (self.version, self.table) = version.unwrap_or((0, self.floor.clone()));
+        self.drafts.set_table(now, self.version, self.table.clone());
+        self.wanted = None;
+    }
+
+    /// What should be in force instead, as entries of `draft/WORKLOAD/BAND` that differ, for a change that is based on the version
+    /// in force. Taken once; it comes back at the next look for as long as the evidence holds.
+    #[allow(dead_code)] // Until versions are bound.
+    pub(super) fn take_wanted(&mut self) -> Option<Vec<(String, String)>> {
+        let (_, wanted) = self.wanted.take()?;
+        let differs =
+            |((place, draft), table): (&(&(Workload, u8), &Draft), &Table)| table.get(*place) != Some(draft);
+        let new = wanted.iter().filter(|entry| differs((entry, &self.table)));
+        Some(new.map(|((word, band), draft)| (format!("draft/{word}/{band}"), draft.to_string())).collect())
+    }
+
+    pub(super) fn show(&self) -> Value {
+        let view = self.drafts.view(self.now());
+        let table = |t: &Table| -> BTreeMap<String, String> {
+            t.iter().map(|((word, band), draft)| (format!("{word}/{band}"), draft.to_string())).collect()
+        };
+        let names: BTreeMap<u32, &str> = self.names.iter().map(|(n, name)| (n.0, name.as_str())).collect();
+        json!({"table": table(&self.table), "floor": table(&self.floor), "wanted": self.wanted.as_ref().map(|(_, t)| table(t)),
+            "names": names, "out": self.running.len(), "silent": self.silent, "unread": self.unread, "learnt": view})
+    }
+}
+
+impl Node {
+    /// Learns drafts, where that is set up, in one life for as long as the setup is the same.
+    pub(super) fn attend_drafts(&mut self, now: Micros) {
+        let Some(setup) = &self.config.drafts else {
+            self.drafting = None;
+            return;
+        };
+        let me = self.fellows.as_ref().map_or(Name(0), |f| Name(f.roster().0 .0));
+        if self.drafting.as_ref().is_none_or(|d| d.setup != *setup || d.me != me) {
+            match Drafting::new(setup, me, self.config.seed) {
+                Ok(drafting) => self.drafting = Some(Box::new(drafting)),
+                // The file was checked: this is said for whoever changes the one and not the other.
+                Err(problem) => self.log.line(now, format_args!("drafts are not learnt: {problem}")),
+            }
+        }
+        let (Some(drafting), Some(fellows)) = (&mut self.drafting, &self.fellows) else { return };
+        drafting.names = fellows.roster().1.map(|(number, name)| (Name(number.0), name.into())).collect();
+        let there = fellows.there();
+        drafting.drafts.set_members(drafting.names.keys().copied(), there);
+    }
+
+    /// The further fields of a call to a host: what it is to draft. Nothing where drafts are off.
+    pub(super) fn draft_for(&mut self, attempt: AttemptId, host: &WorkerId) -> String {
+        let Some(d) = &mut self.drafting else { return String::new() };
+        let Some(pending) = self.pending.get(&attempt.ticket) else { return String::new() };
+        let tenant = pending.new.tenant.filter(|_| d.setup.by_tenant);
+        let tenant = tenant.and_then(|t| self.config.deployment.tenants.get(t)).map(String::as_str);
+        let Ok(workload) = Workload::new(&workload(&pending.call.class, tenant)) else {
+            return String::new();
+        };
+        let out = d.out.entry(host.clone()).or_default();
+        let calls = d.told.get(host).copied().unwrap_or(0.0).max(f64::from(*out));
+        let band = band(calls, d.setup.bands());
+        let draft = d.drafts.pick(&workload, band, &d.table, d.lots.f64());
+        *out += 1;
+        let running = Running { workload, draft, band, version: d.version, host: host.clone() };
+        d.running.insert(attempt, running);
+        format!(",draft={draft}")
+    }
+
+    /// An attempt has ended: what its answer says of drafting is counted.
+    pub(super) fn drafted(
+        &mut self,
+        now: Micros,
+        attempt: AttemptId,
+        end: &AttemptEnd,
+        fields: &[(String, String)],
+    ) {
+        let Some(d) = &mut self.drafting else { return };
+        let Some(running) = d.running.remove(&attempt) else { return };
+        if let Some(out) = d.out.get_mut(&running.host) {
+            *out -= 1;
+            if *out == 0 {
+                d.out.remove(&running.host);
+            }
+        }
+        if let Some(report) = &end.report {
+            d.told.insert(running.host.clone(), report.holding);
+        }
+        if end.outcome != Outcome::Done {
+            return;
+        }
+        let Some((_, text)) = fields.iter().find(|(name, _)| name == "accepted") else {
+            d.silent += 1;
+            return;
+        };
+        let Some(said) = Accepted::read(text) else {
+            d.unread += 1;
+            if d.unread == 1 {
+                let host = &running.host.0;
+                self.log.line(
+                    now,
+                    format_args!("drafts: host {host} says accepted={text}, which has not the form"),
+                );
+            }
+            return;
+        };
+        let Running { workload, draft, band, version, .. } = running;
+        let Accepted { rounds, accepted, tokens, micros } = said;
+        let time = Duration::from_micros(micros);
+        let ran = Ran { workload, draft, band, version, rounds, accepted, tokens, time };
+        // What cannot be is counted by its reason, and shown.
+        let _ = d.drafts.served(d.origin.elapsed(), &ran);
+    }
+
+    /// Another activator tells its counts.
+    pub(super) fn drafts_heard(&mut self, now: Micros, from: wheellink_members::Name, data: &[u8]) {
+        let Some(d) = &mut self.drafting else { return };
+        let mut out = Vec::new();
+        d.drafts.heard(d.origin.elapsed(), Name(from.0), data, &mut out);
+        self.carry_out_drafts(now, out);
+    }
+
+    /// Does what is due.
+    pub(super) fn tend_drafts(&mut self, now: Micros) {
+        let Some(d) = &mut self.drafting else { return };
+        let here = d.now();
+        if d.drafts.wake_at().is_none_or(|at| at > here) {
+            return;
+        }
+        if let Some(fellows) = &self.fellows {
+            d.drafts.set_members(d.names.keys().copied(), fellows.there());
+        }
+        d.told.retain(|host, _| self.hosts.knows(host));
+        let mut out = Vec::new();
+        d.drafts.wake(here, &mut out);
+        let (table, version) = (d.table.clone(), d.version);
+        if let Some(wanted) = d.drafts.proposal(here, &table, version) {
+            d.wanted = Some((here, wanted));
+        }
+        // Evidence that no longer says so does not bring it back.
+        let long = d.drafts.settings().review * 3;
+        d.wanted.take_if(|(at, _)| here.saturating_sub(*at) > long);
+        self.carry_out_drafts(now, out);
+    }
+
+    fn carry_out_drafts(&mut self, now: Micros, out: Vec<Out>) {
+        for out in out {
+            match (out, &self.fellows) {
+                (Out::Send { to, data }, Some(fellows)) => {
+                    fellows.send(wheellink_members::Name(to.0), Kind::Drafts, &data)
+                }
+                (Out::Send { .. }, None) => {}
+                (Out::Note(line), _) => self.log.line(now, line),
+            }
+        }
+    }
+}
--- a/node/src/node/news.rs
+++ b/node/src/node/news.rs
@@ -149,9 +149,11 @@
         }
         let Some(setup) = &self.config.members else {
             self.leave_members(now);
+            self.attend_drafts(now);
             return self.fellows.take().into_iter().for_each(Fellows::close);
         };
         if self.fellows.as_mut().is_some_and(|fellows| fellows.retune(setup)) {
+            self.attend_drafts(now);
             return;
         }
         self.fellows.take().into_iter().for_each(Fellows::close);
@@ -159,6 +161,7 @@
             Ok(fellows) => self.fellows = Some(fellows),
             Err(e) => self.log.line(now, format_args!("the other activators are not watched: {e}")),
         }
+        self.attend_drafts(now);
     }
 
     pub(super) fn members_ready(&mut self) {
--- a/node/src/node/operators.rs
+++ b/node/src/node/operators.rs
@@ -32,6 +32,10 @@
             control::Call::Status => self.status(now),
             control::Call::Rollout(call) => self.operate_rollout(now, call),
             control::Call::Admission(call) => self.operate_admission(now, call),
+            control::Call::Drafts => match &self.drafting {
+                Some(drafting) => Response::json(200, drafting.show()),
+                None => Response::problem(404, "this activator learns no drafts"),
+            },
             control::Call::Members { leave } => {
                 if leave {
                     self.leave_members(now);
--- a/node/src/node/rollout/candidate.rs
+++ b/node/src/node/rollout/candidate.rs
@@ -128,8 +128,9 @@
         if self.gradual.role == Role::Holder && self.engine.is_cold(&host) {
             self.upgrade.say(&Word::Sent { host: host.0.to_string(), at: now });
         }
+        let more = self.draft_for(attempt, &host);
         if let Some(pending) = self.pending.get(&attempt.ticket) {
-            self.hosts.send(now, attempt, &host, &pending.call, until, &mut self.log);
+            self.hosts.send(now, attempt, &host, (&pending.call, &more), until, &mut self.log);
         }
     }
 
@@ -144,7 +145,9 @@
         while self.gradual.waiting.front().is_some_and(|(by, ..)| *by <= taken) {
             let Some((_, attempt, host, until)) = self.gradual.waiting.pop_front() else { return };
             match self.pending.get(&attempt.ticket) {
-                Some(pending) => self.hosts.send(now, attempt, &host, &pending.call, until, &mut self.log),
+                Some(pending) => {
+                    self.hosts.send(now, attempt, &host, (&pending.call, ""), until, &mut self.log)
+                }
                 None => self.never_left(now, attempt),
             }
         }
--- a/node/src/node/together.rs
+++ b/node/src/node/together.rs
@@ -5,12 +5,12 @@
 
 impl Node {
     /// Hands on what the members' socket brought for other parts. What comes for one that is off is dropped.
-    pub(super) fn hand_on_parcels(&mut self, _now: Micros) {
+    pub(super) fn hand_on_parcels(&mut self, now: Micros) {
         let parcels = self.fellows.as_mut().map(Fellows::parcels).unwrap_or_default();
-        for Parcel { from: _, kind, data: _ } in parcels {
+        for Parcel { from, kind, data } in parcels {
             match kind {
                 Kind::Accord => {}
-                Kind::Drafts => {}
+                Kind::Drafts => self.drafts_heard(now, from, &data),
                 Kind::Turns => {}
             }
         }
--- /dev/null
+++ b/node/tests/drafts.rs
@@ -0,0 +1,499 @@
+//! Several activators that learn together how far to draft, as processes of their own, with faults between and in them.
+
+mod common;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
+use std::sync::{Arc, Mutex};
+use std::thread::{sleep, spawn, JoinHandle};
+use std::time::{Duration, Instant};
+
+use common::*;
+use rstest::rstest;
+use wheellink_drafts::{Draft, Drafts, Name, Out, Ran, Settings, Workload};
+
+/// Parts of the members' protocol and of parcels: four bytes and the kind of drafts.
+const PARCEL: [u8; 5] = [0xff, 0x57, 0x4c, 0x01, 2];
+const CLASS: &str = "check-score";
+
+/// How a host with a draft model behaves.
+#[derive(Clone, Copy)]
+struct Model {
+    /// Acceptance of a token, given that the one before it was accepted.
+    rate: f64,
+    /// Microseconds of a round and of each drafted token.
+    cost: (f64, f64),
+    /// Says something that cannot be.
+    absurd: bool,
+}
+
+const GOOD: Model = Model { rate: 0.85, cost: (9_000.0, 300.0), absurd: false };
+
+/// A host that answers at once and says what it drafted.
+struct DraftHost {
+    host: Host,
+    model: Arc<Mutex<Model>>,
+    /// Drafts as they came.
+    seen: Arc<Mutex<BTreeMap<String, u32>>>,
+}
+
+impl DraftHost {
+    fn start(model: Model) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let ways = Ways { does: Does::Answer("200"), work: ms(1), load: None };
+        let address = listener.local_addr().unwrap();
+        let host = Host { address, ways: Arc::new(Mutex::new(ways)), seen: Arc::default() };
+        let (model, seen) = (Arc::new(Mutex::new(model)), Arc::<Mutex<BTreeMap<String, u32>>>::default());
+        let (told, counts) = (model.clone(), seen.clone());
+        spawn(move || {
+            for (i, stream) in listener.incoming().map_while(Result::ok).enumerate() {
+                let (told, counts) = (told.clone(), counts.clone());
+                spawn(move || serve(stream, &told, &counts, fastrand::Rng::with_seed(i as u64)));
+            }
+        });
+        Self { host, model, seen }
+    }
+}
+
+fn serve(
+    stream: TcpStream,
+    model: &Mutex<Model>,
+    seen: &Mutex<BTreeMap<String, u32>>,
+    mut rng: fastrand::Rng,
+) {
+    let mut out = stream.try_clone().unwrap();
+    let mut lines = BufReader::new(stream);
+    let mut line = String::new();
+    while lines.read_line(&mut line).is_ok_and(|n| n > 0) {
+        let words: Vec<String> = line.trim_end().split(' ').map(str::to_string).collect();
+        line.clear();
+        let answer = match words[0].as_str() {
+            "FN" => {
+                let mut body = vec![0; words[3].parse::<usize>().unwrap() + 2];
+                lines.read_exact(&mut body).unwrap();
+                let draft = words[2].split(',').find_map(|f| f.strip_prefix("draft="));
+                let said = draft.map(|draft| {
+                    *seen.lock().unwrap().entry(draft.into()).or_default() += 1;
+                    said(*model.lock().unwrap(), draft, &mut rng)
+                });
+                format!("{} 200 tell=warm{} 0\r\n\r\n", words[1], said.unwrap_or_default())
+            }
+            "SPAWN" => format!("{} 200 copies=1 0\r\n\r\n", words[1]),
+            "HELO" => format!("{} 200 - 0\r\n\r\n", words[1]),
+            _ => continue,
+        };
+        if out.write_all(answer.as_bytes()).is_err() {
+            return;
+        }
+    }
+}
+
+fn said(model: Model, draft: &str, rng: &mut fastrand::Rng) -> String {
+    let length = draft.split_once(':').unwrap().1.parse::<usize>().unwrap();
+    let (rounds, mut accepted) = (40, vec![0u32; length]);
+    for _ in 0..rounds {
+        for k in &mut accepted {
+            if rng.f64() >= model.rate {
+                break;
+            }
+            *k += 1;
+        }
+    }
+    if model.absurd {
+        accepted.iter_mut().for_each(|k| *k = rounds + 5);
+    }
+    let tokens = rounds + accepted.iter().sum::<u32>();
+    let micros = (model.cost.0 + model.cost.1 * length as f64) * f64::from(rounds) * (0.9 + 0.2 * rng.f64());
+    let positions: String = accepted.iter().map(|k| format!("{k};")).collect();
+    format!(",accepted={rounds};{positions}{tokens};{}", micros as u64)
+}
+
+/// A way between two members, which each takes for the other; either direction may be cut.
+struct Link {
+    members: [usize; 2],
+    near: [SocketAddr; 2],
+    cut: [Arc<AtomicBool>; 2],
+    /// Each datagram comes twice.
+    doubled: Arc<AtomicBool>,
+    over: Arc<AtomicBool>,
+}
+
+impl Link {
+    fn new(members: [usize; 2], at: [SocketAddr; 2]) -> Self {
+        let sockets: Vec<UdpSocket> = (0..2).map(|_| UdpSocket::bind("127.0.0.1:0").unwrap()).collect();
+        let near = [0, 1].map(|k| sockets[k].local_addr().unwrap());
+        let [first, second, doubled, over] = [0; 4].map(|_| Arc::new(AtomicBool::new(false)));
+        let cut = [first, second];
+        for k in 0..2 {
+            let (from, to) = (sockets[k].try_clone().unwrap(), sockets[1 - k].try_clone().unwrap());
+            let (cut, over, at) = (cut[k].clone(), over.clone(), at[1 - k]);
+            let doubled = doubled.clone();
+            from.set_read_timeout(Some(ms(50))).unwrap();
+            spawn(move || {
+                let mut buf = [0; 1_500];
+                while !over.load(Relaxed) {
+                    let Ok((n, _)) = from.recv_from(&mut buf) else { continue };
+                    if !cut.load(Relaxed) {
+                        let times = 1 + usize::from(doubled.load(Relaxed));
+                        (0..times).for_each(|_| drop(to.send_to(&buf[..n], at)));
+                    }
+                }
+            });
+        }
+        Self { members, near, cut, doubled, over }
+    }
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.over.store(true, Relaxed);
+    }
+}
+
+/// Clients of one activator.
+struct Load {
+    over: Arc<AtomicBool>,
+    thread: Option<JoinHandle<u64>>,
+}
+
+impl Load {
+    fn on(program: &Program) -> Self {
+        let over = Arc::new(AtomicBool::new(false));
+        let (ends, address) = (over.clone(), program.address);
+        let thread = spawn(move || {
+            let mut served = 0;
+            while !ends.load(Relaxed) {
+                let Ok(mut stream) = TcpStream::connect(address) else { break };
+                stream.set_read_timeout(Some(LONG)).unwrap();
+                while !ends.load(Relaxed) {
+                    if stream.write_all(call("f", CLASS, &[], "x").as_bytes()).is_err() {
+                        break;
+                    }
+                    // An activator that was killed says nothing more.
+                    if !stream.peek(&mut [0]).is_ok_and(|n| n > 0) {
+                        break;
+                    }
+                    match read_reply(&mut stream) {
+                        Some(reply) => served += u64::from(reply.status == 200),
+                        None => break,
+                    }
+                    sleep(ms(4));
+                }
+            }
+            served
+        });
+        Self { over, thread: Some(thread) }
+    }
+
+    fn end(mut self) -> u64 {
+        self.over.store(true, Relaxed);
+        self.thread.take().map_or(0, |t| t.join().unwrap())
+    }
+}
+
+struct Fleet {
+    each: Vec<Option<Program>>,
+    at: Vec<SocketAddr>,
+    links: Vec<Link>,
+    model: DraftHost,
+    resolver: Resolver,
+    more: String,
+}
+
+/// Quick to learn, and to forget.
+const QUICK: &str = "[drafts]\nperiod_ms = 60\nepoch_ms = 1000\nwindow = 6\nreview_ms = 200\nleast_rounds = 200\nexplore = 0.2\n\
+    explore_per_s = 500\nversions_per_hour = 3600\n";
+
+impl Fleet {
+    fn met(n: usize, model: Model) -> Self {
+        let held: Vec<_> = (0..n).map(|_| UdpSocket::bind("127.0.0.1:0").unwrap()).collect();
+        let at: Vec<SocketAddr> = held.iter().map(|s| s.local_addr().unwrap()).collect();
+        drop(held);
+        let pairs = (0..n).flat_map(|a| (a + 1..n).map(move |b| [a, b]));
+        let links = pairs.map(|pair| Link::new(pair, pair.map(|i| at[i]))).collect();
+        let model = DraftHost::start(model);
+        let resolver = Resolver::start(&[&model.host]);
+        let each = (0..n).map(|_| None).collect();
+        Self { each, at, links, model, resolver, more: QUICK.into() }
+    }
+
+    /// Where one takes another to be.
+    fn near(&self, of: usize, to: usize) -> SocketAddr {
+        let link = self.links.iter().find(|l| l.members.contains(&of) && l.members.contains(&to)).unwrap();
+        link.near[usize::from(link.members[1] == of)]
+    }
+
+    fn file(&self, i: usize) -> String {
+        let others = (0..self.at.len())
+            .filter(|j| *j != i)
+            .map(|j| format!("[[members.other]]\nname = \"m{j}\"\naddress = \"{}\"\n", self.near(i, j)));
+        let others: String = others.collect();
+        let at = self.at[i];
+        let file = operator_file(self.resolver.address);
+        format!(
+            "{file}\n[members]\nname = \"m{i}\"\nlisten = \"{at}\"\nperiod_ms = 100\n{others}\n{}",
+            self.more
+        )
+    }
+
+    fn start(&mut self, i: usize) {
+        self.each[i] = Some(Program::start(&self.file(i), true));
+    }
+
+    fn process(&self, i: usize) -> &Program {
+        self.each[i].as_ref().expect("it runs")
+    }
+
+    fn view(&self, i: usize) -> serde_json::Value {
+        let (status, view) = self.process(i).ask("GET", "/drafts", "");
+        assert_eq!(status, 200);
+        view
+    }
+
+    /// Rounds that one holds of another, as told by that one itself and by others.
+    fn rounds(&self, at: usize, of: usize) -> (u64, u64) {
+        let view = self.view(at);
+        let names = view["names"].as_object().unwrap();
+        let number = names.iter().find(|(_, name)| **name == format!("m{of}")).map(|(n, _)| n.clone());
+        let number = number.expect("on the roster").parse::<u64>().unwrap();
+        let members = view["learnt"]["members"].as_array().unwrap();
+        let member = members.iter().find(|m| m["member"] == number);
+        member.map_or((0, 0), |m| (m["rounds"].as_u64().unwrap(), m["hearsay"].as_u64().unwrap()))
+    }
+
+    /// The length of the best draft known to one, in the idle band.
+    fn best(&self, at: usize) -> Option<u64> {
+        let view = self.view(at);
+        let best = view["learnt"]["workloads"][CLASS]["bands"][0]["best"].as_str()?.to_string();
+        best.split_once(':')?.1.parse().ok()
+    }
+
+    /// What one would have come into force.
+    fn wanted(&self, at: usize) -> Option<String> {
+        self.view(at)["wanted"][format!("{CLASS}/0")].as_str().map(str::to_string)
+    }
+
+    fn cut(&self, a: usize, b: usize, cut: bool) {
+        let link = self.links.iter().find(|l| l.members.contains(&a) && l.members.contains(&b)).unwrap();
+        link.cut.iter().for_each(|c| c.store(cut, Relaxed));
+    }
+}
+
+fn serving(fleet: &Fleet) -> Vec<Load> {
+    fleet.each.iter().flatten().map(Load::on).collect()
+}
+
+fn started(n: usize, model: Model) -> (Fleet, Vec<Load>) {
+    let mut fleet = Fleet::met(n, model);
+    (0..n).for_each(|i| fleet.start(i));
+    let loads = serving(&fleet);
+    (fleet, loads)
+}
+
+#[test]
+fn each_learns_from_all_and_wants_the_same() {
+    let (fleet, loads) = started(3, GOOD);
+    for i in 0..3 {
+        wait_for("everybody's counts", || (0..3).filter(|j| *j != i).all(|j| fleet.rounds(i, j).0 > 400));
+        wait_for("a long draft", || fleet.wanted(i).is_some_and(|w| ["1:7", "1:8"].contains(&w.as_str())));
+    }
+    assert!(loads.into_iter().map(Load::end).all(|served| served > 0));
+    let view = fleet.view(0);
+    assert_eq!(view["learnt"]["workloads"][CLASS]["members"], 3, "{view}");
+    assert_eq!((&view["silent"], &view["unread"]), (&0.into(), &0.into()), "{view}");
+    let seen = fleet.model.seen.lock().unwrap();
+    let tried: u32 = seen.iter().filter(|(draft, _)| *draft != "0:0").map(|(_, n)| n).sum();
+    let all: u32 = seen.values().sum();
+    assert!(tried > 0 && tried * 3 < all, "without a version only trials draft: {seen:?}");
+}
+
+#[test]
+fn nothing_is_counted_twice_by_doubling_death_and_a_new_life() {
+    let mut fleet = Fleet::met(3, GOOD);
+    fleet.more = QUICK.replace("epoch_ms = 1000", "epoch_ms = 20000");
+    fleet.links.iter().for_each(|l| l.doubled.store(true, Relaxed));
+    (0..3).for_each(|i| fleet.start(i));
+    let loads = serving(&fleet);
+    wait_for("counts of the first", || fleet.rounds(1, 0).0 > 400 && fleet.rounds(2, 0).0 > 400);
+    // It dies with calls under way.
+    fleet.each[0].as_mut().unwrap().kill();
+    fleet.each[0] = None;
+    sleep(ms(200));
+    let (before, _) = fleet.rounds(1, 0);
+    fleet.start(0);
+    let again = Load::on(fleet.process(0));
+    wait_for("counts of its new life", || fleet.rounds(1, 0).0 > before + 400);
+    // The new life hears from others what its old one told them.
+    wait_for("hearsay of its old life", || {
+        let members = fleet.view(0)["learnt"]["members"].clone();
+        members.as_array().unwrap().iter().any(|m| m["hearsay"].as_u64().unwrap() > 0)
+    });
+    let served: u64 = loads.into_iter().chain([again]).map(Load::end).sum();
+    assert!(served > 0);
+    let own = |i: usize| {
+        let view = fleet.view(i);
+        let members = view["learnt"]["members"].as_array().unwrap().clone();
+        let names = view["names"].as_object().unwrap().clone();
+        let mine = members.iter().find(|m| !names.contains_key(&m["member"].to_string())).unwrap();
+        mine["rounds"].as_u64().unwrap()
+    };
+    wait_for("the last counts", || fleet.rounds(1, 2).0 == own(2) && fleet.rounds(2, 1).0 == own(1));
+    let calls: u32 = fleet.model.seen.lock().unwrap().values().sum();
+    let all = own(1) + fleet.rounds(1, 0).0 + fleet.rounds(1, 2).0;
+    assert!(all <= 40 * u64::from(calls), "{all} rounds of {calls} calls");
+    assert!(
+        all * 10 >= 40 * u64::from(calls) * 7,
+        "{all} rounds of {calls} calls: what is missing died untold"
+    );
+}
+
+#[test]
+fn acceptance_that_collapses_during_a_partition_is_learnt_by_those_who_hear_each_other() {
+    let mut fleet = Fleet::met(3, GOOD);
+    fleet.more.push_str("start = \"1:8\"\n");
+    (0..3).for_each(|i| fleet.start(i));
+    let loads = serving(&fleet);
+    for i in 0..3 {
+        wait_for("long drafts", || fleet.best(i).is_some_and(|b| b >= 6));
+        assert!((0..3).all(|j| i == j || fleet.rounds(i, j).0 > 0));
+    }
+    fleet.cut(0, 1, true);
+    fleet.cut(0, 2, true);
+    *fleet.model.model.lock().unwrap() = Model { rate: 0.05, cost: (9_000.0, 4_000.0), absurd: false };
+    for i in [1, 2] {
+        wait_for("drafts to be off", || fleet.wanted(i).as_deref() == Some("0:0"));
+    }
+    // By its own counts alone it wants nothing, then and when those of the others are forgotten.
+    let until = Instant::now() + Duration::from_secs(8);
+    while Instant::now() < until {
+        assert_eq!(fleet.wanted(0), None, "{}", fleet.view(0));
+        sleep(ms(100));
+    }
+    let why = fleet.view(0)["learnt"]["workloads"][CLASS]["bands"][0]["why"].clone();
+    assert_eq!(why, "it rests on the counts of one member");
+    fleet.cut(0, 1, false);
+    fleet.cut(0, 2, false);
+    wait_for("drafts to be off for all", || fleet.wanted(0).as_deref() == Some("0:0"));
+    assert!(loads.into_iter().map(Load::end).all(|served| served > 0));
+}
+
+/// Sends what a member tells, from where it hears.
+fn tell(socket: &UdpSocket, to: &BTreeMap<Name, SocketAddr>, out: Vec<Out>) {
+    for o in out {
+        if let Out::Send { to: name, data } = o {
+            let _ = socket.send_to(&[&PARCEL, &data[..]].concat(), to[&name]);
+        }
+    }
+}
+
+#[test]
+fn a_member_that_forges_counts_moves_nothing_and_is_told() {
+    let model = Model { rate: 0.2, cost: (9_000.0, 3_000.0), absurd: false };
+    let mut fleet = Fleet::met(4, model);
+    (0..3).for_each(|i| fleet.start(i));
+    let loads = serving(&fleet);
+    // The fourth is no process: its datagrams are written here.
+    let socket = UdpSocket::bind(fleet.at[3]).unwrap();
+    let number = |of: usize| {
+        let names = fleet.view((of + 1) % 3)["names"].as_object().unwrap().clone();
+        let found = names.iter().find(|(_, name)| **name == format!("m{of}")).unwrap();
+        Name(found.0.parse().unwrap())
+    };
+    let to: BTreeMap<Name, SocketAddr> = (0..3).map(|i| (number(i), fleet.near(3, i))).collect();
+    let quick =
+        Settings { period: ms(60), epoch: ms(1_000), window: 6, review: ms(200), ..Settings::default() };
+    let mut forger = Drafts::new(quick, number(3), 1, 1, Duration::ZERO).unwrap();
+    forger.set_members(to.keys().copied(), 3);
+    let (workload, begun) = (Workload::new(CLASS).unwrap(), Instant::now());
+    let mut seen = BTreeSet::new();
+    let mut heard_since = None;
+    loop {
+        let now = begun.elapsed();
+        for (length, micros) in [(8u8, 900), (4, 900), (0, 90_000)] {
+            let draft = Draft { drafter: u8::from(length > 0), length };
+            let accepted = vec![20_000; length as usize];
+            let (rounds, tokens) = (20_000, 20_000 * (u32::from(length) + 1));
+            let time = Duration::from_micros(micros * 20_000);
+            let ran = Ran {
+                workload: workload.clone(),
+                draft,
+                band: 0,
+                version: 0,
+                rounds,
+                accepted,
+                tokens,
+                time,
+            };
+            forger.served(now, &ran).unwrap();
+        }
+        let mut out = Vec::new();
+        forger.wake(now, &mut out);
+        tell(&socket, &to, out);
+        // And what is no datagram, or of nobody.
+        let _ = socket.send_to(&[&PARCEL[..], &[1, 9, 9, 9]].concat(), to[&number(0)]);
+        for i in 0..3 {
+            assert_eq!(fleet.wanted(i), None, "{}", fleet.view(i));
+            let left_out = fleet.view(i)["learnt"]["workloads"][CLASS]["left_out"].clone();
+            if left_out[number(3).0.to_string()].is_string() {
+                seen.insert(i);
+            }
+        }
+        // All hold its counts for what they are for a while.
+        if seen.len() == 3 {
+            let since: &mut Instant = heard_since.get_or_insert_with(Instant::now);
+            if since.elapsed() > Duration::from_secs(2) {
+                break;
+            }
+        }
+        assert!(begun.elapsed() < 4 * LONG, "not told by all: {seen:?} {}", fleet.view(0));
+        sleep(ms(50));
+    }
+    assert!(fleet.rounds(0, 3).0 > 0, "it was heard");
+    let unreadable = fleet.view(0)["learnt"]["refused"]["a datagram that cannot be read"].as_u64();
+    assert!(unreadable.is_some_and(|n| n > 0), "{}", fleet.view(0));
+    assert!(fleet.process(0).logged("is left out") > 0, "staff are told");
+    assert!(loads.into_iter().map(Load::end).all(|served| served > 0));
+}
+
+#[test]
+fn a_host_whose_figures_cannot_be_is_not_believed() {
+    let (fleet, loads) = started(1, Model { absurd: true, ..GOOD });
+    let why = "more accepted at a position than at the one before it";
+    wait_for("a refusal", || {
+        let refused = fleet.view(0)["learnt"]["refused"][why].as_u64();
+        refused.is_some_and(|n| n > 0)
+    });
+    assert_eq!(fleet.wanted(0), None);
+    assert!(loads.into_iter().map(Load::end).all(|served| served > 0), "its answers are served all the same");
+}
+
+#[test]
+fn without_a_table_of_the_file_nothing_is_drafted() {
+    let mut fleet = Fleet::met(1, GOOD);
+    fleet.more.clear();
+    fleet.start(0);
+    assert_eq!(fleet.process(0).operate("GET", "/drafts", ""), 404);
+    let load = Load::on(fleet.process(0));
+    wait_for("no calls of a draft", || fleet.process(0).http(&call("f", CLASS, &[], "x")).status == 200);
+    assert!(load.end() > 0);
+    assert!(fleet.model.seen.lock().unwrap().is_empty(), "no call has a draft field");
+    // A file that sets it is taken up without a restart.
+    let with = format!("{}\n{QUICK}", fleet.file(0));
+    fleet.process(0).reload(&with);
+    wait_for("the new file", || fleet.process(0).operate("GET", "/drafts", "") == 200);
+    let load = Load::on(fleet.process(0));
+    wait_for("drafts", || !fleet.model.seen.lock().unwrap().is_empty());
+    assert!(load.end() > 0);
+}
+
+#[rstest]
+#[case::longest("longest = 9", "drafts.longest: 1 to 8")]
+#[case::word("lengths = 3", "unknown field `lengths`")]
+#[case::start("start = \"1:9\"", "drafts.start")]
+fn a_setup_that_makes_no_sense_is_turned_down(#[case] setup: &str, #[case] wanted: &str) {
+    let file = operator_file("127.0.0.1:9".parse().unwrap());
+    let (status, said) = turned_down(&format!("{file}\n[drafts]\n{setup}\n"), true);
+    assert!(!status.success() && said.contains(wanted), "{said}");
+}
