Lab: several processes with faults between them, a history, and checkers that read it alone

The program was tested process by process; what several do together while links, sites and processes break was left to a few tests of membership. The lab starts 3 to 9 activators on loopback, puts a relay on each ordered way and between each activator and host (loss, cuts, delay, doubling, order, stall, reset), stops, kills and starts its own children, sends calls open-loop through the invoke front, and writes a bounded history. Checkers (one answer, unsafe once, keyed within window and site, versions and T, hard keys, majority, load of sites, counts, served share, membership) read the history only; each is tested with histories that break it. Reading what activators say of themselves in place of what comes to hosts was ruled out for calls: only hosts know what ran.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # What a developer does here, each in one word.
 
-.PHONY: build test lint doc run run-invoke check measure
+.PHONY: build test lint doc run run-invoke check measure lab
 
 build:
 	cargo build --locked --release
@@ -31,5 +31,10 @@
 		cargo test --locked --release -p $$package --test measure -- --ignored --exact $(WHAT) --nocapture; } \
 		| sed -n 's/^.*measure \([a-z]*\.\)/\1/p'
 
+# All scenarios of several processes with faults between them, a line each. Takes minutes; docs/LAB.md tells more.
+lab:
+	cargo build --locked --release -p wheellink-node -p wheellink-lab
+	target/release/wheellink-lab all
+
 check:
 	bash .ci/run
--- /dev/null
+++ b/crates/lab/src/check/calls.rs
@@ -0,0 +1,302 @@
+//! One answer to each call, unsafe calls once, keyed ones within their window and site, and the served share.
+
+use std::collections::HashMap;
+
+use hdrhistogram::Histogram;
+
+use super::{phases, Figures, Flaws, Lives};
+use crate::history::{Line, Saw, Setup, Turn};
+
+const ONE: &str = "one answer to each call";
+const ONCE: &str = "unsafe calls run once";
+const KEYED: &str = "keyed calls run once, within their window and site";
+const SHARE: &str = "the served share";
+const LOAD: &str = "the bounded load of sites";
+const FOUND: &str = "the share of blocks found";
+
+/// Before this a process that ends may still have had the call's connection in its backlog, unseen.
+const CLOSING_US: u64 = 50_000;
+/// Calls of a second, over all sites, from which a share of it says something.
+const LEAST_CALLS: u64 = 50;
+
+struct Call<'a> {
+    at: u64,
+    to: usize,
+    class: &'a str,
+    ends: u32,
+    /// Runs, with site and time.
+    runs: Vec<(usize, u64)>,
+    /// Times at which it came, repeats among them, with the site.
+    came: Vec<(usize, u64)>,
+    served: bool,
+}
+
+pub(super) fn check(setup: &Setup, lines: &[Line], lives: &Lives, flaws: &mut Flaws, figures: &mut Figures) {
+    let mut calls: HashMap<u64, Call> = HashMap::new();
+    let mut times = Histogram::<u64>::new_with_bounds(1, 600_000_000, 3).expect("bounds that make sense");
+    let end = lines.last().map_or(0, |l| l.at);
+    for line in lines {
+        match &line.saw {
+            Saw::Sent { id, to, class } => {
+                figures.sent += 1;
+                let call = Call {
+                    at: line.at,
+                    to: *to,
+                    class,
+                    ends: 0,
+                    runs: Vec::new(),
+                    came: Vec::new(),
+                    served: false,
+                };
+                if calls.insert(*id, call).is_some() {
+                    flaws.add(ONE, line.at, format!("call {id} was sent twice"));
+                }
+            }
+            Saw::Answered { id, status, .. } => {
+                figures.answered += 1;
+                let Some(call) = calls.get_mut(id) else {
+                    flaws.add(ONE, line.at, format!("call {id} was answered and never sent"));
+                    continue;
+                };
+                call.ends += 1;
+                call.served = *status == 200;
+                times.saturating_record((line.at - call.at).max(1));
+                if call.ends > 1 {
+                    flaws.add(ONE, line.at, format!("call {id} was answered {} times", call.ends));
+                }
+                if call.served && call.came.is_empty() {
+                    flaws.add(ONE, line.at, format!("call {id} was answered as done and came to no host"));
+                }
+            }
+            Saw::Broken { id, why } => {
+                let Some(call) = calls.get_mut(id) else { continue };
+                call.ends += 1;
+                // A process that is killed, or stands still, can't answer; nor one that is not there.
+                let gone = [Turn::Killed, Turn::Ended, Turn::Stopped];
+                let from = call.at.saturating_sub(CLOSING_US);
+                let told = lives.had(call.to, 0, call.at + CLOSING_US, &[Turn::Told]);
+                let excused = !lives.runs(call.to, call.at)
+                    || lives.had(call.to, from, line.at, &gone)
+                    || told && lives.had(call.to, 0, line.at, &[Turn::Ended, Turn::Told]);
+                if !excused {
+                    flaws.add(ONE, line.at, format!("call {id} to activator {} got none: {why}", call.to));
+                }
+            }
+            Saw::Shed { calls } => figures.shed += calls,
+            Saw::Came { id, site, repeat, .. } => {
+                let Some(call) = calls.get_mut(id) else {
+                    flaws.add(ONE, line.at, format!("call {id} came to a host and was never sent"));
+                    continue;
+                };
+                call.came.push((*site, line.at));
+                if !repeat {
+                    call.runs.push((*site, line.at));
+                }
+                let terms = setup.classes.get(call.class);
+                match terms.map(|t| (t.effect.as_str(), t.window_ms)) {
+                    Some(("unsafe", _)) if call.came.len() > 1 => {
+                        flaws.add(
+                            ONCE,
+                            line.at,
+                            format!("call {id} came to hosts {} times", call.came.len()),
+                        );
+                    }
+                    Some(("keyed", window_ms)) => {
+                        let (first_site, first) = call.came[0];
+                        if call.runs.len() > 1 || *site != first_site {
+                            let said = format!("call {id} came to sites {:?}", call.came);
+                            flaws.add(KEYED, line.at, said);
+                        } else if line.at - first > window_ms * 1_000 {
+                            let late = (line.at - first) / 1_000;
+                            flaws.add(KEYED, line.at, format!("call {id} came again after {late} ms"));
+                        }
+                    }
+                    Some(_) => {}
+                    None => flaws.add(ONCE, line.at, format!("nothing is known of class {}", call.class)),
+                }
+            }
+            _ => {}
+        }
+    }
+    for (id, call) in &calls {
+        if call.ends == 0 {
+            flaws.add(ONE, end, format!("call {id} to activator {} got none by the end", call.to));
+        }
+    }
+    if figures.answered == 0 {
+        flaws.add(ONE, end, "no call was answered at all".into());
+    }
+    figures.time_us = (times.value_at_quantile(0.5), times.value_at_quantile(0.99));
+    share(setup, lines, &calls, flaws, figures);
+    sites(setup, lines, flaws, figures);
+}
+
+/// The share of calls of each phase that were served.
+fn share(
+    setup: &Setup,
+    lines: &[Line],
+    calls: &HashMap<u64, Call>,
+    flaws: &mut Flaws,
+    figures: &mut Figures,
+) {
+    for (name, from, to) in phases(lines) {
+        let of: Vec<_> = calls.values().filter(|c| (from..to).contains(&c.at)).collect();
+        let served = of.iter().filter(|c| c.served).count() as f64 / of.len().max(1) as f64;
+        let wanted = setup.hold.served.get(&name).copied().unwrap_or(0.0);
+        if wanted > 0.0 && (of.is_empty() || served < wanted) {
+            let said = format!("{name}: {served:.3} of {} calls, wanted {wanted}", of.len());
+            flaws.add(SHARE, from, said);
+        }
+        figures.served.push((name, served));
+    }
+}
+
+/// How even calls come to the sites that are there, second by second, and how many blocks are found.
+fn sites(setup: &Setup, lines: &[Line], flaws: &mut Flaws, figures: &mut Figures) {
+    let mut there = vec![true; setup.sites];
+    let (mut second, mut counts, mut whole) = (0, vec![0u64; setup.sites], true);
+    let (mut blocks, mut found) = ((0, 0), (0, 0));
+    let mut after = false;
+    for line in lines {
+        if line.at / 1_000_000 != second {
+            let all: u64 = counts.iter().sum();
+            if whole && all >= LEAST_CALLS {
+                let mean = all as f64 / there.iter().filter(|t| **t).count().max(1) as f64;
+                let most = counts.iter().max().copied().unwrap_or(0) as f64 / mean;
+                figures.site_over_mean = figures.site_over_mean.max(most);
+                let bound = setup.hold.site_over_mean;
+                if bound > 0.0 && most > bound {
+                    flaws.add(
+                        LOAD,
+                        line.at,
+                        format!("{counts:?} in a second: {most:.2} of the mean, bound {bound}"),
+                    );
+                }
+            }
+            second = line.at / 1_000_000;
+            counts.fill(0);
+            whole = true;
+        }
+        match &line.saw {
+            Saw::Site { site, there: now } => {
+                if let Some(t) = there.get_mut(*site) {
+                    *t = *now;
+                }
+                // A second in which a site goes or comes is neither the one nor the other.
+                whole = false;
+            }
+            Saw::Phase { name } => after = name == "after",
+            Saw::Came { site, repeat: false, blocks: n, found: hit, .. } => {
+                if let Some(count) = counts.get_mut(*site) {
+                    *count += 1;
+                }
+                blocks = (blocks.0 + n, blocks.1 + if after { *n } else { 0 });
+                found = (found.0 + hit, found.1 + if after { *hit } else { 0 });
+            }
+            _ => {}
+        }
+    }
+    figures.found = (blocks.0 > 0).then(|| found.0 as f64 / blocks.0 as f64);
+    let late = found.1 as f64 / (blocks.1 as f64).max(1.0);
+    if setup.hold.found > 0.0 && late < setup.hold.found {
+        let said = format!("{late:.3} of {} blocks, wanted {}", blocks.1, setup.hold.found);
+        flaws.add(FOUND, lines.last().map_or(0, |l| l.at), said);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::super::check;
+    use super::super::tests_of::{broken, history, setup};
+    use super::*;
+    use crate::scenario::Hold;
+    use rstest::rstest;
+
+    fn sent(class: &str) -> Saw {
+        Saw::Sent { id: 1, to: 0, class: class.into() }
+    }
+
+    fn came(site: usize, repeat: bool) -> Saw {
+        Saw::Came { id: 1, site, host: 0, repeat, blocks: 0, found: 0 }
+    }
+
+    fn answered() -> Saw {
+        Saw::Answered { id: 1, status: 200, found: None }
+    }
+
+    fn lost() -> Saw {
+        Saw::Broken { id: 1, why: "reset".into() }
+    }
+
+    fn life(turn: Turn) -> Saw {
+        Saw::Life { who: 0, turn }
+    }
+
+    #[rstest]
+    #[case::twice(vec![sent("s"), came(0, false), answered(), answered()], vec![ONE])]
+    #[case::never(vec![sent("s"), came(0, false)], vec![ONE])]
+    #[case::unsent(vec![answered()], vec![ONE])]
+    #[case::made_up(vec![sent("s"), answered()], vec![ONE])]
+    #[case::number_used_twice(vec![sent("s"), sent("s"), came(0, false), answered()], vec![ONE])]
+    #[case::broken(vec![sent("s"), lost()], vec![ONE])]
+    #[case::broken_before_the_end(vec![sent("s"), life(Turn::Told), lost()], vec![ONE])]
+    #[case::killed(vec![sent("s"), life(Turn::Killed), lost()], vec![])]
+    #[case::not_there(vec![life(Turn::Ended), sent("s"), lost()], vec![])]
+    #[case::stopped(vec![life(Turn::Stopped), sent("s"), life(Turn::Continued), lost()], vec![])]
+    #[case::safe_twice(vec![sent("s"), came(0, false), came(1, false), answered()], vec![])]
+    #[case::unsafe_twice(vec![sent("u"), came(0, false), came(0, false), answered()], vec![ONCE])]
+    #[case::unsafe_repeat(vec![sent("u"), came(0, false), came(1, true), answered()], vec![ONCE])]
+    #[case::no_such_class(vec![sent("x"), came(0, false), answered()], vec![ONCE])]
+    #[case::keyed_repeat(vec![sent("k"), came(0, false), came(0, true), answered()], vec![])]
+    #[case::keyed_twice(vec![sent("k"), came(0, false), came(0, false), answered()], vec![KEYED])]
+    #[case::keyed_elsewhere(vec![sent("k"), came(0, false), came(1, true), answered()], vec![KEYED])]
+    #[case::keyed_late(vec![sent("k"), came(0, false), life(Turn::Continued), came(0, true), answered()], vec![KEYED])]
+    fn calls_are_held_to_their_rules(#[case] saw: Vec<Saw>, #[case] wanted: Vec<&str>) {
+        assert_eq!(broken(setup(), saw), wanted);
+    }
+
+    #[test]
+    fn a_share_below_what_is_wanted_is_a_flaw_of_its_phase() {
+        let hold = Hold { served: [("faults".to_string(), 0.5)].into(), ..Hold::default() };
+        let with = |status| {
+            let phase = Saw::Phase { name: "faults".into() };
+            let answer = Saw::Answered { id: 1, status, found: None };
+            broken(
+                crate::history::Setup { hold: hold.clone(), ..setup() },
+                vec![phase, sent("s"), came(0, false), answer],
+            )
+        };
+        assert_eq!(with(503), [SHARE]);
+        assert!(with(200).is_empty());
+        let none = broken(crate::history::Setup { hold: hold.clone(), ..setup() }, vec![]);
+        assert!(none.is_empty(), "a phase that never began is the scenario's business: {none:?}");
+    }
+
+    #[test]
+    fn a_site_above_its_bound_and_blocks_that_are_not_found_are_flaws() {
+        let hold = Hold { site_over_mean: 1.25, found: 0.5, ..Hold::default() };
+        let many = |split: u64, found: u64| {
+            let mut lines = history(
+                crate::history::Setup { hold: hold.clone(), ..setup() },
+                vec![Saw::Phase { name: "after".into() }],
+            );
+            let end = lines.pop().unwrap();
+            for id in 10..110 {
+                let site = usize::from(id % 10 >= split);
+                let at = 2_000_000 + id;
+                lines.push(Line { at, saw: Saw::Sent { id, to: 0, class: "s".into() } });
+                lines.push(Line {
+                    at,
+                    saw: Saw::Came { id, site, host: 0, repeat: false, blocks: 10, found },
+                });
+                lines.push(Line { at, saw: Saw::Answered { id, status: 200, found: None } });
+            }
+            lines.push(Line { at: 4_000_000, ..end });
+            let rules: Vec<_> = check(&lines).unwrap().0.iter().map(|f| f.rule).collect();
+            rules
+        };
+        assert_eq!(many(5, 9), [""; 0]);
+        assert_eq!(many(8, 9), [LOAD]);
+        assert_eq!(many(5, 1), [FOUND]);
+    }
+}
--- /dev/null
+++ b/crates/lab/src/history.rs
@@ -0,0 +1,346 @@
+//! The history of a run: one JSON object a line, in the order in which the lab saw it.
+//!
+//! The checkers read nothing else. It is bounded: what comes after the bound is not written, the last line says so, and a
+//! history that says so does not pass.
+
+use std::collections::BTreeMap;
+use std::fs::File;
+use std::io::{BufRead, BufReader, BufWriter, Write};
+use std::path::Path;
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+
+use crate::relay::Faults;
+
+/// Lines of a history at the most: some 100 MB. 60 s at 1,000 calls a second take 240,000.
+pub const MOST_LINES: usize = 1_000_000;
+
+/// What a class's calls may do, as the activators' file tells.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Terms {
+    /// `safe`, `keyed` or `unsafe`.
+    pub effect: String,
+    /// Keyed: how long hosts drop repeats, in milliseconds.
+    pub window_ms: u64,
+}
+
+/// What is known of a run before it begins.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Setup {
+    /// The scenario's name.
+    pub scenario: String,
+    /// Its seed.
+    pub seed: u64,
+    /// Activators; they are numbered from 0.
+    pub activators: usize,
+    /// How many of the first are voters; 0: nothing is agreed.
+    pub voters: usize,
+    /// T of the accord, in microseconds; 0: none stated.
+    pub bound_us: u64,
+    /// How long a process that was let go again may take to say what it obeys, in microseconds.
+    pub grace_us: u64,
+    /// Classes by name.
+    pub classes: BTreeMap<String, Terms>,
+    /// Sites; they are numbered from 0.
+    pub sites: usize,
+    /// What must hold.
+    pub hold: crate::scenario::Hold,
+}
+
+/// What an activator obeys.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Obeys {
+    /// The floor of this version.
+    Floor(u64),
+    /// This version, of this digest.
+    One(u64, String),
+    /// The stricter of both.
+    Both(u64, u64),
+}
+
+/// What can happen to a process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Turn {
+    /// It listens.
+    Started,
+    /// It was stopped.
+    Stopped,
+    /// It was let go again.
+    Continued,
+    /// It was killed.
+    Killed,
+    /// It was told to end.
+    Told,
+    /// It has ended.
+    Ended,
+}
+
+/// One thing that was seen.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", tag = "what")]
+pub enum Saw {
+    /// The run begins.
+    Setup(Setup),
+    /// From here on is another phase: `calm`, `faults`, `after`.
+    Phase {
+        /// Its name.
+        name: String,
+    },
+    /// A client sent a call.
+    Sent {
+        /// The call's number.
+        id: u64,
+        /// The activator that it was sent to.
+        to: usize,
+        /// Its class.
+        class: String,
+    },
+    /// A client was answered.
+    Answered {
+        /// The call's number.
+        id: u64,
+        /// The answer's status.
+        status: u16,
+        /// How many blocks of the call's turn were found, where it says so.
+        found: Option<u64>,
+    },
+    /// A client was not answered: its connection broke, or nothing came for far too long.
+    Broken {
+        /// The call's number.
+        id: u64,
+        /// Why.
+        why: String,
+    },
+    /// The lab itself could not keep up and did not send calls.
+    Shed {
+        /// How many.
+        calls: u64,
+    },
+    /// A call came to a host.
+    Came {
+        /// The call's number.
+        id: u64,
+        /// The host's site.
+        site: usize,
+        /// The host.
+        host: usize,
+        /// Dropped as a repeat rather than run.
+        repeat: bool,
+        /// Blocks that its turn has.
+        blocks: u64,
+        /// Blocks that were found.
+        found: u64,
+    },
+    /// A way between two activators changed.
+    Link {
+        /// From this activator.
+        from: usize,
+        /// To this one.
+        to: usize,
+        /// What it does from now on.
+        faults: Faults,
+    },
+    /// A site was cut off or came back.
+    Site {
+        /// The site.
+        site: usize,
+        /// Whether it is there.
+        there: bool,
+    },
+    /// Something happened to a process.
+    Life {
+        /// The activator.
+        who: usize,
+        /// What.
+        turn: Turn,
+    },
+    /// An activator obeys something else from now on.
+    Acts {
+        /// The activator.
+        who: usize,
+        /// What it obeys.
+        obeys: Obeys,
+    },
+    /// A change was handed to an activator.
+    Change {
+        /// The activator.
+        to: usize,
+        /// The version that it is based on.
+        base: u64,
+        /// Keys and values that it sets; an entry of a list that a range stands for is left out.
+        set: BTreeMap<String, serde_json::Value>,
+        /// Keys that it drops.
+        dropped: Vec<String>,
+        /// The answer's status; 0: none.
+        status: u16,
+        /// What it said.
+        said: String,
+        /// The version that it became, if it did.
+        became: Option<u64>,
+    },
+    /// An activator holds another for gone.
+    Gone {
+        /// The activator that says so.
+        who: usize,
+        /// Whom it means.
+        of: usize,
+    },
+    /// What an activator says of the others.
+    Members {
+        /// The activator.
+        who: usize,
+        /// Those that it holds for there, itself among them.
+        there: Vec<usize>,
+        /// Whether they are a majority.
+        majority: bool,
+    },
+    /// What an activator counts of drafts, all of the fleet.
+    Sums {
+        /// The activator.
+        who: usize,
+        /// Rounds of drafting.
+        rounds: u64,
+        /// Useful tokens.
+        tokens: u64,
+    },
+    /// What hosts served of drafts up to here.
+    Served {
+        /// Rounds of drafting.
+        rounds: u64,
+        /// Useful tokens.
+        tokens: u64,
+    },
+    /// What a control address said.
+    View {
+        /// The activator.
+        who: usize,
+        /// Of what.
+        of: String,
+        /// What it said, cut at 2,000 bytes.
+        said: String,
+    },
+    /// Something of the lab's own went wrong, by which nothing is proven.
+    Trouble {
+        /// What.
+        said: String,
+    },
+    /// The end.
+    End,
+    /// There was more than may be written.
+    Full,
+}
+
+/// One line of a history.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Line {
+    /// Microseconds since the run began.
+    pub at: u64,
+    /// What was seen.
+    #[serde(flatten)]
+    pub saw: Saw,
+}
+
+struct Inner {
+    out: BufWriter<File>,
+    lines: usize,
+    last: u64,
+}
+
+/// A history that is being written.
+pub struct History {
+    begun: Instant,
+    most: usize,
+    inner: Mutex<Inner>,
+}
+
+impl History {
+    /// Into this file.
+    ///
+    /// # Errors
+    /// When it can't be made.
+    pub fn create(path: &Path) -> std::io::Result<Self> {
+        Self::bounded(path, MOST_LINES)
+    }
+
+    fn bounded(path: &Path, most: usize) -> std::io::Result<Self> {
+        let inner = Inner { out: BufWriter::new(File::create(path)?), lines: 0, last: 0 };
+        Ok(Self { begun: Instant::now(), most, inner: Mutex::new(inner) })
+    }
+
+    /// Time since it began.
+    pub fn now(&self) -> Duration {
+        self.begun.elapsed()
+    }
+
+    /// Writes what was seen just now.
+    pub fn saw(&self, saw: Saw) {
+        let mut inner = self.inner.lock().unwrap();
+        // Taken under the lock, so that times never go back from line to line.
+        let at = (self.begun.elapsed().as_micros() as u64).max(inner.last);
+        inner.last = at;
+        inner.lines += 1;
+        let saw = match inner.lines.cmp(&self.most) {
+            std::cmp::Ordering::Less => saw,
+            std::cmp::Ordering::Equal => Saw::Full,
+            std::cmp::Ordering::Greater => return,
+        };
+        let text = serde_json::to_string(&Line { at, saw }).expect("plain data");
+        // A disk that is full shows as a history without its end.
+        let _ = writeln!(inner.out, "{text}");
+    }
+
+    /// Has everything written.
+    ///
+    /// # Errors
+    /// When the disk does not take it.
+    pub fn flush(&self) -> std::io::Result<()> {
+        self.inner.lock().unwrap().out.flush()
+    }
+}
+
+/// Reads a history.
+///
+/// # Errors
+/// When it can't be read or a line is none: with its number.
+pub fn read(path: &Path) -> Result<Vec<Line>, String> {
+    let name = path.display();
+    let file = File::open(path).map_err(|e| format!("{name}: {e}"))?;
+    let mut lines = Vec::new();
+    for (i, line) in BufReader::new(file).lines().enumerate() {
+        let line = line.map_err(|e| format!("{name}: {e}"))?;
+        if lines.len() == MOST_LINES {
+            return Err(format!("{name}: more than {MOST_LINES} lines"));
+        }
+        lines.push(serde_json::from_str(&line).map_err(|e| format!("{name}: line {}: {e}", i + 1))?);
+    }
+    Ok(lines)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_is_written_is_read_and_bounded() {
+        let path = std::env::temp_dir().join(format!("wheellink-history-{}", std::process::id()));
+        let history = History::bounded(&path, 4).unwrap();
+        history.saw(Saw::Acts { who: 1, obeys: Obeys::Both(3, 4) });
+        history.saw(Saw::Acts { who: 1, obeys: Obeys::One(4, "0a".into()) });
+        history.saw(Saw::Setup(Setup::default()));
+        (0..3).for_each(|_| history.saw(Saw::End));
+        history.flush().unwrap();
+        let lines = read(&path).unwrap();
+        assert_eq!(lines.len(), 4);
+        assert_eq!(lines[0].saw, Saw::Acts { who: 1, obeys: Obeys::Both(3, 4) });
+        assert_eq!(lines[2].saw, Saw::Setup(Setup::default()));
+        assert_eq!(lines[3].saw, Saw::Full);
+        assert!(lines.windows(2).all(|w| w[0].at <= w[1].at));
+        std::fs::write(&path, "{\"at\":1,\"what\":\"dreamt\"}\n").unwrap();
+        assert!(read(&path).unwrap_err().contains("line 1: unknown variant `dreamt`"));
+        std::fs::remove_file(path).unwrap();
+    }
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -8,10 +8,18 @@
 #![warn(missing_docs)]
 
 pub mod bus;
+pub mod check;
+pub mod history;
 pub mod host;
 pub mod http;
+pub mod load;
 pub mod program;
+pub mod relay;
 pub mod resolver;
+mod rig;
+pub mod run;
+pub mod scenario;
+pub mod site;
 
 use std::thread::sleep;
 use std::time::{Duration, Instant};
--- /dev/null
+++ b/crates/lab/src/main.rs
@@ -0,0 +1,171 @@
+//! `wheellink-lab`: plays scenarios with several processes of the program and tells what did not hold.
+#![forbid(unsafe_code)]
+
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+use clap::{Parser, Subcommand};
+use wheellink_lab::check::{check, Figures, Flaw};
+use wheellink_lab::history::read;
+use wheellink_lab::run::{program, run};
+use wheellink_lab::scenario::Scenario;
+
+/// Plays scenarios of faults between several activators, and checks the histories that they leave.
+///
+/// Exit codes: 0 all held; 1 something did not hold; 2 the lab could not do what it was told (arguments, a scenario that
+/// makes no sense, no program, a fleet that did not come up, a history that is not whole).
+#[derive(Parser)]
+#[command(version)]
+struct Args {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Plays a scenario and checks its history.
+    Run {
+        /// A file, or the name of one of the lab's own.
+        scenario: PathBuf,
+        /// Where randomness begins, in place of the scenario's.
+        #[arg(long)]
+        seed: Option<u64>,
+        /// The activator; else the one beside this program.
+        #[arg(long)]
+        program: Option<PathBuf>,
+        /// Where the history goes; else it is kept only if something did not hold.
+        #[arg(long)]
+        history: Option<PathBuf>,
+    },
+    /// Plays all of the lab's scenarios, one after another, a line each.
+    All {
+        /// The activator; else the one beside this program.
+        #[arg(long)]
+        program: Option<PathBuf>,
+        /// The folder of scenarios; else the lab's own.
+        #[arg(long)]
+        folder: Option<PathBuf>,
+    },
+    /// Checks a history.
+    Check {
+        /// The file.
+        history: PathBuf,
+    },
+    /// Names the lab's scenarios.
+    List,
+}
+
+/// What was found of a history, or why nothing can be said.
+type Found = Result<(Vec<Flaw>, Figures), String>;
+
+fn folder() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("scenarios")
+}
+
+fn scenarios(folder: &Path) -> Result<Vec<PathBuf>, String> {
+    let wrong = |e: std::io::Error| format!("{}: {e}", folder.display());
+    let entries = std::fs::read_dir(folder).map_err(wrong)?;
+    let mut paths: Vec<_> = entries.map(|e| e.map(|e| e.path())).collect::<Result<_, _>>().map_err(wrong)?;
+    paths.retain(|path| path.extension().is_some_and(|e| e == "toml"));
+    paths.sort();
+    Ok(paths)
+}
+
+fn tell(figures: &Figures) -> String {
+    let served: Vec<_> = figures.served.iter().map(|(name, share)| format!("{name} {share:.3}")).collect();
+    let mut text = format!(
+        "{} calls, {} not sent; served {}; median {:.1} ms, 99th {:.1} ms",
+        figures.sent,
+        figures.shed,
+        served.join(", "),
+        figures.time_us.0 as f64 / 1e3,
+        figures.time_us.1 as f64 / 1e3
+    );
+    if figures.versions > 0 {
+        text += &format!("; {} versions, longest {} ms", figures.versions, figures.longest_us / 1_000);
+    }
+    if let Some(found) = figures.found {
+        text += &format!("; found {found:.3}, site over mean {:.2}", figures.site_over_mean);
+    }
+    text
+}
+
+fn play(path: &Path, seed: Option<u64>, with: Option<&Path>, kept: Option<&Path>) -> Found {
+    let mut path = path.to_path_buf();
+    if !path.exists() {
+        path = folder().join(path.with_extension("toml").file_name().unwrap_or_default());
+    }
+    let mut scenario = Scenario::load(&path)?;
+    scenario.seed = seed.unwrap_or(scenario.seed);
+    let name = format!("wheellink-lab-{}-{}.jsonl", scenario.name, std::process::id());
+    let into = kept.map_or_else(|| std::env::temp_dir().join(name), Path::to_path_buf);
+    run(&scenario, &program(with)?, &into)?;
+    let found = read(&into).and_then(|lines| check(&lines));
+    match &found {
+        Ok((flaws, _)) if flaws.is_empty() && kept.is_none() => {
+            let _ = std::fs::remove_file(&into);
+        }
+        _ => eprintln!("seed {}; the history is {}", scenario.seed, into.display()),
+    }
+    found
+}
+
+/// The exit code of what was found, once it is told.
+fn told(found: Found) -> u8 {
+    match found {
+        Ok((flaws, figures)) => {
+            println!("{}", tell(&figures));
+            flaws.iter().for_each(|flaw| println!("{flaw}"));
+            u8::from(!flaws.is_empty())
+        }
+        Err(said) => {
+            eprintln!("wheellink-lab: {said}");
+            2
+        }
+    }
+}
+
+fn all(with: Option<&Path>, folder: &Path) -> Result<u8, String> {
+    let mut worst = 0;
+    let program = program(with)?;
+    for path in scenarios(folder)? {
+        let name = path.file_stem().unwrap_or_default().to_string_lossy().into_owned();
+        match play(&path, None, Some(&program), None) {
+            Ok((flaws, figures)) if flaws.is_empty() => println!("held    {name}: {}", tell(&figures)),
+            Ok((flaws, figures)) => {
+                worst = worst.max(1);
+                println!("BROKEN  {name}: {} flaws, first at {}; {}", flaws.len(), flaws[0], tell(&figures));
+            }
+            Err(said) => {
+                worst = 2;
+                println!("FAILED  {name}: {said}");
+            }
+        }
+    }
+    Ok(worst)
+}
+
+fn main() -> ExitCode {
+    let code = match Args::parse().command {
+        Command::Run { scenario, seed, program, history } => {
+            told(play(&scenario, seed, program.as_deref(), history.as_deref()))
+        }
+        Command::All { program, folder: own } => {
+            all(program.as_deref(), &own.unwrap_or_else(folder)).unwrap_or_else(|said| told(Err(said)))
+        }
+        Command::Check { history } => told(read(&history).and_then(|lines| check(&lines))),
+        Command::List => match scenarios(&folder()) {
+            Ok(paths) => {
+                for path in paths {
+                    match Scenario::load(&path) {
+                        Ok(scenario) => println!("{:32} {}", scenario.name, scenario.about),
+                        Err(said) => return ExitCode::from(told(Err(said))),
+                    }
+                }
+                0
+            }
+            Err(said) => told(Err(said)),
+        },
+    };
+    ExitCode::from(code)
+}
--- /dev/null
+++ b/crates/lab/src/rig.rs
@@ -0,0 +1,340 @@
+//! What a scenario runs on: processes, relays between them, sites behind relays, and resolvers that tell of those.
+
+use std::net::{SocketAddr, UdpSocket};
+use std::path::{Path, PathBuf};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use serde_json::Value;
+
+use crate::history::{History, Obeys, Saw, Setup, Terms, Turn};
+use crate::load::{Fronts, CLASSES};
+use crate::ms;
+use crate::program::{Program, Send, Start};
+use crate::relay::{Mesh, Pipe};
+use crate::resolver::Resolver;
+use crate::scenario::Scenario;
+use crate::site::{source, Model, Site};
+
+/// How long a fleet may take to meet. A busy machine with nine of a debug build takes some 10 s.
+const MEET: Duration = Duration::from_secs(60);
+/// How long hosts drop repeats of a key, as the file below tells.
+const WINDOW: Duration = Duration::from_millis(8_000);
+/// How long a process may take to say what it obeys once it is let go, and how far two logs are read apart.
+const GRACE_US: u64 = 300_000;
+
+/// What is wanted of a control address.
+pub(crate) struct Controls(Vec<Mutex<Option<SocketAddr>>>);
+
+impl Controls {
+    /// An operator's call to an activator; `None` if there is no answer in that time.
+    pub(crate) fn ask(
+        &self,
+        who: usize,
+        method: &str,
+        path: &str,
+        body: &[u8],
+        within: Duration,
+    ) -> Option<(u16, String)> {
+        let address = (*self.0[who].lock().unwrap())?;
+        let config = ureq::Agent::config_builder()
+            .http_status_as_error(false)
+            .timeout_global(Some(within))
+            .max_idle_connections(0)
+            .proxy(None)
+            .build();
+        let agent: ureq::Agent = config.into();
+        let url = format!("http://{address}{path}");
+        let answer = if method == "GET" { agent.get(&url).call() } else { agent.post(&url).send(body) };
+        let mut answer = answer.ok()?;
+        let said = answer.body_mut().read_to_string().ok()?;
+        Some((answer.status().as_u16(), said))
+    }
+
+    /// What an activator says at a path, if it says 200 within half a second.
+    pub(crate) fn view(&self, who: usize, path: &str) -> Option<Value> {
+        let (status, said) = self.ask(who, "GET", path, b"", ms(500))?;
+        if status != 200 {
+            return None;
+        }
+        serde_json::from_str(&said).ok()
+    }
+}
+
+pub(crate) struct Rig {
+    pub(crate) scenario: Scenario,
+    program: PathBuf,
+    pub(crate) history: Arc<History>,
+    pub(crate) mesh: Mesh,
+    at: Vec<SocketAddr>,
+    pub(crate) sites: Vec<Site>,
+    /// By activator, site and host.
+    pub(crate) pipes: Vec<Vec<Vec<Pipe>>>,
+    resolvers: Vec<Resolver>,
+    pub(crate) model: Arc<Model>,
+    pub(crate) each: Vec<Option<Program>>,
+    pub(crate) fronts: Fronts,
+    pub(crate) controls: Arc<Controls>,
+}
+
+impl Rig {
+    pub(crate) fn new(scenario: &Scenario, program: &Path, history: Arc<History>) -> Result<Self, String> {
+        let n = scenario.fleet.activators;
+        let failed = |e: std::io::Error| format!("no socket: {e}");
+        let held: Vec<_> =
+            (0..n).map(|_| UdpSocket::bind("127.0.0.1:0")).collect::<Result<_, _>>().map_err(failed)?;
+        let at: Vec<_> = held.iter().map(UdpSocket::local_addr).collect::<Result<_, _>>().map_err(failed)?;
+        drop(held);
+        let mesh = Mesh::new(&at, scenario.seed).map_err(failed)?;
+        let model = Arc::new(Model::new(&scenario.sites.acceptance, scenario.seed ^ 0x5175));
+        let site =
+            |k| Site::start(k, &scenario.sites, WINDOW, model.clone(), history.clone()).map_err(failed);
+        let sites: Vec<Site> = (0..scenario.sites.count).map(site).collect::<Result<_, _>>()?;
+        let (mut pipes, mut resolvers) = (Vec::new(), Vec::new());
+        for who in 0..n {
+            let (mut own, mut instances) = (Vec::new(), Vec::new());
+            for (k, site) in sites.iter().enumerate() {
+                let to = |host: &SocketAddr| Pipe::new(*host, source(who)).map_err(failed);
+                let hosts: Vec<Pipe> = site.hosts.iter().map(to).collect::<Result<_, _>>()?;
+                for (h, pipe) in hosts.iter().enumerate() {
+                    let label = format!("s{k}h{h}");
+                    instances.push((label, pipe.address.port(), vec![format!("cell={k}")]));
+                }
+                own.push(hosts);
+            }
+            let resolver = Resolver::start(&[]);
+            resolver.zone.lock().unwrap().instances = instances;
+            pipes.push(own);
+            resolvers.push(resolver);
+        }
+        let none = || (0..n).map(|_| Mutex::new(None)).collect::<Vec<_>>();
+        Ok(Self {
+            scenario: scenario.clone(),
+            program: program.to_path_buf(),
+            history,
+            mesh,
+            at,
+            sites,
+            pipes,
+            resolvers,
+            model,
+            each: (0..n).map(|_| None).collect(),
+            fronts: Arc::new(none()),
+            controls: Arc::new(Controls(none())),
+        })
+    }
+
+    /// What the checkers are to know.
+    pub(crate) fn setup(&self) -> Setup {
+        let terms = |effect: &str| Terms { effect: effect.into(), window_ms: WINDOW.as_millis() as u64 };
+        let effects = ["safe", "keyed", "unsafe"];
+        Setup {
+            scenario: self.scenario.name.clone(),
+            seed: self.scenario.seed,
+            activators: self.each.len(),
+            voters: self.scenario.accord.as_ref().map_or(0, |a| a.voters),
+            bound_us: self.scenario.accord.as_ref().map_or(0, |a| a.bound_us()),
+            grace_us: GRACE_US,
+            classes: CLASSES.iter().zip(effects).map(|(name, e)| (name.to_string(), terms(e))).collect(),
+            sites: self.sites.len(),
+            hold: self.scenario.hold.clone(),
+        }
+    }
+
+    /// An activator's file.
+    pub(crate) fn file(&self, who: usize) -> String {
+        let n = self.each.len();
+        let mut text = format!(
+            "listen = \"127.0.0.1:0\"\ncontrol = \"127.0.0.1:0\"\nsockets = 1024\nmemory_mb = 192\n\n[hosts]\nresolver = \"{}\"\n\
+             service = \"_script-host._tcp.hosts.test.\"\nactivators = {n}\non_miss = \"miss\"\nkeep_ms = 9500\n\
+             max_attempts = 5\nretry_after_ms = 1000\ncold_from = 0.17\ncold_ms = 18000\nfall_multiple = 4.0\n\
+             fall_ms = 3000\norders = {{ free = 2.0, share = 0.2, period_ms = 10000 }}\n\n",
+            self.resolvers[who].address
+        );
+        let effects = [
+            "effect = \"safe\"\naim_ms = 2000\ngive_up_ms = 5000",
+            "effect = \"keyed\"\nscope = \"cell\"\nwindow_ms = 8000\naim_ms = 1500\ngive_up_ms = 4000",
+            "effect = \"unsafe\"\naim_ms = 1500\ngive_up_ms = 4000",
+        ];
+        for (name, effect) in CLASSES.iter().zip(effects) {
+            text += &format!(
+                "[[class]]\nname = \"{name}\"\n{effect}\nworth = 3.0\nlate_worth = 0.2\nlanes = 16\n\n"
+            );
+        }
+        let period = self.scenario.fleet.period_ms;
+        text +=
+            &format!("[members]\nname = \"m{who}\"\nlisten = \"{}\"\nperiod_ms = {period}\n", self.at[who]);
+        for other in (0..n).filter(|other| *other != who) {
+            let near = self.mesh.near(who, other);
+            text += &format!("[[members.other]]\nname = \"m{other}\"\naddress = \"{near}\"\n");
+        }
+        if !self.scenario.fleet.before.contains(&who) {
+            if let Some(accord) = &self.scenario.accord {
+                text += &accord.table();
+            }
+            text += &self.scenario.fleet.tables;
+        }
+        text
+    }
+
+    fn life(&self, who: usize, turn: Turn) {
+        self.history.saw(Saw::Life { who, turn });
+    }
+
+    /// Starts an activator from nothing.
+    pub(crate) fn start(&mut self, who: usize) -> Result<(), String> {
+        let text = self.file(who);
+        let history = self.history.clone();
+        let n = self.each.len();
+        let tap = move |line: &str| {
+            if let Some(saw) = read_line(who, n, line) {
+                history.saw(saw);
+            }
+        };
+        // Before its first line can come: what it obeys belongs to this life.
+        self.life(who, Turn::Started);
+        let started = Start::new(&self.program, &text, true).tap(Box::new(tap)).run();
+        let program = started.map_err(|said| format!("activator {who}: {said}"))?;
+        *self.controls.0[who].lock().unwrap() = program.control();
+        *self.fronts[who].lock().unwrap() = Some(program.address);
+        self.each[who] = Some(program);
+        Ok(())
+    }
+
+    /// Starts all and waits until each knows hosts and all others.
+    pub(crate) fn meet(&mut self) -> Result<(), String> {
+        (0..self.each.len()).try_for_each(|who| self.start(who))?;
+        let begun = Instant::now();
+        for who in 0..self.each.len() {
+            while !self.ready(who) {
+                if begun.elapsed() > MEET {
+                    return Err(format!("activator {who} did not come to know hosts and the others"));
+                }
+                std::thread::sleep(ms(20));
+            }
+        }
+        Ok(())
+    }
+
+    fn ready(&self, who: usize) -> bool {
+        let front = *self.fronts[who].lock().unwrap();
+        let healthy = front.is_some_and(|front| {
+            let config = ureq::Agent::config_builder().timeout_global(Some(ms(500))).proxy(None).build();
+            let agent: ureq::Agent = config.into();
+            agent.get(format!("http://{front}/healthz")).call().is_ok()
+        });
+        let met = self.controls.view(who, "/members").and_then(|view| there(who, &view));
+        let agreed = self.scenario.accord.is_none()
+            || self.scenario.fleet.before.contains(&who)
+            || self.controls.view(who, "/accord").is_some_and(|view| version(&view).is_some());
+        healthy && agreed && met.is_some_and(|there| there.len() == self.each.len())
+    }
+
+    pub(crate) fn signal(&mut self, who: usize, turn: Turn) {
+        let Some(program) = &mut self.each[who] else { return };
+        match turn {
+            Turn::Stopped => {
+                program.stop(true);
+                self.life(who, turn);
+            }
+            Turn::Continued => {
+                // Told first: what it says from then on, it says as one that was let go.
+                self.life(who, turn);
+                if let Some(program) = &self.each[who] {
+                    program.stop(false);
+                }
+            }
+            Turn::Killed => {
+                self.gone(who);
+                self.life(who, turn);
+                self.each[who] = None;
+                self.life(who, Turn::Ended);
+            }
+            Turn::Told => {
+                self.life(who, turn);
+                self.gone(who);
+                if let Some(program) = &mut self.each[who] {
+                    program.signal(Send::Terminate);
+                    if program.ended_within(Duration::from_secs(20)).is_none() {
+                        let said = format!("activator {who} did not end within 20 s of being told");
+                        self.history.saw(Saw::Trouble { said });
+                    }
+                }
+                self.each[who] = None;
+                self.life(who, Turn::Ended);
+            }
+            Turn::Started | Turn::Ended => {}
+        }
+    }
+
+    /// No new call is sent there.
+    fn gone(&self, who: usize) {
+        *self.fronts[who].lock().unwrap() = None;
+        *self.controls.0[who].lock().unwrap() = None;
+    }
+}
+
+/// Those whom a view of `GET /members` holds for there, the one who says so among them.
+pub(crate) fn there(who: usize, view: &Value) -> Option<Vec<usize>> {
+    let mut there = vec![who];
+    for member in view["members"].as_array()? {
+        let state = member["state"].as_str()?;
+        if state == "alive" || state == "suspect" {
+            there.push(member["name"].as_str()?.strip_prefix('m')?.parse().ok()?);
+        }
+    }
+    there.sort_unstable();
+    Some(there)
+}
+
+/// The newest version that a view of `GET /accord` says to be obeyed.
+pub(crate) fn version(view: &Value) -> Option<u64> {
+    let acting = &view["acting"];
+    let number = |v: &Value| v.as_u64().or_else(|| v["number"].as_u64());
+    ["version", "new", "number"].iter().find_map(|key| number(&acting[*key]))
+}
+
+/// What a line of the log shows, if anything. `number` activators have names `m0`, `m1` and so on.
+fn read_line(who: usize, number: usize, line: &str) -> Option<Saw> {
+    let text = line.split_once(' ').map_or(line, |(_, text)| text);
+    if let Some(rest) = text.strip_prefix("accord: acts on ") {
+        let words: Vec<&str> = rest.split([' ', ',', ':']).collect();
+        let obeys = match words[..] {
+            ["the", "floor", "of", n, ..] => Obeys::Floor(n.parse().ok()?),
+            ["the", "floor", ..] => Obeys::Floor(0),
+            ["both", old, "and", new, ..] => Obeys::Both(old.parse().ok()?, new.parse().ok()?),
+            [n, digest, ..] => Obeys::One(n.parse().ok()?, digest.to_string()),
+            _ => return None,
+        };
+        return Some(Saw::Acts { who, obeys });
+    }
+    let gone = text.strip_prefix("activator m").and_then(|rest| rest.split_once(" is gone"));
+    let of = gone.and_then(|(of, _)| of.parse().ok()).filter(|of| *of < number)?;
+    Some(Saw::Gone { who, of })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rstest::rstest;
+    use serde_json::json;
+
+    #[rstest]
+    #[case::one("1.5 accord: acts on 7 0a1b2c3d", Some(Saw::Acts { who: 1, obeys: Obeys::One(7, "0a1b2c3d".into()) }))]
+    #[case::both("1.5 accord: acts on both 7 and 8", Some(Saw::Acts { who: 1, obeys: Obeys::Both(7, 8) }))]
+    #[case::floor("1.5 accord: acts on the floor of 7", Some(Saw::Acts { who: 1, obeys: Obeys::Floor(7) }))]
+    #[case::bare_floor("1.5 accord: acts on the floor", Some(Saw::Acts { who: 1, obeys: Obeys::Floor(0) }))]
+    #[case::gone("1.5 activator m2 is gone: heard 1740 ms ago", Some(Saw::Gone { who: 1, of: 2 }))]
+    #[case::stranger("1.5 activator m9 is gone: heard 1740 ms ago", None)]
+    #[case::other("1.5 host s0h0 is there", None)]
+    fn lines_of_the_log_are_read(#[case] line: &str, #[case] wanted: Option<Saw>) {
+        assert_eq!(read_line(1, 3, line), wanted);
+    }
+
+    #[test]
+    fn views_are_read() {
+        let view = json!({"members": [{"name": "m0", "state": "alive"}, {"name": "m2", "state": "gone"}]});
+        assert_eq!(there(1, &view), Some(vec![0, 1]));
+        assert_eq!(there(1, &json!({})), None);
+    }
+}
