--- /dev/null
+++ b/crates/drafts/tests/properties.rs
@@ -0,0 +1,285 @@
+//! What holds for any history: nothing counts twice, nothing grows beyond its bound, nothing that is read breaks the reader.
+
+use std::time::Duration;
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use wheellink_drafts::{Draft, Drafts, Name, Out, Ran, Refused, Settings, Table, Workload, MOST_BYTES};
+
+const MEMBERS: usize = 3;
+
+fn settings() -> Settings {
+    let secs = Duration::from_secs;
+    Settings {
+        epoch: secs(600),
+        review: secs(1),
+        period: secs(1),
+        fanout: 2,
+        drafters: 2,
+        ..Settings::default()
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Serve {
+        who: usize,
+        word: u8,
+        draft: Draft,
+        band: u8,
+        rounds: u32,
+    },
+    Wake(usize),
+    Deliver {
+        which: usize,
+        keep: bool,
+    },
+    /// Only so many of the bytes come.
+    Half {
+        which: usize,
+        bytes: usize,
+    },
+    Drop(usize),
+    Restart(usize),
+}
+
+fn draft() -> impl Strategy<Value = Draft> {
+    (0u8..=2, 1u8..=8).prop_map(|(drafter, length)| match drafter {
+        0 => Draft::OFF,
+        _ => Draft { drafter, length },
+    })
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        6 => (0..MEMBERS, 0u8..3, draft(), 0u8..4, 1u32..50)
+            .prop_map(|(who, word, draft, band, rounds)| Step::Serve { who, word, draft, band, rounds }),
+        6 => (0..MEMBERS).prop_map(Step::Wake),
+        8 => (any::<usize>(), any::<bool>()).prop_map(|(which, keep)| Step::Deliver { which, keep }),
+        1 => (any::<usize>(), 0usize..MOST_BYTES).prop_map(|(which, bytes)| Step::Half { which, bytes }),
+        2 => any::<usize>().prop_map(Step::Drop),
+        1 => (0..MEMBERS).prop_map(Step::Restart),
+    ]
+}
+
+fn ran(word: u8, draft: Draft, band: u8, rounds: u32) -> Ran {
+    let accepted: Vec<u32> = (0..u32::from(draft.length)).map(|i| rounds * (8 - i) / 10).collect();
+    let tokens = rounds + accepted.iter().sum::<u32>();
+    let workload = Workload::new(&format!("w{word}")).unwrap();
+    Ran {
+        workload,
+        draft,
+        band,
+        version: 1,
+        rounds,
+        accepted,
+        tokens,
+        time: Duration::from_millis(u64::from(rounds) * 9),
+    }
+}
+
+struct World {
+    members: Vec<Drafts>,
+    now: Duration,
+    lives: u64,
+    /// Rounds that a member served, in all its lives and in this one.
+    served: [u64; MEMBERS],
+    this_life: [u64; MEMBERS],
+    wire: Vec<(usize, usize, Vec<u8>)>,
+}
+
+impl World {
+    fn new() -> Self {
+        let (now, wire) = (Duration::ZERO, Vec::new());
+        let mut world = Self { members: Vec::new(), now, lives: 0, served: [0; 3], this_life: [0; 3], wire };
+        for who in 0..MEMBERS {
+            let member = world.life(who);
+            world.members.push(member);
+        }
+        world
+    }
+
+    fn life(&mut self, who: usize) -> Drafts {
+        self.lives += 1;
+        let mut drafts = Drafts::new(settings(), Name(who as u32), self.lives, self.lives, self.now).unwrap();
+        drafts.set_members((0..MEMBERS as u32).map(Name), MEMBERS - 1);
+        drafts
+    }
+
+    fn take(&mut self, step: &Step) {
+        self.now += Duration::from_millis(100);
+        match step.clone() {
+            Step::Serve { who, word, draft, band, rounds } => {
+                self.members[who].served(self.now, &ran(word, draft, band, rounds)).unwrap();
+                self.served[who] += u64::from(rounds);
+                self.this_life[who] += u64::from(rounds);
+            }
+            Step::Wake(who) => {
+                self.now += Duration::from_secs(1);
+                let mut out = Vec::new();
+                self.members[who].wake(self.now, &mut out);
+                for o in out {
+                    if let Out::Send { to, data } = o {
+                        assert!(data.len() <= MOST_BYTES);
+                        self.wire.push((who, to.0 as usize, data));
+                    }
+                }
+            }
+            Step::Deliver { which, keep } if !self.wire.is_empty() => {
+                let at = which % self.wire.len();
+                let (from, to, data) = if keep { self.wire[at].clone() } else { self.wire.swap_remove(at) };
+                self.members[to].heard(self.now, Name(from as u32), &data, &mut Vec::new());
+            }
+            Step::Half { which, bytes } if !self.wire.is_empty() => {
+                let (from, to, data) = self.wire[which % self.wire.len()].clone();
+                let cut = &data[..bytes.min(data.len() - 1)];
+                self.members[to].heard(self.now, Name(from as u32), cut, &mut Vec::new());
+            }
+            Step::Drop(which) if !self.wire.is_empty() => {
+                let at = which % self.wire.len();
+                self.wire.swap_remove(at);
+            }
+            Step::Restart(who) => {
+                self.members[who] = self.life(who);
+                self.this_life[who] = 0;
+            }
+            _ => {}
+        }
+    }
+
+    /// Rounds that one holds of another, told by itself and by others.
+    fn held(&self, at: usize, of: usize) -> (u64, u64) {
+        let view = self.members[at].view(self.now);
+        view.members.iter().find(|m| m.member == of as u32).map_or((0, 0), |m| (m.rounds, m.hearsay))
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 64, failure_persistence: None, rng_seed: RngSeed::Fixed(33), ..ProptestConfig::default() })]
+
+    #[test]
+    fn nothing_counts_twice(steps in proptest::collection::vec(step(), 1..160)) {
+        let mut world = World::new();
+        for step in &steps {
+            world.take(step);
+            for at in 0..MEMBERS {
+                let view = world.members[at].view(world.now);
+                for member in &view.members {
+                    let (direct, hearsay, most) = (member.rounds, member.hearsay, world.served[member.member as usize]);
+                    prop_assert!(direct <= most && hearsay <= most, "at {at}: {member:?} of {most}");
+                }
+                // What weighs is in the sums of the verdicts: never more than all served.
+                let weighs: u64 = view.workloads.values().map(|w| w.rounds).sum();
+                prop_assert!(weighs <= world.served.iter().sum::<u64>(), "{weighs} weigh at {at}");
+            }
+        }
+        // All that is still to come arrives, in any order, twice: then this life is known whole.
+        for _ in 0..25 {
+            (0..MEMBERS).for_each(|who| world.take(&Step::Wake(who)));
+            while !world.wire.is_empty() {
+                let which = world.wire.len() - 1;
+                world.take(&Step::Deliver { which, keep: true });
+                world.take(&Step::Deliver { which, keep: false });
+            }
+        }
+        for at in 0..MEMBERS {
+            for of in (0..MEMBERS).filter(|of| *of != at) {
+                let (direct, _) = world.held(at, of);
+                prop_assert!(direct >= world.this_life[of], "{} of {}: {} of {}", at, of, direct, world.this_life[of]);
+            }
+        }
+    }
+
+    #[test]
+    fn no_bytes_break_the_reader(
+        noise in proptest::collection::vec(any::<u8>(), 0..MOST_BYTES + 20),
+        flips in proptest::collection::vec((any::<usize>(), any::<u8>()), 1..6),
+    ) {
+        let mut world = World::new();
+        for rounds in 1..20 {
+            let draft = Draft { drafter: 1, length: (rounds % 8 + 1) as u8 };
+            world.take(&Step::Serve { who: 0, word: (rounds % 3) as u8, draft, band: 0, rounds });
+        }
+        world.take(&Step::Wake(0));
+        let (_, _, real) = world.wire[0].clone();
+        let mut out = Vec::new();
+        world.members[1].heard(world.now, Name(0), &noise, &mut out);
+        let mut bent = real.clone();
+        for (at, byte) in flips {
+            let at = at % bent.len();
+            bent[at] ^= byte;
+        }
+        world.members[1].heard(world.now, Name(0), &bent, &mut out);
+        world.members[1].heard(world.now, Name(77), &real, &mut out);
+        // It goes on to work and to decide.
+        let later = world.now + Duration::from_secs(5);
+        world.members[1].wake(later, &mut out);
+        let _ = world.members[1].proposal(later, &Table::new(), 1);
+        let view = world.members[1].view(later);
+        prop_assert!(view.rows <= settings().rows_in_all);
+        prop_assert!(view.refused.values().sum::<u64>() > 0, "a stranger is refused at least");
+    }
+
+    /// One that makes up lives, words and rows takes no more room than its bound, and leaves others theirs.
+    #[test]
+    fn what_is_made_up_stays_within_bounds(seed in any::<u64>()) {
+        let small = Settings { workloads: 8, rows: 32, rows_in_all: 64, lives: 2, ..settings() };
+        let now = Duration::from_secs(1);
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let mut victim = Drafts::new(small.clone(), Name(1), 1, 1, now).unwrap();
+        victim.set_members([Name(2), Name(3)], 2);
+        for life in 0..12 {
+            let big = Settings { rows: 4_096, rows_in_all: 4_096, workloads: 1_024, ..settings() };
+            let mut forger = Drafts::new(big, Name(2), life, seed, now).unwrap();
+            forger.set_members([Name(1)], 1);
+            for _ in 0..60 {
+                let draft = Draft { drafter: 1, length: rng.u8(1..=8) };
+                let _ = forger.served(now, &ran(rng.u8(..), draft, rng.u8(0..4), 5));
+            }
+            for second in 1..6 {
+                let mut out = Vec::new();
+                forger.wake(now + Duration::from_secs(second * 2), &mut out);
+                for o in out {
+                    if let Out::Send { data, .. } = o {
+                        victim.heard(now + Duration::from_secs(second * 2), Name(2), &data, &mut Vec::new());
+                    }
+                }
+            }
+            let view = victim.view(now);
+            prop_assert!(view.rows <= 64, "{} rows", view.rows);
+            prop_assert!(view.members.iter().all(|m| m.lives <= 2));
+        }
+        let mine = victim.served(now, &ran(200, Draft::OFF, 0, 5));
+        // Rows of one member do not fill the whole here, and words of others only the half.
+        prop_assert!(mine.is_ok() || victim.view(now).rows >= 64, "{mine:?}");
+    }
+}
+
+#[test]
+fn counts_that_cannot_be_are_refused_by_reason() {
+    let now = Duration::from_secs(1);
+    let mut drafts = Drafts::new(settings(), Name(1), 1, 1, now).unwrap();
+    let good = ran(0, Draft { drafter: 1, length: 3 }, 0, 10);
+    assert_eq!(drafts.served(now, &good), Ok(()));
+    type Change = fn(&mut Ran);
+    let cases: [(Refused, Change); 10] = [
+        (Refused::Accepted, |r| r.accepted = vec![11, 3, 2]),
+        (Refused::Accepted, |r| r.accepted = vec![3, 4, 2]),
+        (Refused::Positions, |r| r.accepted = vec![3, 2]),
+        (Refused::Tokens, |r| r.tokens = 10_000),
+        (Refused::Time, |r| r.time = Duration::ZERO),
+        (Refused::Time, |r| r.time = Duration::from_secs(41)),
+        (Refused::Rounds, |r| (r.rounds, r.accepted, r.tokens) = (0, vec![0; 3], 0)),
+        (Refused::Band, |r| r.band = 4),
+        (Refused::Draft, |r| r.draft = Draft { drafter: 3, length: 3 }),
+        (Refused::Draft, |r| r.draft = Draft { drafter: 0, length: 3 }),
+    ];
+    for (why, change) in cases {
+        let mut bad = good.clone();
+        change(&mut bad);
+        assert_eq!(drafts.served(now, &bad), Err(why), "{bad:?}");
+    }
+    let view = drafts.view(now);
+    assert_eq!(view.members[0].rounds, 10, "nothing of them was counted");
+    assert_eq!(view.refused.values().sum::<u64>(), 10);
+}
