--- a/tests/common/fleet.rs
+++ b/tests/common/fleet.rs
@@ -25,6 +25,8 @@
     pub held: u32,
     /// Calls that came since it started cold, and when.
     pub sent: Vec<Micros>,
+    /// ... and whether their routers had been told of the start.
+    pub told: Vec<bool>,
 }
 
 enum Due {
@@ -126,6 +128,8 @@
     listed: BTreeMap<String, Condition>,
     /// When each router was told that a host drains.
     drains: BTreeMap<(usize, String), Micros>,
+    /// The last start of each host that each router was told of.
+    starts: BTreeMap<(usize, String), Micros>,
 }
 
 const CORES: u32 = 4;
@@ -171,6 +175,7 @@
             orders: vec![Vec::new(); routers],
             listed: BTreeMap::new(),
             drains: BTreeMap::new(),
+            starts: BTreeMap::new(),
         };
         let list: Vec<_> = fleet.hosts.keys().map(|n| Self::entry(n, Condition::Up, 0)).collect();
         for r in 0..routers {
@@ -180,6 +185,15 @@
         fleet
     }
 
+    /// What a cold host bears by the settings: this share of its capacity at first, times this.
+    pub fn bears(&mut self, share: f64, multiple: f64) {
+        (self.settings.cold_from, self.settings.fall_multiple) = (share, multiple);
+        for r in 0..self.routers.len() {
+            let told = Settings { me: r as u32, ..self.settings.clone() };
+            self.tell(r, Event::Settings(Box::new(told)));
+        }
+    }
+
     fn fresh(&self, me: usize, life: u64) -> Router {
         Router::new(Settings { me: me as u32, ..self.settings.clone() }, me as u64 * 97 + life).unwrap()
     }
@@ -204,6 +218,7 @@
         for (n, h) in &self.hosts {
             let condition = self.listed.get(n).copied().unwrap_or(Condition::Up);
             entries.push(Self::entry(n, condition, h.started));
+            self.starts.insert((r, n.clone()), h.started);
             if condition != Condition::Up {
                 self.drains.entry((r, n.clone())).or_insert(self.now);
             }
@@ -306,6 +321,7 @@
                 Due::Told { router, event } => self.tell(router, event),
                 Due::Wake { router } => self.tell(router, Event::Woken),
                 Due::List { router, entry } => {
+                    self.starts.insert((router, entry.worker.0.to_string()), entry.ready_at);
                     if entry.condition == Condition::Up {
                         self.drains.remove(&(router, entry.worker.0.to_string()));
                     } else {
@@ -366,6 +382,7 @@
                 let (number, due, function) = (open.tries - 1, open.due, open.function.clone());
                 let h = self.hosts.get_mut(&host).expect("a host");
                 h.sent.push(now);
+                h.told.push(self.starts.get(&(router, host.clone())) == Some(&h.started));
                 self.seen.pairs.insert((router, worker.clone()));
                 *self.seen.drawn.entry((now / STRETCH, host.clone())).or_default() += 1;
                 if self.settings.when_cold == WhenCold::Loads
@@ -514,6 +531,33 @@
         most
     }
 
+    /// Cold hosts that fell: over N + 3 roots of N + 3 requests in a window, N being what the settings allow at its
+    /// end, and over two thirds of them of routers that had been told of the start. With the most of this that any
+    /// host got near.
+    pub fn fallen(&self) -> (Vec<String>, f64) {
+        let s = &self.settings;
+        let (mut fallen, mut most) = (Vec::new(), 0.0_f64);
+        for (name, h) in self.hosts.iter().filter(|(_, h)| h.started > 0) {
+            for (i, at) in h.sent.iter().enumerate() {
+                let age = (at - h.started).max(0);
+                let share = s.cold_from + (1.0 - s.cold_from) * age as f64 / s.cold_for as f64;
+                let bears = f64::from(self.cores) / self.work as f64 * s.fall_window as f64;
+                let n = s.fall_multiple * share * bears;
+                let window: Vec<_> =
+                    (i..h.sent.len()).take_while(|k| h.sent[*k] < at + s.fall_window).collect();
+                let told = window.iter().filter(|k| h.told[**k]).count() as f64;
+                let limit = n + 3.0 * (n + 3.0).sqrt();
+                if age < s.cold_for {
+                    most = most.max(told / limit);
+                    let fell = window.len() as f64 > limit && told * 3.0 > window.len() as f64 * 2.0;
+                    fallen.extend(fell.then(|| name.clone()));
+                }
+            }
+        }
+        fallen.dedup();
+        (fallen, most)
+    }
+
     /// Lets all end: then each call has had its one answer.
     pub fn settle(&mut self) {
         self.pass(5 * S, 0.0);
--- a/tests/mass.rs
+++ b/tests/mass.rs
@@ -154,3 +154,29 @@
     let (half, end) = (mean(3000), mean(6600));
     assert!(half > 100.0 && (end / half - 1.0).abs() < 0.1, "{half} entries at half time, {end} at the end");
 }
+
+/// Six in ten hosts start anew, under new names or their own, and each router is told of each at a moment of its
+/// own within four seconds. Who was not told yet goes on as before; those told keep to what cold hosts bear, all together.
+#[test]
+fn told_routers_push_no_cold_host_over_whenever_each_is_told() {
+    for (anew, tell) in [(true, 256), (false, 0)] {
+        let mut fleet = Fleet::new(ROUTERS, HOSTS, 400, tell);
+        fleet.bears(0.1, 1.5);
+        fleet.pass(3 * S, RATE);
+        for i in (0..HOSTS).filter(|i| i % 5 < 3) {
+            let n = if anew { format!("h{}", i + 1000) } else { format!("h{i}") };
+            if anew {
+                fleet.list(&format!("h{i}"), Condition::Gone, 300 * MS);
+            }
+            fleet.start_host(&n);
+            fleet.list(&n, Condition::Up, 4 * S);
+        }
+        fleet.pass(7 * S, RATE);
+        let (fallen, most) = fleet.fallen();
+        let sent: usize = fleet.hosts.values().filter(|h| h.started > 0).map(|h| h.sent.len()).sum();
+        println!("anew {anew}, tell {tell}: {most:.2} of what fells one, {sent} sends");
+        assert!(fallen.is_empty(), "anew {anew}, tell {tell}: {fallen:?} fell, {most:.2}");
+        assert!(sent > 40, "they are put to use: {sent} sends");
+        fleet.settle();
+    }
+}
