--- a/crates/lab/src/rig.rs
+++ b/crates/lab/src/rig.rs
@@ -51,6 +51,11 @@
         Some((answer.status().as_u16(), said))
     }
 
+    /// Whether there is such a process, stopped or not.
+    pub(crate) fn runs(&self, who: usize) -> bool {
+        self.0[who].lock().unwrap().is_some()
+    }
+
     /// What an activator says at a path, if it says 200 within half a second.
     pub(crate) fn view(&self, who: usize, path: &str) -> Option<Value> {
         let (status, said) = self.ask(who, "GET", path, b"", ms(500))?;
@@ -336,5 +341,9 @@
         let view = json!({"members": [{"name": "m0", "state": "alive"}, {"name": "m2", "state": "gone"}]});
         assert_eq!(there(1, &view), Some(vec![0, 1]));
         assert_eq!(there(1, &json!({})), None);
+        let number = |acting| version(&json!({"acting": acting}));
+        assert_eq!(number(json!({"on": "one", "version": {"number": 3}})), Some(3));
+        assert_eq!(number(json!({"on": "both", "old": {"number": 3}, "new": {"number": 4}})), Some(4));
+        assert_eq!(number(json!({"on": "floor"})), None);
     }
 }
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -222,7 +222,7 @@
     pub drop: Vec<String>,
     /// A list and how many made-up entries it gets.
     pub list: Option<(String, usize)>,
-    /// How long after it was sent its proposer is killed, in milliseconds.
+    /// How long after it took the change up its proposer is killed, in milliseconds.
     pub then_kill_ms: Option<u64>,
 }
 
