Accord bound: agreed settings in the engine under leases, prepared beside the loop

The document on which activators agree had no effect on calls. It is read on a thread of its own through crates/handoff, looked up by version when the accord says what is obeyed, and put in force before the next call leaves: engine settings (Event::Terms holds open calls to the stricter of old and new), hosts out apart from those out by hand, the fleet's caps by equal shares, lists of functions and addresses. The lease is looked at on CLOCK_BOOTTIME before any event is handled and before each send; sends decided by older terms are decided anew. GET and POST /accord; SIGHUP; off without [accord]. Tests with three processes: change, cut, stop over the lease, proposer killed, all restarted, host out, refusals. Per class attempts in the core. Ruled out: indexing in the loop; the terms of two versions made from a merged document (they come from the readings of both, so nothing is indexed when they begin).

--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -44,6 +44,8 @@
     pub drafts: Option<drafts::Setup>,
     /// How turns of conversations are routed, where that is set up.
     pub turns: Option<turns::Setup>,
+    /// The settings on which activators agree, where that is set up.
+    pub accord: Option<crate::accords::Setup>,
     /// The file as it was read, but for the host list: what a new file must not lack.
     form: Value,
 }
@@ -186,6 +188,7 @@
         members: None,
         drafts: None,
         turns: None,
+        accord: None,
         side: Side::Platform { bus: address("bus", &file.bus)?, offset: file.known.offset, known: known? },
     })
 }
@@ -216,6 +219,7 @@
     #[case::invoke(include_str!("../../deploy/invoke.toml"), false)]
     #[case::admission(include_str!("../../deploy/admission.toml"), false)]
     #[case::members(include_str!("../../deploy/members.toml"), false)]
+    #[case::together(include_str!("../../deploy/together.toml"), false)]
     #[case::rollout(include_str!("../../deploy/rollout.toml"), true)]
     fn the_files_under_deploy_are_taken(#[case] text: &str, #[case] rollout: bool) {
         let config = operator(text).unwrap_or_else(|e| panic!("{e}"));
--- a/node/src/config/operator.rs
+++ b/node/src/config/operator.rs
@@ -27,6 +27,7 @@
     members: Option<crate::fellows::Setup>,
     drafts: Option<super::drafts::Setup>,
     turns: Option<super::turns::Setup>,
+    accord: Option<crate::accords::Setup>,
     #[serde(default)]
     class: Vec<ClassTable>,
     #[serde(default)]
@@ -241,6 +242,13 @@
         zones: file.hosts.zones,
         transport,
     };
+    if let Some(accord) = &file.accord {
+        // Two versions of the program would have to vote as one.
+        wrong(file.rollout.is_some(), "accord: it does not go beside [rollout]")?;
+        let (settings, classes) = (deployment.settings.clone(), deployment.classes.clone());
+        let base = crate::accords::terms::Base { settings, classes, tenants: deployment.tenants.clone() };
+        accord.check(file.members.as_ref(), &base)?;
+    }
     Ok(Config {
         form: serde_json::Value::Null,
         control: file.control,
@@ -256,6 +264,7 @@
         members: file.members,
         drafts: file.drafts,
         turns: file.turns,
+        accord: file.accord,
     })
 }
 
@@ -291,5 +300,6 @@
         worth: c.worth,
         late_worth: c.late_worth,
         effect,
+        attempts: None,
     })
 }
--- a/node/src/control.rs
+++ b/node/src/control.rs
@@ -7,6 +7,7 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use wheellink::Micros;
+use wheellink_accord::Change;
 use wheellink_admission::Prefix;
 use wheellink_rollout::Plan;
 
@@ -18,8 +19,8 @@
 /// Callers at once. Who is not done makes room for a new one, longest first: calls are answered in the turn
 /// in which they are whole, so nobody who has called waits among them.
 pub const MOST: usize = 12;
-/// The longest plan of a rollout, and more.
-const LONGEST_BODY: usize = 16 << 10;
+/// The longest change of agreed settings: some thousand entries, which are read within a few milliseconds.
+const LONGEST_BODY: usize = 256 << 10;
 const INBOX: usize = LONGEST_BODY + http::LONGEST_HEAD;
 const OUTBOX: usize = 256 << 10;
 /// A call must be whole within this time.
@@ -46,6 +47,8 @@
     Drafts,
     /// Where prefixes of conversations are held, and how turns were routed.
     Turns,
+    /// What is agreed among activators; or a change of it.
+    Accord(Option<Box<Change>>),
 }
 
 /// What an operator asks of admission.
@@ -141,9 +144,8 @@
 pub fn call(request: &Request) -> Result<Call, Response> {
     let path = request.path.split('?').next().unwrap_or_default();
     let wanted = match (path, request.method.as_str()) {
-        ("/status" | "/admission" | "/members" | "/drafts" | "/turns", _) | ("/rollout", "GET" | "HEAD") => {
-            "GET"
-        }
+        ("/status" | "/admission" | "/members" | "/drafts" | "/turns", _) => "GET",
+        ("/rollout" | "/accord", "GET" | "HEAD") => "GET",
         _ => "POST",
     };
     let call = match path {
@@ -151,6 +153,7 @@
         "/maintenance/enter" | "/maintenance/exit" => {
             Call::Host { id: String::new(), out: path.ends_with("enter") }
         }
+        "/accord" => Call::Accord(None),
         "/members" | "/members/leave" => Call::Members { leave: path.ends_with("leave") },
         "/drafts" => Call::Drafts,
         "/turns" => Call::Turns,
@@ -173,6 +176,10 @@
         },
         Call::Rollout(_) => rollout(request, path).map(Call::Rollout),
         Call::Admission(_) => admission(request, path).map(Call::Admission),
+        Call::Accord(_) if request.method == "POST" => match crate::accords::change(&request.body) {
+            Ok(change) => Ok(Call::Accord(Some(Box::new(change)))),
+            Err(problem) => Err(Response::problem(400, &problem)),
+        },
         call => Ok(call),
     }
 }
@@ -358,6 +365,9 @@
     #[case::get_block("GET", "/admission/block", "", Err(405))]
     #[case::drafts("GET", "/drafts", "", Ok(Call::Drafts))]
     #[case::post_drafts("POST", "/drafts", "", Err(405))]
+    #[case::accord("GET", "/accord", "", Ok(Call::Accord(None)))]
+    #[case::change("POST", "/accord", r#"{"base":7}"#, Ok(Call::Accord(Some(Box::new(Change { base: 7, ..Change::default() })))))]
+    #[case::no_base("POST", "/accord", r#"{"set":{}}"#, Err(400))]
     #[case::cut("POST", "/maintenance/exit", r#"{"host":"a"#, Err(400))]
     fn a_call_is_read_or_turned_down(
         #[case] method: &str,
--- a/node/src/hosts/pool.rs
+++ b/node/src/hosts/pool.rs
@@ -233,13 +233,13 @@
         self.members.contains_key(host) || self.barred.contains(host)
     }
 
-    pub fn is_barred(&self, host: &WorkerId) -> bool {
-        self.barred.contains(host)
+    /// All that have been listed and may be again.
+    pub fn listed(&self) -> impl Iterator<Item = &WorkerId> {
+        self.members.keys()
     }
 
-    /// All that are out by hand.
-    pub fn barred(&self) -> impl Iterator<Item = &WorkerId> {
-        self.barred.iter()
+    pub fn is_barred(&self, host: &WorkerId) -> bool {
+        self.barred.contains(host)
     }
 
     /// Takes a host out by hand, or back in. What has not begun to leave is withdrawn; what runs may end.
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -1,6 +1,7 @@
 //! The real activator: the wheellink engine on sockets.
 #![forbid(unsafe_code)]
 
+mod accords;
 mod bus;
 mod clock;
 mod config;
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -1,6 +1,7 @@
 //! The node: one engine, the fronts before it, the hosts and the bus behind it, on one thread. It hands what
 //! each of them has learnt to the engine and carries out what the engine commands.
 
+mod accord;
 mod drafts;
 mod entrance;
 mod life;
@@ -11,7 +12,7 @@
 mod together;
 mod turns;
 
-use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::net::TcpListener;
 use std::rc::Rc;
 use std::time::Duration;
@@ -157,6 +158,11 @@
     turning: Option<Box<Turning>>,
     /// An operator's hosts as they were told last.
     listed: BTreeMap<WorkerId, ListEntry>,
+    /// Settings with versions, where they are agreed; and the file's with what is obeyed in their place.
+    agreed: Option<accord::Agreed>,
+    agreed_settings: Option<Settings>,
+    /// Hosts that operators have taken out here.
+    by_hand: BTreeSet<WorkerId>,
     door: Option<Door>,
     control_door: Option<Door>,
     control: Control,
@@ -248,6 +254,9 @@
             drafting: None,
             turning: None,
             listed: BTreeMap::new(),
+            agreed: None,
+            agreed_settings: None,
+            by_hand: BTreeSet::new(),
             config,
             clock,
             log: Log::new(),
@@ -308,12 +317,14 @@
         let house = self.kept_house + HOUSEKEEPING;
         let fellows = self.fellows.as_ref().map_or(Micros::MAX, |f| f.next_tick(now));
         let drafting = self.drafting.as_ref().map_or(Micros::MAX, |d| d.next_tick(now));
+        let agreed = self.next_accord(now);
         engine
             .min(hosts)
             .min(news)
             .min(fellows)
             .min(drafting)
             .min(self.next_turn(now))
+            .min(agreed)
             .min(doors)
             .min(house)
             .min(self.gradual.next_tick(now))
@@ -329,6 +340,7 @@
 
     /// Looks at what the loop found ready. A reload is the caller's, who knows where the configuration lies.
     pub fn woken(&mut self, wake: Wake) {
+        self.mind_accord();
         match wake {
             Wake::Client(id) => self.client_ready(id),
             Wake::Host(id) => self.host_ready(id),
@@ -342,6 +354,7 @@
             Wake::Guests => self.guests_ready(),
             Wake::Fellows => self.fellows_ready(),
             Wake::Members => self.members_ready(),
+            Wake::Prepared => self.prepared(),
             Wake::Stop => self.stop(),
             Wake::Reload => {}
         }
@@ -349,6 +362,9 @@
 
     /// What is due by now; how long nothing else will be.
     pub fn turn(&mut self) -> Duration {
+        if self.mind_accord() {
+            self.settle();
+        }
         let now = self.clock.now();
         if self.has_more() {
             match &mut self.side {
@@ -449,6 +465,8 @@
     fn carry_out(&mut self, command: Command) {
         let now = self.clock.now();
         match command {
+            // Decided by terms that are not obeyed any more: it is decided anew.
+            Command::Send { attempt, .. } if self.mind_accord() => self.never_left(now, attempt),
             Command::Send { attempt, host, until } => {
                 self.turn_sent(now, attempt, &host);
                 self.send(now, attempt, host, until)
@@ -466,22 +484,4 @@
             Command::Log { text } => self.log.line(now, text),
         }
     }
-
-    fn host_notice(&mut self, notice: hosts::Notice) {
-        let now = self.clock.now();
-        match notice {
-            hosts::Notice::Attempt { attempt, end, body, fields } => {
-                self.drafted(now, attempt, &end, &fields);
-                self.turn_ended(now, attempt, &end, &fields);
-                if let Some(pending) = self.pending.get_mut(&attempt.ticket) {
-                    pending.answer = (end.outcome == Outcome::Done).then_some((attempt, body));
-                }
-                self.tell_end(attempt, end.outcome);
-                self.run_engine(|engine, out| engine.attempt_ended(now, attempt, end, out));
-            }
-            hosts::Notice::Order { order, outcome, copies } => {
-                self.run_engine(|engine, out| engine.order_ended(now, order, outcome, copies, out));
-            }
-        }
-    }
 }
--- a/node/src/node/entrance.rs
+++ b/node/src/node/entrance.rs
@@ -155,6 +155,9 @@
     /// A connection has been accepted: it is taken in, or closed unread.
     pub(super) fn receive(&mut self, now: Micros, stream: std::net::TcpStream, peer: SocketAddr) {
         let from = peer.ip();
+        if self.is_address_out(from) {
+            return;
+        }
         let Some(gate) = &mut self.entrance.gate else {
             self.take_in(now, Guest { stream, peer, known: false, proxied: false });
             return;
--- a/node/src/node/life.rs
+++ b/node/src/node/life.rs
@@ -7,7 +7,7 @@
     pub(super) fn inherit(&mut self, state: &State) {
         let now = self.clock.now();
         for id in &state.out {
-            self.bar(now, &id.as_str().into(), true);
+            self.bar_by_hand(now, &id.as_str().into(), true);
         }
         self.stand_by(now, state.standby);
         if let Some(learnt) = &state.admission {
@@ -92,7 +92,7 @@
             News::Said(Message::Host { id, out }) => {
                 let way = if out { "out by hand" } else { "back in" };
                 self.log.line(now, format_args!("host {id} is {way}, the other process was told"));
-                self.bar(now, &id.as_str().into(), out)
+                self.bar_by_hand(now, &id.as_str().into(), out)
             }
             News::Said(Message::Standby { on }) => self.stand_by(now, on),
             News::Said(Message::Admission(call)) => drop(self.set_prefix(now, &call)),
@@ -117,6 +117,9 @@
                     self.door.iter_mut().for_each(Door::reopen);
                     self.part(now);
                     self.attend_members();
+                    // What was promised under this name since then was another life's.
+                    self.agreed = None;
+                    self.attend_accord(now);
                     self.shine(now);
                 }
             }
@@ -133,7 +136,7 @@
     pub(super) fn state(&mut self) -> State {
         self.tallied = self.clock.now();
         let mut state = State {
-            out: self.hosts.barred().map(|h| h.0.to_string()).collect(),
+            out: self.by_hand.iter().map(|h| h.0.to_string()).collect(),
             standby: self.standby,
             admission: self.entrance.state(self.tallied),
             bus: match &self.side {
@@ -155,6 +158,7 @@
         self.upgrade.tell(&Message::Ready);
         self.log.line(now, "taking clients");
         self.attend_members();
+        self.attend_accord(now);
         self.shine(now);
         Ok(())
     }
@@ -255,6 +259,7 @@
         let now = self.clock.now();
         let taken = config.and_then(|config| {
             self.config.may_be_followed_by(&config)?;
+            self.may_be_followed(&config)?;
             self.take_up(now, config)
         });
         match taken {
@@ -306,6 +311,7 @@
         if let Side::Operator { front, .. } = &mut self.side {
             front.asks = asks;
         }
+        self.agreed_settings = None;
         let settings = self.binding();
         self.run_engine(|engine, out| engine.settings(now, settings, patience, out));
         self.attend_peers();
@@ -313,6 +319,7 @@
             self.attend_members();
         }
         self.attend_turns(now);
+        self.attend_accord(now);
         self.rebind(now);
         self.resize();
         Ok(what)
--- a/node/src/node/news.rs
+++ b/node/src/node/news.rs
@@ -110,6 +110,7 @@
         self.hosts.list(now, kind, &hosts, &mut self.log);
         let entries: Vec<ListEntry> = hosts.into_iter().map(|h| h.entry).collect();
         self.list_for_turns(kind, &entries);
+        self.bar_agreed(now, entries.iter().map(|e| &e.worker));
         self.run_engine(|engine, out| engine.hosts(now, kind, entries, out));
     }
 
--- a/node/src/node/operators.rs
+++ b/node/src/node/operators.rs
@@ -36,6 +36,7 @@
                 Some(drafting) => Response::json(200, drafting.show()),
                 None => Response::problem(404, "this activator learns no drafts"),
             },
+            control::Call::Accord(change) => self.operate_accord(now, change.map(|change| *change)),
             control::Call::Members { leave } => {
                 if leave {
                     self.leave_members(now);
@@ -51,15 +52,15 @@
                 if !self.hosts.knows(&host) {
                     return Response::problem(404, "no script host has this id");
                 }
-                if self.hosts.is_barred(&host) != out {
-                    if self.hosts.barred().count() >= MOST_BARRED && out {
+                if self.by_hand.contains(&host) != out {
+                    if self.by_hand.len() >= MOST_BARRED && out {
                         return Response::problem(409, "too many hosts are out by hand");
                     }
                     self.log.line(
                         now,
                         format_args!("host {id} is {}", if out { "out by hand" } else { "back in" }),
                     );
-                    self.bar(now, &host, out);
+                    self.bar_by_hand(now, &host, out);
                     self.upgrade.tell(&Message::Host { id: id.clone(), out });
                 }
                 Response::json(200, serde_json::json!({"host": id, "out": out}))
@@ -80,15 +81,29 @@
         let caught_up = self.is_caught_up(now);
         let ready = self.door.is_some() && caught_up && !self.standby && self.stopping.is_none();
         let clients = self.clients();
-        let out: Vec<&str> = self.hosts.barred().map(|h| &*h.0).collect();
+        let out: Vec<&str> = self.by_hand.iter().map(|h| &*h.0).collect();
         let told = serde_json::json!({"ready": ready, "standby": self.standby, "stopping": self.stopping.is_some(),
             "caught_up": caught_up, "out": out, "requests": self.engine.open(), "clients": clients});
         Response::json(if ready { 200 } else { 503 }, told)
     }
 
-    /// Takes a host out by hand, or back in. The pool is told first when it is to be used again, as the engine
-    /// may send at once, and after the engine else, so that what is withdrawn goes elsewhere.
-    pub(super) fn bar(&mut self, now: Micros, host: &WorkerId, out: bool) {
+    /// Takes a host out by hand, or back in.
+    pub(super) fn bar_by_hand(&mut self, now: Micros, host: &WorkerId, out: bool) {
+        if out {
+            self.by_hand.insert(host.clone());
+        } else {
+            self.by_hand.remove(host);
+        }
+        self.bar(now, host);
+    }
+
+    /// Has a host out if that was said by hand or is agreed, else in. The pool is told first when it is to be used
+    /// again, as the engine may send at once, and after the engine else, so that what is withdrawn goes elsewhere.
+    pub(super) fn bar(&mut self, now: Micros, host: &WorkerId) {
+        let out = self.by_hand.contains(host) || self.is_out_as_agreed(host);
+        if self.hosts.is_barred(host) == out {
+            return;
+        }
         if !out {
             self.hosts.bar(now, host, out, &mut self.log);
         }
--- a/node/src/node/requests.rs
+++ b/node/src/node/requests.rs
@@ -83,7 +83,7 @@
         }
         // No client waits longer than its class says; what is open for a day would pile up.
         let class = class.unwrap_or(usize::MAX);
-        let known = self.config.deployment.settings.classes.get(class);
+        let known = self.agreed().classes.get(class);
         let longest = known.map_or(LONGEST_UNKNOWN, |c| 2 * c.give_up);
         let incoming = Incoming {
             id: request.id,
@@ -106,8 +106,8 @@
 
     pub(super) fn invoke_call(&mut self, conn: ConnId, origin: invoke::Origin, call: invoke::Call) {
         let now = self.clock.now();
+        let Some(settings) = self.agreed().classes.get(call.class).copied() else { return };
         let Side::Operator { classes, ids, .. } = &mut self.side else { return };
-        let Some(settings) = self.config.deployment.settings.classes.get(call.class) else { return };
         let (deferred, lanes) = classes[call.class];
         let usual = match origin {
             invoke::Origin::Waiting(_) => settings.give_up,
@@ -150,6 +150,10 @@
     ) {
         let Some((origin, incoming)) = self.advise(now, conn, origin, incoming, again) else { return };
         let size = incoming.body.len();
+        if !self.is_within_caps(now, incoming.tenant, &incoming.function) {
+            let retry_after = self.config.deployment.settings.max_retry_after;
+            return self.reply(now, &origin, Reply::Refused(retry_after));
+        }
         let (owner, asking) = match self.let_in(now, conn, (incoming.class, incoming.tenant, size)) {
             Ok(admitted) => admitted,
             Err(reply) => return self.reply(now, &origin, reply),
@@ -253,4 +257,22 @@
             _ => {}
         }
     }
+
+    pub(super) fn host_notice(&mut self, notice: hosts::Notice) {
+        let now = self.clock.now();
+        match notice {
+            hosts::Notice::Attempt { attempt, end, body, fields } => {
+                self.drafted(now, attempt, &end, &fields);
+                self.turn_ended(now, attempt, &end, &fields);
+                if let Some(pending) = self.pending.get_mut(&attempt.ticket) {
+                    pending.answer = (end.outcome == Outcome::Done).then_some((attempt, body));
+                }
+                self.tell_end(attempt, end.outcome);
+                self.run_engine(|engine, out| engine.attempt_ended(now, attempt, end, out));
+            }
+            hosts::Notice::Order { order, outcome, copies } => {
+                self.run_engine(|engine, out| engine.order_ended(now, order, outcome, copies, out));
+            }
+        }
+    }
 }
--- a/node/src/node/rollout/candidate.rs
+++ b/node/src/node/rollout/candidate.rs
@@ -134,7 +134,7 @@
         }
     }
 
-    pub(super) fn never_left(&mut self, now: Micros, attempt: AttemptId) {
+    pub(in crate::node) fn never_left(&mut self, now: Micros, attempt: AttemptId) {
         self.tell_end(attempt, Outcome::NotSent);
         self.run_engine(|engine, out| engine.attempt_ended(now, attempt, Outcome::NotSent.into(), out));
     }
--- a/node/src/node/together.rs
+++ b/node/src/node/together.rs
@@ -9,7 +9,7 @@
         let parcels = self.fellows.as_mut().map(Fellows::parcels).unwrap_or_default();
         for Parcel { from, kind, data } in parcels {
             match kind {
-                Kind::Accord => {}
+                Kind::Accord => self.heard_accord(now, from, &data),
                 Kind::Drafts => self.drafts_heard(now, from, &data),
                 Kind::Turns => self.hear_of_turns(from.0, &data),
             }
--- a/node/src/wake.rs
+++ b/node/src/wake.rs
@@ -28,6 +28,8 @@
     Fellows,
     /// Other activators have sent word of who is alive.
     Members,
+    /// A document of the agreed settings was read beside the loop.
+    Prepared,
     /// Connections of clients wait to be accepted.
     Clients,
     /// Connections of operators wait to be accepted.
--- /dev/null
+++ b/node/tests/accord.rs
@@ -0,0 +1,259 @@
+//! Several activators that agree on settings, as processes of their own, with faults between and in them.
+
+mod common;
+
+use std::thread::sleep;
+
+use common::links::*;
+use common::*;
+use rstest::rstest;
+use serde_json::Value;
+
+/// Short enough for tests, long enough that a busy machine keeps a lease.
+const LEASE: u64 = 1_500;
+
+const ACCORD: &str = r#"
+[accord]
+voters = ["m0", "m1", "m2"]
+lease_ms = 1500
+period_ms = 60
+patience_ms = 4000
+functions_out = "functions"
+[accord.document]
+"class/check-score/attempts" = 4
+[accord.floor]
+"class/check-score/attempts" = 1
+"class/check-score/effect" = "unsafe"
+"#;
+
+fn fleet() -> Fleet {
+    let fleet = Fleet::met_with(3, ACCORD);
+    acts_on(&fleet, &[0, 1, 2], "one");
+    fleet
+}
+
+fn show(fleet: &Fleet, at: usize) -> Value {
+    let (status, said) = fleet.each[at].as_ref().expect("it runs").ask("GET", "/accord", "");
+    assert_eq!(status, 200);
+    said
+}
+
+/// Waits until each of these acts on `floor`, `one` or `both`.
+fn acts_on(fleet: &Fleet, each: &[usize], what: &str) {
+    for at in each {
+        wait_for(&format!("m{at} on {what}"), || show(fleet, *at)["acting"]["on"] == what);
+    }
+}
+
+/// Waits until all of these act on one version of at least this number, and says which.
+fn agreed(fleet: &Fleet, each: &[usize], number: u64) -> Value {
+    let version = |at: usize| show(fleet, at)["acting"]["version"].clone();
+    wait_for("one version", || {
+        let first = version(each[0]);
+        first["number"].as_u64().is_some_and(|n| n >= number) && each.iter().all(|at| version(*at) == first)
+    });
+    version(each[0])
+}
+
+/// Changes these keys at one of them, on whatever is in force.
+fn change(fleet: &Fleet, at: usize, set: &str) -> (u16, Value) {
+    let base = show(fleet, at)["acting"]["version"]["number"].as_u64().expect("a version");
+    let program = fleet.each[at].as_ref().expect("it runs");
+    program.ask("POST", "/accord", &format!(r#"{{"base":{base},"set":{set}}}"#))
+}
+
+/// A change that is taken: the number that all act on then.
+fn changed(fleet: &Fleet, at: usize, set: &str) -> u64 {
+    let before = show(fleet, at)["acting"]["version"]["number"].as_u64().expect("a version");
+    let (status, said) = change(fleet, at, set);
+    assert_eq!(status, 202, "{said}");
+    agreed(fleet, &[0, 1, 2], before + 1)["number"].as_u64().expect("a number")
+}
+
+/// Serves a call of this class there: the status.
+fn serves(fleet: &Fleet, at: usize) -> u16 {
+    fleet.each[at].as_ref().expect("it runs").http(&call("f", "check-score", &[], "x")).status
+}
+
+fn cut(fleet: &Fleet, one: usize, loss: u8) {
+    for other in (0..3).filter(|i| *i != one) {
+        fleet.lose(one, other, loss);
+        fleet.lose(other, one, loss);
+    }
+}
+
+/// What each logged of what it acts on, in order, without what repeats.
+fn acts(fleet: &Fleet, at: usize) -> Vec<String> {
+    let lines = fleet.each[at].as_ref().expect("it runs").lines();
+    let acts = lines.iter().filter_map(|l| Some(l.split_once("accord: acts on ")?.1.to_string()));
+    acts.collect()
+}
+
+#[test]
+fn a_change_is_in_force_at_all_and_goes_through_both() {
+    let fleet = fleet();
+    let number = changed(&fleet, 1, r#"{"class/check-score/attempts":2,"list/functions/gone":true}"#);
+    for at in 0..3 {
+        let acts = acts(&fleet, at);
+        let both = format!("both {} and {number}", number - 1);
+        assert!(acts.contains(&both), "{acts:?}");
+        assert!(acts.last().is_some_and(|last| last.starts_with(&format!("{number} "))), "{acts:?}");
+        let refused = fleet.each[at].as_ref().unwrap().http(&call("gone", "check-score", &[], "x"));
+        assert_eq!((refused.status, serves(&fleet, at)), (503, 200), "the list is in force");
+    }
+}
+
+#[test]
+fn one_that_is_cut_off_falls_to_the_floor_serves_on_and_comes_back() {
+    let fleet = fleet();
+    cut(&fleet, 0, 255);
+    acts_on(&fleet, &[0], "floor");
+    assert_eq!(serves(&fleet, 0), 200, "it serves on");
+    assert!(acts(&fleet, 0).last().is_some_and(|last| last.starts_with("the floor of ")));
+    // The others go on without it, once its lease is over.
+    let before = agreed(&fleet, &[1, 2], 0)["number"].as_u64().unwrap();
+    assert_eq!(change(&fleet, 1, r#"{"class/check-score/aim_ms":1900}"#).0, 202);
+    cut(&fleet, 0, 0);
+    agreed(&fleet, &[0, 1, 2], before + 1);
+    assert_eq!(serves(&fleet, 0), 200);
+}
+
+#[test]
+fn one_that_was_stopped_over_its_lease_falls_before_it_does_anything() {
+    let fleet = fleet();
+    let stopped = fleet.each[2].as_ref().unwrap();
+    // Soft and hard at once; the host knows by the number of attempts what was obeyed.
+    stopped.stop(true);
+    sleep(ms(2 * LEASE));
+    let before = acts(&fleet, 2).len();
+    // This waits for it in the queue of its listener: it is looked at after the lease.
+    let waiting = std::thread::scope(|scope| {
+        let asked = scope.spawn(|| stopped.http(&call("f", "check-score", &[], "x")).status);
+        sleep(ms(100));
+        stopped.stop(false);
+        asked.join().unwrap()
+    });
+    assert_eq!(waiting, 200);
+    let after = acts(&fleet, 2);
+    assert!(after[before].starts_with("the floor of "), "first of all: {after:?}");
+    agreed(&fleet, &[0, 1, 2], 0);
+}
+
+#[test]
+fn a_proposer_that_is_killed_leaves_one_version_to_all() {
+    let mut fleet = fleet();
+    let before = agreed(&fleet, &[0, 1, 2], 0)["number"].as_u64().unwrap();
+    assert_eq!(change(&fleet, 0, r#"{"class/check-score/attempts":3}"#).0, 202);
+    fleet.process(0).kill();
+    fleet.each[0] = None;
+    // It came into force or not, and either is the same for both; then the next change goes through.
+    fleet.start(0);
+    let now = agreed(&fleet, &[0, 1, 2], 0)["number"].as_u64().unwrap();
+    assert!(now == before || now == before + 1, "{before} {now}");
+    wait_for("the next change", || change(&fleet, 1, r#"{"class/check-score/aim_ms":1800}"#).0 == 202);
+    agreed(&fleet, &[0, 1, 2], now + 1);
+}
+
+#[test]
+fn voters_that_are_all_restarted_agree_again_and_serve_meanwhile() {
+    let mut fleet = fleet();
+    changed(&fleet, 0, r#"{"class/check-score/attempts":2}"#);
+    for at in 0..3 {
+        fleet.process(at).kill();
+        fleet.each[at] = None;
+    }
+    (0..3).for_each(|at| fleet.start(at));
+    for at in 0..3 {
+        wait_for("hosts", || serves(&fleet, at) == 200);
+        let acts = acts(&fleet, at);
+        assert!(acts[0].starts_with("the floor of "), "nothing is known and nothing granted: {acts:?}");
+    }
+    agreed(&fleet, &[0, 1, 2], 0);
+}
+
+#[test]
+fn a_host_that_is_out_as_agreed_is_out_everywhere_and_by_hand_besides() {
+    let id = "h0._script-host._tcp.hosts.test.";
+    // What a document may ever have out stands in the floor: one that is cut off must keep to it too.
+    let fleet = Fleet::met_with(3, &format!("{ACCORD}\"out/{id}\" = true\n"));
+    acts_on(&fleet, &[0, 1, 2], "one");
+    (0..3).for_each(|at| wait_for("hosts", || serves(&fleet, at) == 200));
+    let (status, said) = change(&fleet, 0, r#"{"out/another":true}"#);
+    assert!(status == 400 && said.to_string().contains("out/another: stricter than the floor"), "{said}");
+    changed(&fleet, 0, &format!(r#"{{"out/{id}":true}}"#));
+    assert!((0..3).all(|at| serves(&fleet, at) != 200), "there is no other host");
+    let program = fleet.each[0].as_ref().unwrap();
+    assert_eq!(program.operate("POST", "/maintenance/exit", &format!(r#"{{"host":"{id}"}}"#)), 200);
+    assert_ne!(serves(&fleet, 0), 200, "what is agreed stands against what is said by hand");
+}
+
+#[rstest]
+#[case::base(r#"{"base":99999,"set":{"class/check-score/attempts":2}}"#, 409, "in force")]
+#[case::key(
+    r#"{"base":BASE,"set":{"class/check-score/tries":2}}"#,
+    400,
+    "class/check-score/tries: no such key"
+)]
+#[case::value(
+    r#"{"base":BASE,"set":{"class/check-score/attempts":0}}"#,
+    400,
+    "class/check-score/attempts: 0"
+)]
+#[case::class(r#"{"base":BASE,"set":{"class/check-scores/attempts":1}}"#, 400, "no class check-scores")]
+#[case::nothing(r#"{"base":BASE,"set":{}}"#, 400, "changes nothing")]
+#[case::text("a change", 400, "the body")]
+fn a_bad_change_is_refused_whole(#[case] body: &str, #[case] wanted: u16, #[case] reason: &str) {
+    let fleet = fleet();
+    let before = show(&fleet, 0)["acting"].clone();
+    let base = before["version"]["number"].to_string();
+    let (status, said) = fleet.each[0].as_ref().unwrap().ask("POST", "/accord", &body.replace("BASE", &base));
+    assert!(status == wanted && said.to_string().contains(reason), "{status} {said}");
+    assert_eq!(show(&fleet, 0)["acting"], before);
+}
+
+#[rstest]
+#[case::members("[accord]\nvoters = [\"a\", \"b\", \"c\"]", false, "it needs [members]")]
+#[case::even("[accord]\nvoters = [\"a\", \"b\"]", true, "accord.voters: 2 names")]
+#[case::few("[accord]\nvoters = [\"a\"]", true, "accord.voters: 1 names, 3 to 9")]
+#[case::stranger(
+    "[accord]\nvoters = [\"a\", \"b\", \"x\"]",
+    true,
+    "accord.voters: x is the name of no member"
+)]
+#[case::lease("[accord]\nvoters = [\"a\", \"b\", \"c\"]\nlease_ms = 100", true, "accord.lease_ms")]
+#[case::word("[accord]\nvoters = [\"a\", \"b\", \"c\"]\nleases = 1", true, "unknown field")]
+#[case::class(
+    "[accord]\nvoters = [\"a\", \"b\", \"c\"]\n[accord.document]\n\"class/none/aim_ms\" = 5",
+    true,
+    "accord.document: class/none/aim_ms: the file of this activator has no class none"
+)]
+#[case::floor(
+    "[accord]\nvoters = [\"a\", \"b\", \"c\"]\n[accord.document]\n\"limit/open\" = 5",
+    true,
+    "accord.floor: limit/open"
+)]
+#[case::aim(
+    "[accord]\nvoters = [\"a\", \"b\", \"c\"]\n[accord.document]\n\"class/check-score/give_up_ms\" = 5",
+    true,
+    "class/check-score/give_up_ms: it is below aim_ms"
+)]
+fn a_setup_that_makes_no_sense_is_turned_down(
+    #[case] setup: &str,
+    #[case] members: bool,
+    #[case] wanted: &str,
+) {
+    let other = |(n, port)| format!("[[members.other]]\nname = \"{n}\"\naddress = \"127.0.0.1:{port}\"");
+    let others = [("b", 9), ("c", 10)].map(other).join("\n");
+    let watched = format!("[members]\nname = \"a\"\nlisten = \"127.0.0.1:0\"\n{others}");
+    let file = operator_file("127.0.0.1:9".parse().unwrap());
+    let text = format!("{file}\n{}\n{setup}\n", if members { watched } else { String::new() });
+    let (status, said) = turned_down(&text, true);
+    assert!(!status.success() && said.contains(wanted), "{said}");
+}
+
+#[test]
+fn without_a_setup_nothing_is_agreed() {
+    let program = Program::start(&operator_file("127.0.0.1:9".parse().unwrap()), true);
+    assert_eq!(program.operate("GET", "/accord", ""), 404);
+    assert_eq!(program.operate("POST", "/accord", r#"{"base":1}"#), 404);
+}
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -239,5 +239,6 @@
         worth: p.importance,
         late_worth: p.late_worth.unwrap_or(0.0),
         effect,
+        attempts: None,
     })
 }
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -349,6 +349,13 @@
         self.tell(Event::Settings(Box::new(settings)), out);
     }
 
+    /// Takes other terms of the same classes and tenants, by the same indexes. What is open is held to the stricter of
+    /// those it came under and these.
+    pub fn terms(&mut self, now: Micros, settings: Settings, out: &mut Vec<Command>) {
+        self.advance(now);
+        self.tell(Event::Terms(Box::new(settings)), out);
+    }
+
     /// What a process needs that takes this one's place.
     pub fn legacy(&self) -> Legacy {
         self.router.legacy()
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -49,8 +49,21 @@
     Unsafe,
 }
 
+impl Effect {
+    /// What breaks neither: unsafe before keyed before safe; of two keyed, the narrower scope and the shorter window.
+    pub fn stricter(self, other: Self) -> Self {
+        match (self, other) {
+            (Self::Unsafe, _) | (_, Self::Unsafe) => Self::Unsafe,
+            (Self::Safe, strict) | (strict, Self::Safe) => strict,
+            (Self::Keyed { scope: a, window: x }, Self::Keyed { scope: b, window: y }) => {
+                Self::Keyed { scope: a.max(b), window: x.min(y) }
+            }
+        }
+    }
+}
+
 /// Workers that drop each other's repeats of a keyed request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Scope {
     /// All of them.
     All,
@@ -73,6 +86,8 @@
     pub late_worth: f64,
     /// Whether it may run twice.
     pub effect: Effect,
+    /// Attempts that one request of it may have, where they are fewer than [`Settings::max_attempts`].
+    pub attempts: Option<u32>,
 }
 
 /// A tenant's share of the service.
@@ -162,7 +177,8 @@
         let bad = |wrong: bool, what| if wrong { Err(SettingsError(what)) } else { Ok(()) };
         bad(self.classes.is_empty(), "no classes")?;
         bad(self.routers == 0, "no routers")?;
-        bad(self.max_attempts == 0, "no attempts allowed")?;
+        let attempts = self.classes.iter().filter_map(|c| c.attempts).chain([self.max_attempts]);
+        bad(attempts.into_iter().any(|n| n == 0), "no attempts allowed")?;
         let deadlines = self.classes.iter().flat_map(|c| [c.aim, c.give_up]);
         bad(deadlines.into_iter().any(|t| t <= 0), "a deadline that is not above 0")?;
         let windows = self.classes.iter().map(|c| match c.effect {
@@ -436,6 +452,9 @@
     },
     /// The settings have changed. Requests that were open before keep their class and tenant.
     Settings(Box<Settings>),
+    /// Other terms of the same classes and tenants, by the same indexes. What is open is held to the stricter of those
+    /// it came under and these, from now on.
+    Terms(Box<Settings>),
     /// What another router told.
     Heard {
         /// Its number.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -127,7 +127,7 @@
                 let fresh = Request {
                     class,
                     terms: self.settings.classes[class],
-                    attempts: self.settings.max_attempts,
+                    attempts: self.settings.classes[class].attempts.unwrap_or(self.settings.max_attempts),
                     tenant,
                     arrived: self.now,
                     worth: self.worth(class, tenant, repeat),
@@ -183,6 +183,7 @@
             }
             Event::Barred { worker, out } => self.bar(&worker, out),
             Event::Settings(settings) => self.retune(*settings),
+            Event::Terms(settings) => self.rebind(*settings),
             Event::Heard { from, data } => self.hear(from, &data),
             Event::Inherited(legacy) => self.inherit(legacy),
             Event::Attempted(past) => self.attempted(past),
@@ -510,8 +511,8 @@
     }
 
     /// Copies about to be unloaded though calls still come are renewed: what is called at the pace of the
-    /// keep-alive, as by timers, would find each copy just gone. Each router sees its part of the calls: where
-    /// all should have come often, the others have them, or nobody has.
+    /// keep-alive, as by timers, would find each copy just gone. Each router sees its part of the calls:
+    /// where all should have come often, the others have them, or nobody has.
     fn renew(&mut self, out: &mut Vec<Action>) {
         let (now, pace) = (self.now, (self.settings.keep as f64 * RENEW_FOR) as Micros);
         let soon = |p: &Place| (now + 1..now + RENEW_BEFORE).contains(&p.warm_until) && p.in_flight == 0;
--- a/src/state.rs
+++ b/src/state.rs
@@ -503,6 +503,18 @@
         self.settings = settings;
     }
 
+    /// Takes other terms of the same classes and tenants; what is open is held to the stricter of old and new.
+    pub(crate) fn rebind(&mut self, settings: Settings) {
+        self.tenant_rates.resize(settings.tenants.len(), 0.0);
+        for r in self.requests.values_mut() {
+            if let Some(class) = settings.classes.get(r.class) {
+                r.terms.effect = r.terms.effect.stricter(class.effect);
+                r.attempts = r.attempts.min(class.attempts.unwrap_or(settings.max_attempts));
+            }
+        }
+        self.settings = settings;
+    }
+
     /// All that is believed loaded, for a router that takes this one's place.
     pub(crate) fn loaded(&self) -> Vec<Loaded> {
         let places =
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -12,7 +12,7 @@
 pub const KEYED: usize = 2;
 
 pub fn class(effect: Effect) -> Class {
-    Class { aim: 500 * MS, give_up: 2 * S, worth: 1.0, late_worth: 0.1, effect }
+    Class { aim: 500 * MS, give_up: 2 * S, worth: 1.0, late_worth: 0.1, effect, attempts: None }
 }
 
 pub fn settings() -> Settings {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -15,6 +15,35 @@
     }
 }
 
+#[test]
+fn what_is_open_is_held_to_the_stricter_of_its_terms_and_new_ones() {
+    let strict = |effect, attempts| {
+        let mut s = settings();
+        (s.classes[SAFE].effect, s.classes[SAFE].attempts) = (effect, attempts);
+        Event::Terms(Box::new(s))
+    };
+    for (terms, again) in [
+        (strict(Effect::Safe, None), true),
+        (strict(Effect::Unsafe, None), false),
+        (strict(Effect::Safe, Some(1)), false),
+        (strict(Effect::Safe, Some(2)), true),
+    ] {
+        let mut bed = Bed::new(settings(), 3);
+        let (r, out) = bed.call(SAFE, "f");
+        let first = sent(&out).unwrap();
+        bed.event(terms.clone());
+        // Looser ones that follow do not loosen what is open.
+        bed.event(strict(Effect::Safe, None));
+        let out = bed.answer(&r, 0, &first, Outcome::Error);
+        assert_eq!(sent(&out).is_some(), again, "{terms:?}");
+    }
+    // What comes later has the new terms.
+    let mut bed = Bed::new(settings(), 3);
+    bed.event(strict(Effect::Safe, Some(1)));
+    let (r, out) = bed.call(SAFE, "f");
+    assert_eq!(sent(&bed.answer(&r, 0, &sent(&out).unwrap(), Outcome::Error)), None);
+}
+
 #[test]
 fn unsafe_that_never_ran_is_sent_again() {
     for end in [Outcome::Full, Outcome::ConnectFailed] {
