What an earlier process of a host says is not believed of the next one

A list that changes twice while attempts and orders are on their way (a host drains, then stands as a new process under its id) left the module believing: an answer of the old process marked a copy loaded on the new one, its errors rested the new one, and an order that ended with the old connection was taken to stand. src/rules.rs asks whether the worker has started since the attempt was sent.

node/tests/platform.rs: an address taken over by a new id under calls, in three orders of the list; requests read in part at SIGTERM on twelve open connections, cut at four places, get one answer each.

--- a/node/tests/platform.rs
+++ b/node/tests/platform.rs
@@ -282,6 +282,43 @@
     assert_eq!(read_frame(&mut client).unwrap().code, SERVED);
 }
 
+/// A list changes twice while a call is on its way, and a new host takes the address over before the old one is said to be
+/// gone. Whatever belongs to the old one ends with it, and the new one is spoken to on connections of its own.
+#[rstest]
+#[case::told_of_the_new_one_first(vec![vec![(5, 0)], vec![(0, 2)]])]
+#[case::both_at_once(vec![vec![(5, 0), (0, 2)]])]
+#[case::by_a_drain_and_a_whole_list(vec![vec![(0, 1)], vec![(5, 0)]])]
+fn an_address_is_taken_over_by_a_new_id_under_calls(#[case] changes: Vec<Vec<(u32, u8)>>) {
+    let host = Host::warm();
+    let mut p = platform(&[&host]);
+    let mut client = p.program.connect();
+    client.write_all(&call_frame(1, "check-score", 4000, b"")).unwrap();
+    assert_eq!(read_frame(&mut client).unwrap().code, SERVED);
+    let met = host.connections();
+    host.ways.lock().unwrap().work = ms(1_500);
+    // A read goes on elsewhere, here to the new one; a mail may have run, and fails.
+    client.write_all(&call_frame(2, "check-score", 4000, b"read")).unwrap();
+    client.write_all(&call_frame(3, "send-mail", 4000, b"mail")).unwrap();
+    wait_for("the calls", || host.calls() == 3);
+    host.ways.lock().unwrap().work = ms(1);
+    let last = changes.len() as u64 - 1;
+    for (k, hosts) in (0..).zip(&changes) {
+        let hosts: Vec<_> = hosts.iter().map(|(id, state)| (*id, host.address, *state)).collect();
+        // The last of a drain and a start is the whole list, without the old one.
+        let whole = k == last && changes[0] == [(0, 1)];
+        p.feed.write_all(&event(2 + k, whole, &hosts)).unwrap();
+    }
+    wait_for("the old connections' end", || p.program.logged("host s-00000000 ended reason=host_gone") > 0);
+    let mut ends: Vec<_> =
+        (0..2).map(|_| read_frame(&mut client).map(|f| (f.stream, f.code)).unwrap()).collect();
+    ends.sort();
+    assert_eq!(ends, [(2, SERVED), (3, FAILED)]);
+    client.write_all(&call_frame(4, "send-mail", 4000, b"new")).unwrap();
+    assert_eq!(read_frame(&mut client).map(|f| (f.stream, f.code)), Some((4, SERVED)));
+    assert!(host.connections() > met, "a connection of its own");
+    assert_eq!((host.runs("mail"), host.runs("new")), (1, 1), "a mail is sent once");
+}
+
 #[test]
 fn idle_connections_are_closed_with_one_line_each() {
     let host = Host::warm();
@@ -312,6 +349,48 @@
     assert!(p.program.ended().success());
 }
 
+/// SIGTERM finds connections open, each with a request read in part. What is left of them comes within the time that a front
+/// goes on for: each has one answer, and nothing is owed or lost.
+#[rstest]
+#[case::within_the_length(2)]
+#[case::within_the_fields(40)]
+#[case::within_the_body(-5)]
+#[case::but_for_the_last_byte(-1)]
+fn requests_read_in_part_at_sigterm_get_one_answer_each(#[case] cut: isize) {
+    let host = Host::start(Ways { does: Does::Answer("200"), work: ms(300), load: None });
+    let mut p = platform(&[&host]);
+    let call = |stream: u32, n: u32, class: &str| {
+        let (id, key) = (format!("{stream:08x}{n:08x}"), format!("{n:032x}"));
+        let names = [&id, class, &key, &format!("{n:016x}")];
+        whole_call_frame(stream, names, 4000, format!("{class} {n:05}").as_bytes())
+    };
+    let whole = |n: u32| call(2, n, "send-mail");
+    let at = |frame: &[u8]| cut.rem_euclid(frame.len() as isize) as usize;
+    let mut clients: Vec<_> = (0..12).map(|_| p.program.connect()).collect();
+    for (n, client) in (0..).zip(&mut clients) {
+        // Before the half one there is one that is out at its host.
+        let first = call(1, n, "check-score");
+        client.write_all(&[&first[..], &whole(n)[..at(&whole(n))]].concat()).unwrap();
+    }
+    wait_for("the calls", || host.calls() == 12);
+    p.program.terminate();
+    for client in &mut clients {
+        assert_eq!(read_frame(client).unwrap().kind, 6);
+    }
+    for (n, client) in (0..).zip(&mut clients) {
+        client.write_all(&whole(n)[at(&whole(n))..]).unwrap();
+    }
+    for (n, client) in (0..).zip(&mut clients) {
+        let mut ends: Vec<_> =
+            (0..2).map(|_| read_frame(client).map(|f| (f.stream, f.code)).unwrap()).collect();
+        ends.sort();
+        assert_eq!(ends, [(1, SERVED), (2, SERVED)], "client {n}");
+        assert_eq!(read_frame(client), None, "client {n}: no second answer");
+        assert_eq!(host.runs(&format!("send-mail {n:05}")), 1);
+    }
+    assert!(p.program.ended().success());
+}
+
 #[rstest]
 #[case::no_json("{", "EOF")]
 #[case::nothing("{}", "listen")]
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -562,6 +562,8 @@
         self.preloads.remove(&(n.clone(), id.clone()));
         let (now, keep) = (self.now, self.settings.keep);
         let Some(p) = self.functions.get_mut(id).and_then(|f| f.places.get_mut(n)) else { return };
+        // An order that ends with the process that had it left nothing behind.
+        let lost = end == Outcome::Reset && p.loading.is_none() && p.warm_until == 0;
         (p.ordered, p.loading) = (false, None);
         if end == Outcome::NotSent {
             // It tells nothing of the worker; to try again at once would be to ask for ever.
@@ -575,7 +577,7 @@
         let Some(p) = self.functions.get_mut(id).and_then(|f| f.places.get_mut(n)) else { return };
         match end {
             // An order that has come whole stands, also when its connection ends: calls wait for its load.
-            Outcome::Reset => (p.warm_until, p.copies) = (now + keep / 2, 1),
+            Outcome::Reset if !lost => (p.warm_until, p.copies) = (now + keep / 2, 1),
             Outcome::ConnectFailed => self.failed(n, end, out),
             // Its memory is all at work, or it drains and the list does not tell yet: to order there again at
             // once would spend the ration, at every router of a large fleet.
@@ -691,10 +693,13 @@
                 (w.heard, w.spoke) = (now, now);
             }
         }
+        // What an earlier process of the worker says tells nothing of the one that has started since.
+        let earlier = self.workers.get(n).is_some_and(|w| w.started > sent);
         let (keep, mut news) = (self.settings.keep, None);
         if let Some(p) = self.functions.get_mut(&function).and_then(|f| f.places.get_mut(n)) {
             p.in_flight = p.in_flight.saturating_sub(1);
             match outcome {
+                _ if earlier => {}
                 Outcome::Done => {
                     (p.warm_until, p.loading, p.copies) = (now + keep, None, p.copies.max(1));
                     news = (now - p.told_at > keep / TELL_AGAIN).then_some(Word::Holds(0));
@@ -747,6 +752,7 @@
             Outcome::Error if !known && self.trust() > 0.5 => {}
             // A client that gave up early tells nothing; seen seldom, a worker would rest for that alone.
             Outcome::TimedOut if self.seldom() && duration < self.old() => {}
+            _ if earlier => {}
             // A time-out speaks against the worker only when it has been silent since.
             Outcome::TimedOut if !warm || self.workers.get(n).is_none_or(|w| w.heard > sent) => {}
             _ => self.failed(n, outcome, out),
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -865,3 +865,34 @@
         assert!(sent(&bed.call(SAFE, "g").1).is_some(), "{workers} workers");
     }
 }
+
+/// The list changes twice while an attempt is on its way: the host drains and is then a new process under its old id. What
+/// comes of the earlier one tells of no copy, no fault and no standing order at the new one.
+#[test]
+fn what_an_earlier_process_says_is_not_believed_of_the_next() {
+    for end in [Outcome::Done, Outcome::Reset, Outcome::Error, Outcome::TimedOut] {
+        let mut bed = Bed::new(Settings { when_cold: WhenCold::Misses, ..settings() }, 1);
+        bed.serve(SAFE, "f");
+        let open: Vec<_> = (0..4).map(|_| bed.call(SAFE, "f").0).collect();
+        let (missed, out) = bed.call(SAFE, "g");
+        assert!(sent(&out).is_some());
+        let out = bed.answer(&missed, 0, &"w0".into(), Outcome::Miss);
+        assert_eq!(loads(&out).len(), 1, "an order is on its way as well");
+        for condition in [Condition::Draining, Condition::Up] {
+            bed.now += 100 * MS;
+            let ready_at = if condition == Condition::Up { bed.now } else { 0 };
+            let entries = vec![ListEntry { ready_at, ..entry("w0", condition) }];
+            bed.event(Event::List { kind: ListKind::Delta, entries });
+        }
+        for request in &open {
+            let out = bed.answer(request, 0, &"w0".into(), end);
+            assert!(!out.iter().any(|a| matches!(a, Action::Log { .. })), "{end:?}: {out:?} of the new one");
+            bed.event(Event::ClientLeft { request: request.clone() });
+        }
+        let reset = Outcome::Reset;
+        bed.event(Event::LoadEnded { worker: "w0".into(), function: "g".into(), outcome: reset, copies: 0 });
+        bed.pass(100 * MS);
+        let believed = bed.router.legacy().loaded;
+        assert!(believed.is_empty(), "{end:?}: {believed:?} at a process that has loaded nothing");
+    }
+}
