--- a/crates/turns/src/sites.rs
+++ b/crates/turns/src/sites.rs
@@ -13,10 +13,8 @@
 const SHARPNESS: f64 = 4.0;
 /// Weight of an answer in a site's horizon: the first ones, and at last.
 const PACES: (f64, f64) = (0.5, 0.04);
-/// A loss far before the horizon takes it down to this multiple of the age at once.
-const LEAP: f64 = 8.0;
-/// Load is remembered for about so long.
-const LOAD_MEMORY: f64 = 5.0;
+/// Load is remembered for about so many seconds: long enough that the chance of few turns is not held for load.
+pub(crate) const LOAD_MEMORY: f64 = 10.0;
 /// So many conversations one after another that lost all where nearly all was expected tell that a cache is gone.
 const EMPTY_AFTER: u8 = 6;
 /// What other activators told of loads is forgotten after so many periods.
@@ -84,12 +82,8 @@
 
     /// A share of what it was sent at this age was found, told by somebody believed as far as `trust`.
     pub fn learn(&mut self, at: u32, share: f64, trust: f64) {
-        let age = f64::from(self.clock.wrapping_sub(at)).max(1.0).ln();
         let chance = self.keeps(at);
         self.seen += trust;
-        if share < 0.5 && trust > 0.9 {
-            self.ln_horizon = self.ln_horizon.min(age.max(HORIZONS.0.ln()) + LEAP.ln());
-        }
         let pace = (PACES.0 / (1.0 + self.seen / 16.0)).max(PACES.1) * trust;
         self.ln_horizon += pace * (share - chance) * (SHARPNESS / 2.0);
         self.ln_horizon = self.ln_horizon.clamp(HORIZONS.0.ln(), HORIZONS.1.ln());
