--- a/node/tests/accord.rs
+++ b/node/tests/accord.rs
@@ -187,6 +187,65 @@
     assert_ne!(serves(&fleet, 0), 200, "what is agreed stands against what is said by hand");
 }
 
+#[test]
+fn a_file_that_is_read_again_is_held_to_what_is_in_force() {
+    let fleet = fleet();
+    changed(&fleet, 0, r#"{"class/send-mail/aim_ms":1400}"#);
+    let (one, whole) = (fleet.each[0].as_ref().unwrap(), fleet.file(0));
+    one.reload(&whole.replacen("name = \"send-mail\"", "name = \"send-mails\"", 1));
+    let problem = "the old configuration is kept: accord: in force is class/send-mail/aim_ms: the file";
+    wait_for("word of it", || one.logged(problem) > 0);
+    // Another aim in the file: the same life, the same version.
+    one.reload(&whole.replacen("aim_ms = 2000", "aim_ms = 1900", 1));
+    wait_for("word of it", || one.logged("configuration read again") == 1);
+    assert_eq!((show(&fleet, 0)["acting"]["on"].as_str(), acts(&fleet, 0).len()), (Some("one"), 4));
+    // Another lease: another life, which begins on the floor and comes back.
+    one.reload(&whole.replace("period_ms = 60", "period_ms = 70"));
+    wait_for("a new life", || acts(&fleet, 0).last().is_some_and(|last| last.starts_with("the floor")));
+    agreed(&fleet, &[0, 1, 2], 0);
+    one.reload(&whole[..whole.find("[accord]").unwrap()]);
+    wait_for("its end", || one.operate("GET", "/accord", "") == 404);
+    assert_eq!(serves(&fleet, 0), 200);
+}
+
+#[test]
+fn in_an_upgrade_the_new_process_begins_on_the_floor() {
+    let mut fleet = fleet();
+    let old = fleet.each[0].take().expect("it runs");
+    let here = format!("listen = \"{}\"", old.address);
+    let text = fleet.file(0).replacen("listen = \"127.0.0.1:0\"", &here, 1);
+    fleet.each[0] = Some(Program::start(&text, true));
+    wait_for("the new one", || acts(&fleet, 0).first().is_some_and(|first| first.starts_with("the floor")));
+    agreed(&fleet, &[0, 1, 2], 0);
+    // Without its voice the old one keeps to its lease, and not longer.
+    let last = || old.lines().iter().rfind(|l| l.contains("accord: acts on ")).cloned().unwrap_or_default();
+    wait_for("the old one's end of lease", || last().contains("the floor of"));
+    assert_eq!(serves(&fleet, 0), 200);
+}
+
+#[test]
+fn caps_of_the_fleet_are_kept_by_each_ones_share() {
+    let file = "functions_out = \"functions\"\n";
+    let more = ACCORD.replace(file, "") + "\"tenant/kouterzorg/quota_milli\" = 0\n\"limit/open\" = 0\n";
+    let fleet = Fleet::met_with(3, &more);
+    acts_on(&fleet, &[0, 1, 2], "one");
+    let call = call("f", "check-score", &["Wheellink-Tenant: kouterzorg"], "x");
+    let served = |n: usize| {
+        let one = fleet.each[0].as_ref().unwrap();
+        (0..n).filter(|_| one.http(&call).status == 200).count()
+    };
+    wait_for("hosts", || served(1) == 1);
+    // A call in ten seconds for the whole fleet is one in thirty for each.
+    changed(&fleet, 1, r#"{"tenant/kouterzorg/quota_milli":100}"#);
+    assert_eq!(served(5), 1);
+    assert_eq!(
+        show(&fleet, 0)["limits"]["tenants_per_s"]["kouterzorg"].as_f64().map(|x| x < 0.034),
+        Some(true)
+    );
+    changed(&fleet, 1, r#"{"limit/open":2}"#);
+    assert_eq!((served(1), serves(&fleet, 0)), (0, 503), "two among three are none for each");
+}
+
 #[rstest]
 #[case::base(r#"{"base":99999,"set":{"class/check-score/attempts":2}}"#, 409, "in force")]
 #[case::key(
