--- a/node/src/front/platform.rs
+++ b/node/src/front/platform.rs
@@ -153,9 +153,10 @@
         Self { handle, conns, most, conn_idle, bytes, again, ready: true, parting: None, notices }
     }
 
-    /// Whether nothing is owed to anybody: all answers have left.
+    /// Whether nothing is owed to anybody: all answers have left, and no frame is still coming. One that stops
+    /// coming ends its connection, so that nobody is waited for without end.
     pub fn is_quiet(&self) -> bool {
-        self.conns.values().all(|c| c.open.is_empty() && c.conn.outbox.is_empty())
+        self.conns.values().all(|c| c.is_idle())
     }
 
     /// Takes a connection in; `None` where that cannot be.
--- a/node/tests/platform.rs
+++ b/node/tests/platform.rs
@@ -391,6 +391,23 @@
     assert!(p.program.ended().success());
 }
 
+/// One that is still being read when the time for what may come is over: it is waited for as long as it moves.
+#[test]
+fn a_request_that_comes_slowly_over_sigterm_is_answered() {
+    let host = Host::warm();
+    let mut p = platform(&[&host]);
+    let mut client = p.program.connect();
+    let whole = call_frame(1, "send-mail", 4000, b"slow");
+    p.program.terminate();
+    assert_eq!(read_frame(&mut client).unwrap().kind, 6);
+    for piece in whole.chunks(whole.len() / 3 + 1) {
+        client.write_all(piece).unwrap();
+        sleep(ms(600));
+    }
+    assert_eq!(read_frame(&mut client).map(|f| (f.stream, f.code)), Some((1, SERVED)));
+    assert!(p.program.ended().success());
+}
+
 #[rstest]
 #[case::no_json("{", "EOF")]
 #[case::nothing("{}", "listen")]
