Drafts come into force as an agreed version; a minority publishes nothing

Measured: three processes under faults (death, a cut during which acceptance collapses): the table moves to long drafts, then off; the one that is cut off falls to the floor, publishes nothing and takes up the new version when it is back.

--- a/node/tests/drafts.rs
+++ b/node/tests/drafts.rs
@@ -497,3 +497,62 @@
     let (status, said) = turned_down(&format!("{file}\n[drafts]\n{setup}\n"), true);
     assert!(!status.success() && said.contains(wanted), "{said}");
 }
+
+const AGREED: &str = "[accord]\nvoters = [\"m0\", \"m1\", \"m2\"]\nlease_ms = 1000\nperiod_ms = 100\n\
+    [accord.floor]\n\"draft/check-score/0\" = \"1:1\"\n[accord.document]\n\"draft/check-score/0\" = \"1:1\"\n";
+
+impl Fleet {
+    fn in_force(&self, at: usize) -> Option<String> {
+        self.view(at)["table"][format!("{CLASS}/0")].as_str().map(str::to_string)
+    }
+
+    fn version(&self, at: usize) -> u64 {
+        self.view(at)["learnt"]["version"].as_u64().unwrap()
+    }
+}
+
+/// What was learnt comes into force as an agreed version; a minority publishes nothing and falls to the floor.
+#[test]
+fn what_is_learnt_comes_into_force_by_agreement_and_not_in_a_minority() {
+    let mut fleet = Fleet::met(3, GOOD);
+    fleet.more.push_str(AGREED);
+    (0..3).for_each(|i| fleet.start(i));
+    let mut loads = serving(&fleet);
+    let long = |w: Option<String>| w.is_some_and(|w| ["1:7", "1:8"].contains(&w.as_str()));
+    for i in 0..3 {
+        wait_for("long drafts in force", || long(fleet.in_force(i)));
+    }
+    let before = (0..3).map(|i| fleet.version(i)).max().unwrap();
+    assert!(before > 0);
+    // The third dies and comes back: it takes up what is in force.
+    loads.pop().map(Load::end);
+    fleet.each[2].as_mut().unwrap().kill();
+    fleet.start(2);
+    loads.push(Load::on(fleet.process(2)));
+    wait_for("the version in force", || long(fleet.in_force(2)) && fleet.version(2) >= before);
+    let before = (0..3).map(|i| fleet.version(i)).max().unwrap();
+    fleet.cut(0, 1, true);
+    fleet.cut(0, 2, true);
+    *fleet.model.model.lock().unwrap() = Model { rate: 0.05, cost: (9_000.0, 4_000.0), absurd: false };
+    for i in [1, 2] {
+        wait_for("drafts to be off", || {
+            assert!(fleet.version(0) <= before, "{}", fleet.view(0));
+            fleet.in_force(i).as_deref() == Some("0:0")
+        });
+    }
+    wait_for("the floor", || fleet.version(0) == 0 && fleet.in_force(0).as_deref() == Some("1:1"));
+    let until = Instant::now() + Duration::from_secs(3);
+    while Instant::now() < until {
+        assert_eq!(
+            (fleet.version(0), fleet.in_force(0).as_deref()),
+            (0, Some("1:1")),
+            "it publishes nothing"
+        );
+        sleep(ms(50));
+    }
+    fleet.cut(0, 1, false);
+    fleet.cut(0, 2, false);
+    wait_for("drafts to be off for all", || fleet.in_force(0).as_deref() == Some("0:0"));
+    assert!(fleet.version(0) > before);
+    assert!(loads.into_iter().map(Load::end).all(|served| served > 0));
+}
