Drafts: the document's floor holds without a lease, and a new setup takes up what is agreed

Without a lease the file's table was in force instead of the document's floor, and [drafts] that came by a reload ran under the file's table until the next version.

--- a/node/src/node/drafts.rs
+++ b/node/src/node/drafts.rs
@@ -95,10 +95,13 @@
     pub(super) fn set_table(&mut self, version: Option<(u64, Table)>) {
         let now = self.now();
         let (number, over) = version.unwrap_or_default();
-        (self.version, self.table) = (number, self.floor.clone());
+        let before = std::mem::replace(&mut self.table, self.floor.clone());
+        self.version = number;
         self.table.extend(over);
         self.drafts.set_table(now, self.version, self.table.clone());
-        self.wanted = None;
+        if before != self.table {
+            self.wanted = None;
+        }
     }
 
     /// Whether something else should be in force.
@@ -146,6 +149,7 @@
         drafting.names = fellows.roster().1.map(|(number, name)| (Name(number.0), name.into())).collect();
         let there = fellows.there();
         drafting.drafts.set_members(drafting.names.keys().copied(), there);
+        self.share_agreed();
     }
 
     /// The further fields of a call to a host: what it is to draft. Nothing where drafts are off.
--- a/node/src/node/together.rs
+++ b/node/src/node/together.rs
@@ -35,7 +35,8 @@
                 Some(((Workload::new(&word).ok()?, band), draft.parse().ok()?))
             };
             let table: Table = drafts.into_iter().filter_map(entry).collect();
-            drafting.set_table(version.map(|number| (number, table)));
+            // Without a lease the document's floor holds, as version 0.
+            drafting.set_table(Some((version.unwrap_or(0), table)));
         }
         self.weigh_sites(sites);
     }
