--- a/crates/lab/src/history.rs
+++ b/crates/lab/src/history.rs
@@ -205,6 +205,20 @@
         /// Rounds of drafting.
         rounds: u64,
     },
+    /// The table of drafts that an activator runs by from now on.
+    Table {
+        /// The activator.
+        who: usize,
+        /// `DRAFTER:LENGTH` by `WORKLOAD/BAND`.
+        entries: BTreeMap<String, String>,
+    },
+    /// Whose counts of drafts an activator leaves out from now on.
+    LeftOut {
+        /// The activator.
+        who: usize,
+        /// Whose.
+        of: Vec<usize>,
+    },
     /// What hosts served of drafts up to here.
     Served {
         /// Rounds of drafting.
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -244,12 +244,19 @@
     pub may_accuse: Vec<usize>,
     /// At the end each that runs holds just those for there that run.
     pub together: bool,
-    /// The most calls of a site in a second, over the mean of the sites that are there; 0: any number.
+    /// The most calls of a site in a second of any phase but `faults`, over the mean of the sites that are there; 0: any
+    /// number.
     pub site_over_mean: f64,
     /// The least share of blocks that are found in the phase `after`.
     pub found: f64,
     /// Sums of drafts are looked at, and must have been seen.
     pub counts: bool,
+    /// Seconds that sums of drafts reach back; 0: to the beginning.
+    pub counts_reach_s: f64,
+    /// Activators whose counts of drafts all others leave out at the end, and nobody else's.
+    pub left_out: Option<Vec<usize>>,
+    /// The longest draft that any table has in the phase `after`, if that is looked at.
+    pub draft_most: Option<u64>,
 }
 
 /// Why a scenario is turned down: the file, the key and the reason.
--- a/crates/lab/tests/short.rs
+++ b/crates/lab/tests/short.rs
@@ -8,6 +8,7 @@
 #[rstest]
 #[case::kill("short_kill")]
 #[case::pairs("short_pairs")]
+#[case::accord("accord_short")]
 fn a_short_scenario_holds(#[case] name: &str) {
     let program = run::program(None).unwrap_or_else(|said| panic!("{said}"));
     let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("scenarios");
