--- a/node/tests/accord.rs
+++ b/node/tests/accord.rs
@@ -246,6 +246,23 @@
     assert_eq!((served(1), serves(&fleet, 0)), (0, 503), "two among three are none for each");
 }
 
+#[test]
+fn what_is_agreed_of_drafts_runs_over_the_files_own_and_on_the_floor_the_file_alone() {
+    let drafts =
+        "[drafts]\nstart = \"1:2\"\ntable = { \"check-score/0\" = \"1:1\", \"check-score/1\" = \"1:3\" }\n";
+    let fleet = Fleet::met_with(3, &format!("{drafts}{ACCORD}"));
+    acts_on(&fleet, &[0, 1, 2], "one");
+    let table = |at: usize| fleet.each[at].as_ref().unwrap().ask("GET", "/drafts", "").1["table"].clone();
+    let file = serde_json::json!({"check-score/0": "1:1", "check-score/1": "1:3"});
+    assert!((0..3).all(|at| table(at) == file));
+    changed(&fleet, 2, r#"{"draft/check-score/0":"1:5","draft/send-mail/2":"0:0"}"#);
+    let over = serde_json::json!({"check-score/0": "1:5", "check-score/1": "1:3", "send-mail/2": "0:0"});
+    (0..3).for_each(|at| assert_eq!(table(at), over));
+    cut(&fleet, 1, 255);
+    acts_on(&fleet, &[1], "floor");
+    assert_eq!(table(1), file);
+}
+
 #[rstest]
 #[case::base(r#"{"base":99999,"set":{"class/check-score/attempts":2}}"#, 409, "in force")]
 #[case::key(
