Accord: a spoilt part of a document is asked for again, not refused as unknown

A flipped bit in a chunk that made a key nobody knows counted as a refusal by an older program; the digest is looked at first now. A test flips one, and holds the store of documents and streams to its bound.

--- a/crates/accord/src/fetch.rs
+++ b/crates/accord/src/fetch.rs
@@ -211,12 +211,13 @@
             };
         }
         self.made.seal();
-        if let Some(why) = self.unknown.take() {
-            return Fetched::Unknown(why);
-        }
         if !self.rest.is_empty() || self.made.digest() != self.digest {
             return self.wrong("the digest is another".into());
         }
+        // Only now: a spoilt part may read like something unknown.
+        if let Some(why) = self.unknown.take() {
+            return Fetched::Unknown(why);
+        }
         Fetched::Whole(Arc::new(std::mem::take(&mut self.made)))
     }
 
@@ -257,3 +258,63 @@
 fn chunks(total: u32) -> u32 {
     total.div_ceil(CHUNK as u32).max(1)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn list(from: u32, to: u32) -> Arc<Document> {
+        let entries = (from..to).map(|at| (Key::new(&format!("list/l/{at}")).unwrap(), Value::Flag(true)));
+        Arc::new(entries.collect())
+    }
+
+    #[test]
+    fn a_store_is_bounded_and_keeps_what_is_needed() {
+        let mut store = Store::default();
+        let first = list(0, 1);
+        store.put(first.digest(), first.clone(), &[]);
+        for at in 1..50 {
+            let other = list(at, at + 1);
+            store.put(other.digest(), other.clone(), &[first.digest()]);
+            assert!(store.get(other.digest()).is_some() && store.get(first.digest()).is_some());
+            store.chunk(other.digest(), Some(first.digest()), 0).unwrap();
+        }
+        assert_eq!((store.held.len(), store.streams.len()), (KEPT, STREAMS));
+    }
+
+    #[test]
+    fn parts_in_any_order_make_it_and_wrong_ones_begin_it_anew() {
+        let (old, new) = (list(0, 4_000), list(100, 4_100));
+        let mut store = Store::default();
+        store.put(old.digest(), old.clone(), &[]);
+        store.put(new.digest(), new.clone(), &[]);
+        let mut dice = fastrand::Rng::with_seed(1);
+        for (base, spoilt) in [(None, false), (Some((old.digest(), old.clone())), false), (None, true)] {
+            let mut fetch = Fetch::new(new.digest(), base);
+            let (mut result, mut wrong, mut asked) = (None, 0, 0);
+            while result.is_none() && asked < 1_000 {
+                let (base, first, mask) = fetch.wants();
+                asked += 1;
+                let mut parts: Vec<u32> =
+                    (0..WINDOW).filter(|at| mask >> at & 1 == 1).map(|at| first + at).collect();
+                dice.shuffle(&mut parts);
+                for at in parts {
+                    let Some((base, total, mut bytes)) = store.chunk(new.digest(), base, at) else {
+                        continue;
+                    };
+                    if spoilt && wrong == 0 && at == 2 {
+                        bytes[9] ^= 1;
+                    }
+                    assert!(fetch.early.len() <= WINDOW as usize);
+                    match fetch.chunk(new.digest(), base, total, at, bytes) {
+                        Fetched::Whole(document) => result = Some(document),
+                        Fetched::Wrong(_) => wrong += 1,
+                        _ => {}
+                    }
+                }
+            }
+            assert_eq!(result.as_deref(), Some(&*new), "spoilt: {spoilt}");
+            assert_eq!(wrong > 0, spoilt);
+        }
+    }
+}
