--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,7 +13,6 @@
 mod succession;
 mod telling;
 mod tidings;
-mod unheard;
 
 pub use engine::{Engine, Ticket};
 pub use interface::*;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -169,8 +169,9 @@
                 }
                 self.forget(&request);
             }
-            Event::Answer { request, attempt, worker, outcome, finished, duration, found, report, crowd } => {
-                self.learn_crowd(&request, &worker, crowd);
+            Event::Answer {
+                request, attempt, worker, outcome, finished, duration, found, report, ..
+            } => {
                 let seen = (outcome, finished, duration, found, report);
                 self.answer(&request, attempt, &worker, seen, out);
             }
@@ -313,7 +314,7 @@
     /// not tell where copies stand: the others use them too, so they are presumed loaded.
     fn spread(&self, f: &Function) -> usize {
         let n = SPREAD * self.share(f) * self.totals.up * (1.0 - self.trust());
-        if n < 2.0 || self.heard.well || self.crowds {
+        if n < 2.0 || self.heard.well {
             0
         } else {
             n as usize
@@ -324,7 +325,7 @@
     /// no room at these waits: loading it on ever more workers pushes out what others need.
     fn reach(&self, f: &Function) -> usize {
         let running = self.share(f) * self.totals.in_flight * self.settings.routers as f64;
-        2 + self.crowded(f).max(self.spread(f)).max((running / f.lanes.max(1) as f64) as usize)
+        2 + self.spread(f).max((running / f.lanes.max(1) as f64) as usize)
     }
 
     fn route(&mut self, id: &RequestId, out: &mut Vec<Action>) -> Route {
@@ -348,9 +349,8 @@
         let others = (self.settings.routers - 1) as f64 * self.trust();
         let lanes = f.lanes.max(1) as f64;
         let told = self.heard.well;
-        let unheard = |p: &Place| others * p.mean_in_flight + self.crowd(p);
         let queue = |p: &Place, w: &Worker| {
-            let theirs = if told { self.heard.at_place(f.key, w.key) } else { unheard(p) };
+            let theirs = if told { self.heard.at_place(f.key, w.key) } else { others * p.mean_in_flight };
             (p.in_flight as f64 + theirs) / (lanes * p.copies.max(1) as f64)
         };
         // Told of all that is out, a starting worker is held to the part of its size that it has.
@@ -415,8 +415,7 @@
         }
         // One alone in being slow is passed over. Where all are, ever more copies only push out others.
         let rest = |w: &Worker| (self.totals.slow - w.slow).max(0.0) / (self.totals.up - 1.0).max(1.0);
-        let dear = self.load_cost(r.terms.aim);
-        let alone = |w: &Worker| w.slow > PRESSURE.max(ALONE * rest(w)).max(dear) && rest(w) < PRESSURE;
+        let alone = |w: &Worker| w.slow > PRESSURE.max(ALONE * rest(w)) && rest(w) < PRESSURE;
         let home = fit.iter().find(|(_, w)| !alone(w)).or(fit.first()).filter(|(_, w)| self.admits(w));
         // Told of the loads, all pass over the same crowded ones.
         let roomy = |w: &Worker| self.admits(w) && pressure(w) < limit && w.loads(self.now);
@@ -727,7 +726,6 @@
                 if loaded || found.is_none() {
                     self.slow = learn(self.slow, of_aim(now - arrived), LEARN);
                 }
-                self.learn_load(found, duration);
                 if loaded {
                     self.usual = learn(self.usual, duration as f64, LEARN);
                     self.learn_bound(n, (duration, hint), clear);
--- a/src/state.rs
+++ b/src/state.rs
@@ -7,7 +7,6 @@
 use crate::interface::*;
 use crate::succession::Succession;
 use crate::tidings::{Composer, Table, Word};
-use crate::unheard::Crowd;
 
 /// Shares of fewer calls than this are taken as of so many.
 pub(crate) const FEW_CALLS: f64 = 10.0;
@@ -42,8 +41,6 @@
     pub(crate) missed_until: Micros,
     pub(crate) in_flight: u32,
     pub(crate) mean_in_flight: f64,
-    /// Calls that it was told to hold, of all routers.
-    pub(crate) crowd: Crowd,
     /// When somebody last told that a copy stands.
     pub(crate) told_at: Micros,
 }
@@ -212,10 +209,6 @@
     pub(crate) usual: f64,
     /// Time of answers over their aim, from when their request came.
     pub(crate) slow: f64,
-    /// Time of answers that began a load; 0: none did.
-    pub(crate) load_time: f64,
-    /// Answers tell how many calls for the same function there were.
-    pub(crate) crowds: bool,
     pub(crate) mean_worth: f64,
     /// Share of the attempts that grew old whose answer never came.
     pub(crate) lost: f64,
@@ -440,43 +433,6 @@
         }
     }
 
-    /// Takes in how many calls for the same function there were, where an answer tells.
-    pub(crate) fn learn_crowd(&mut self, id: &RequestId, n: &WorkerId, crowd: Option<u32>) {
-        let (now, keep) = (self.now, self.settings.keep);
-        let Some((calls, r)) = crowd.zip(self.requests.get(id)) else { return };
-        self.crowds = true;
-        let place = self.functions.get_mut(&r.function).and_then(|f| f.places.get_mut(n));
-        place.into_iter().for_each(|p| p.crowd.see(now, keep, calls));
-    }
-
-    /// Calls of all routers for its function at a place, where few of them are this one's: those it sees itself.
-    pub(crate) fn crowd(&self, p: &Place) -> f64 {
-        (1.0 - self.trust()) * p.crowd.now(self.now, self.settings.keep)
-    }
-
-    /// Places of a function whose copies have most of their lanes taken.
-    pub(crate) fn crowded(&self, f: &Function) -> usize {
-        f.places.values().filter(|p| p.crowd.takes(self.now, self.settings.keep, f.lanes)).count()
-    }
-
-    /// Takes in what a call took that began a load.
-    pub(crate) fn learn_load(&mut self, found: Option<Found>, took: Micros) {
-        if found == Some(Found::BeganLoad) {
-            self.load_time = learn(self.load_time, took as f64, LEARN);
-        }
-    }
-
-    /// What a call costs that finds no copy, over its aim: as much as it can cost until a load was seen. Where a
-    /// router sees enough of each worker, it needs no such measure for what single answers say.
-    pub(crate) fn load_cost(&self, aim: Micros) -> f64 {
-        let cost = if self.load_time > 0.0 { (self.load_time / aim.max(1) as f64).min(1.0) } else { 1.0 };
-        if self.settings.when_cold == WhenCold::Loads {
-            cost * (1.0 - self.trust())
-        } else {
-            0.0
-        }
-    }
-
     /// Takes in what a call took that found its copy and a lane, of one that has warmed up.
     pub(crate) fn learn_bound(&mut self, n: &WorkerId, (took, work): (Micros, Micros), clear: bool) {
         if clear && self.workers.get(n).is_some_and(|w| self.warmth(w) >= 1.0) {
