--- a/src/rules.rs
+++ b/src/rules.rs
@@ -7,7 +7,7 @@
 use crate::hash::hash;
 use crate::interface::*;
 use crate::state::*;
-use crate::tidings::{host_key, Word, TELL_AGAIN};
+use crate::tidings::{Word, TELL_AGAIN};
 
 // ---------------------------------------------------------------------------------------------- constants
 
@@ -117,6 +117,7 @@
             out.push(Action::Subscribe);
         }
         match event {
+            Event::List { kind: ListKind::Failed, .. } => self.subscribe_at = self.now + FIRST_REST,
             Event::List { kind, entries } => self.list(kind, entries),
             Event::Arrival { request, class, tenant, function, due, lanes, repeat, hint } => {
                 let (tries, advice) = (std::mem::take(&mut self.past), std::mem::take(&mut self.advice));
@@ -201,58 +202,6 @@
         }
     }
 
-    fn list(&mut self, kind: ListKind, entries: Vec<ListEntry>) {
-        if kind == ListKind::Failed {
-            return self.subscribe_at = self.now + FIRST_REST;
-        }
-        if kind != ListKind::Delta {
-            self.workers.values_mut().for_each(|w| (w.listed, w.up) = (false, false));
-        }
-        for e in entries {
-            let fresh = || Worker {
-                started: e.ready_at,
-                cold_since: e.ready_at,
-                heard: self.now,
-                ..Worker::default()
-            };
-            let w = self.workers.entry(e.worker.clone()).or_insert_with(fresh);
-            w.listed = e.condition == Condition::Up;
-            w.up = w.listed && !w.barred;
-            (w.zone, w.cell, w.key) = (e.zone, e.cell, host_key(&e.worker));
-            let size = if e.size.is_finite() && e.size > 0.0 { e.size } else { 1.0 };
-            self.roster += u64::from(size != w.size);
-            (w.size, w.draw) = (size, -hash(&e.worker.0, &self.lot.to_string()).ln() / size);
-            if e.ready_at > w.started || e.condition == Condition::Gone {
-                // A new process holds nothing and has no record.
-                w.acquit();
-                w.cold_sends.retain(|t| *t >= e.ready_at);
-                (w.started, w.cold_since) = (w.started.max(e.ready_at), w.started.max(e.ready_at));
-                self.functions.values_mut().for_each(|f| f.lose(&e.worker));
-            }
-        }
-        self.sum_up();
-        // Those that are gone keep their place in the orders, as they mostly come back; not for ever.
-        if self.workers.len() as f64 > 2.0 * self.totals.up {
-            self.workers.retain(|_, w| w.up || w.barred || w.in_flight > 0);
-        }
-        self.key_hosts();
-    }
-
-    /// Out, a worker gets nothing new. Back in, it may be another process that holds nothing and is cold.
-    fn bar(&mut self, n: &WorkerId, out: bool) {
-        let w = self.workers.entry(n.clone()).or_default();
-        w.up = w.listed && !out;
-        if std::mem::replace(&mut w.barred, out) && !out {
-            w.acquit();
-            (w.back, w.cold_since) = (self.now, self.now);
-            for f in self.functions.values_mut() {
-                f.lose(n);
-                f.places.entry(n.clone()).and_modify(|p| p.missed_until = 0);
-            }
-        }
-        self.sum_up();
-    }
-
     fn tick(&mut self, out: &mut Vec<Action>) {
         let now = self.now;
         let ticks = (now - self.ticked) as f64 / TICK as f64;
--- a/src/state.rs
+++ b/src/state.rs
@@ -6,7 +6,7 @@
 use crate::hash::hash;
 use crate::interface::*;
 use crate::succession::Succession;
-use crate::tidings::{Composer, Table, Word};
+use crate::tidings::{host_key, Composer, Table, Word};
 
 /// Shares of fewer calls than this are taken as of so many.
 pub(crate) const FEW_CALLS: f64 = 10.0;
@@ -607,6 +607,56 @@
         }
     }
 
+    /// Takes in a list, or changes of one.
+    pub(crate) fn list(&mut self, kind: ListKind, entries: Vec<ListEntry>) {
+        if kind != ListKind::Delta {
+            self.workers.values_mut().for_each(|w| (w.listed, w.up) = (false, false));
+        }
+        for e in entries {
+            let fresh = || Worker {
+                started: e.ready_at,
+                cold_since: e.ready_at,
+                heard: self.now,
+                ..Worker::default()
+            };
+            let w = self.workers.entry(e.worker.clone()).or_insert_with(fresh);
+            w.listed = e.condition == Condition::Up;
+            w.up = w.listed && !w.barred;
+            (w.zone, w.cell, w.key) = (e.zone, e.cell, host_key(&e.worker));
+            let size = if e.size.is_finite() && e.size > 0.0 { e.size } else { 1.0 };
+            self.roster += u64::from(size != w.size);
+            (w.size, w.draw) = (size, -hash(&e.worker.0, &self.lot.to_string()).ln() / size);
+            if e.ready_at > w.started || e.condition == Condition::Gone {
+                // A new process holds nothing and has no record.
+                w.acquit();
+                w.cold_sends.retain(|t| *t >= e.ready_at);
+                (w.started, w.cold_since) = (w.started.max(e.ready_at), w.started.max(e.ready_at));
+                self.functions.values_mut().for_each(|f| f.lose(&e.worker));
+            }
+        }
+        self.sum_up();
+        // Those that are gone keep their place in the orders, as they mostly come back; not for ever.
+        if self.workers.len() as f64 > 2.0 * self.totals.up {
+            self.workers.retain(|_, w| w.up || w.barred || w.in_flight > 0);
+        }
+        self.key_hosts();
+    }
+
+    /// Out, a worker gets nothing new. Back in, it may be another process that holds nothing and is cold.
+    pub(crate) fn bar(&mut self, n: &WorkerId, out: bool) {
+        let w = self.workers.entry(n.clone()).or_default();
+        w.up = w.listed && !out;
+        if std::mem::replace(&mut w.barred, out) && !out {
+            w.acquit();
+            (w.back, w.cold_since) = (self.now, self.now);
+            for f in self.functions.values_mut() {
+                f.lose(n);
+                f.places.entry(n.clone()).and_modify(|p| p.missed_until = 0);
+            }
+        }
+        self.sum_up();
+    }
+
     /// Drops a request that is answered and has nothing out.
     pub(crate) fn forget(&mut self, id: &RequestId) {
         let over = |r: &Request| r.answered && r.tries.iter().all(|t| t.ended.is_some());
