--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # What a developer does here, each in one word.
 
-.PHONY: build test lint doc run run-invoke check measure lab
+.PHONY: build test lint doc run run-invoke check measure lab lab-before
 
 build:
 	cargo build --locked --release
@@ -31,10 +31,23 @@
 		cargo test --locked --release -p $$package --test measure -- --ignored --exact $(WHAT) --nocapture; } \
 		| sed -n 's/^.*measure \([a-z]*\.\)/\1/p'
 
-# All scenarios of several processes with faults between them, a line each. Takes minutes; docs/LAB.md tells more.
+# All scenarios of several processes with faults between them, a line each, and how many passed; what was seen goes into
+# the page. Takes a quarter of an hour, alone on the machine or nearly so; docs/LAB.md tells more.
 lab:
 	cargo build --locked --release -p wheellink-node -p wheellink-lab
-	target/release/wheellink-lab all
+	nice target/release/wheellink-lab all --table docs/measurements/lab.md
+
+# The scenarios of two programs, with the one of an earlier commit as the one of before: REV=HEAD~20.
+BEFORE = target/before
+lab-before:
+	@test -n "$(REV)" || { echo "REV=... names the earlier commit"; exit 2; }
+	cargo build --locked --release -p wheellink-node -p wheellink-lab
+	git worktree prune
+	test ! -d $(BEFORE)/tree || git worktree remove --force $(BEFORE)/tree
+	git worktree add --detach $(BEFORE)/tree $(REV)
+	cd $(BEFORE)/tree && cargo build --locked --release -p wheellink-node --target-dir ../build
+	nice target/release/wheellink-lab all mixed_ short_mixed --before $(BEFORE)/build/release/wheellink-node \
+		--table docs/measurements/lab.md
 
 check:
 	bash .ci/run
--- a/crates/lab/src/bus.rs
+++ b/crates/lab/src/bus.rs
@@ -24,7 +24,7 @@
     frame(number, if whole { 1 } else { 2 }, &payload)
 }
 
-fn frame(number: u64, kind: u8, payload: &[u8]) -> Vec<u8> {
+pub(crate) fn frame(number: u64, kind: u8, payload: &[u8]) -> Vec<u8> {
     let length = (9 + payload.len()) as u32;
     [&length.to_be_bytes()[..], &number.to_be_bytes(), &[kind], payload].concat()
 }
@@ -69,11 +69,16 @@
     let members: Vec<_> = hosts.iter().enumerate().map(|(i, h)| serde_json::json!({"id": format!("s-{i:08x}"),
         "host_port": h.address.to_string(), "locality": "z", "flavor": "k", "cell": 0, "phase": "active", "size": 1,
         "up_since_ms": 0})).collect();
+    config_of("n0", "127.0.0.1:0", bus, &members)
+}
+
+/// The same of these members, with this name and an address to listen at.
+pub fn config_of(name: &str, listen: &str, bus: SocketAddr, members: &[serde_json::Value]) -> String {
     let profile = |name: &str, effect: &str| {
         serde_json::json!({"Name": name, "Effect": effect, "AimUs": 1500000,
         "GiveUpUs": 4000000, "Importance": 3.0, "LateWorth": 0.2, "DedupScope": "cell", "WindowUs": 8000000})
     };
-    serde_json::json!({"name": "n0", "listen": "127.0.0.1:0", "control": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
+    serde_json::json!({"name": name, "listen": listen, "control": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
         "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256}, "bus": bus.to_string(),
         "known": {"offset": 1, "batch": [{"offset": 1, "topology": {"revision": 1, "complete": true, "members": members}}]},
         "settings": {"Discovery": "automatic", "GroupSize": 1, "Zone": "z", "Zones": ["z"],
--- a/crates/lab/src/check.rs
+++ b/crates/lab/src/check.rs
@@ -4,13 +4,18 @@
 //! nobody said what it obeys, is a flaw in itself.
 
 mod calls;
+mod lists;
 mod members;
+mod programs;
 mod sums;
+mod told;
+mod turns;
 mod versions;
 
 use std::fmt;
 
 use crate::history::{Line, Saw, Turn};
+use crate::tamper::Tampered;
 
 /// Something that must not be.
 #[derive(Clone, Debug, PartialEq)]
@@ -47,6 +52,14 @@
     pub longest_us: u64,
     /// Share of blocks that were found, in all.
     pub found: Option<f64>,
+    /// Spoilt, sent again and made up by relays.
+    pub tampered: Tampered,
+    /// The most that a member told in a second, as a share of what it may, of all kinds.
+    pub told: f64,
+    /// The most bytes with parts of documents that a member told within a time, as a share of its pace.
+    pub paced: f64,
+    /// The most blocks that a site computed anew in a second.
+    pub anew_per_s: u64,
     /// The most calls of a site in a second over the mean.
     pub site_over_mean: f64,
     /// Microseconds from a call to its answer, half of them and 99 of 100.
@@ -127,8 +140,12 @@
     let lives = Lives::of(lines, setup.activators);
     calls::check(setup, lines, &lives, &mut flaws, &mut figures);
     versions::check(setup, lines, &lives, &mut flaws, &mut figures);
+    lists::check(setup, lines, &mut flaws);
     members::check(setup, lines, &lives, &mut flaws);
+    programs::check(setup, lines, &lives, &mut flaws);
     sums::check(setup, lines, &mut flaws, &mut figures);
+    told::check(setup, lines, &mut flaws, &mut figures);
+    turns::check(setup, lines, &lives, &mut flaws, &mut figures);
     flaws.0.sort_by_key(|f| f.at);
     Ok((flaws.0, figures))
 }
@@ -168,7 +185,7 @@
 
     /// That it starts like this, then these, each a second after the one before.
     pub fn history(setup: Setup, saw: Vec<Saw>) -> Vec<Line> {
-        let mut all = vec![Saw::Setup(setup.clone())];
+        let mut all = vec![Saw::Setup(Box::new(setup.clone()))];
         for who in 0..setup.activators {
             all.push(Saw::Life { who, turn: Turn::Started });
             all.push(Saw::Acts { who, obeys: Obeys::One(0, "00".into()) });
--- a/crates/lab/src/check/calls.rs
+++ b/crates/lab/src/check/calls.rs
@@ -71,13 +71,13 @@
             Saw::Broken { id, why } => {
                 let Some(call) = calls.get_mut(id) else { continue };
                 call.ends += 1;
-                // A process that is killed, or stands still, can't answer; nor one that is not there.
-                let gone = [Turn::Killed, Turn::Ended, Turn::Stopped];
+                // A process that is killed, or stands still, can't answer; nor one that is not there. One that was told
+                // to end answers what came before, whatever its end looks like from outside.
+                let gone = [Turn::Killed, Turn::Stopped];
                 let from = call.at.saturating_sub(CLOSING_US);
-                let told = lives.had(call.to, 0, call.at + CLOSING_US, &[Turn::Told]);
                 let excused = !lives.runs(call.to, call.at)
                     || lives.had(call.to, from, line.at, &gone)
-                    || told && lives.had(call.to, 0, line.at, &[Turn::Ended, Turn::Told]);
+                    || lives.had(call.to, from, call.at + CLOSING_US, &[Turn::Told, Turn::Ended]);
                 if !excused {
                     flaws.add(ONE, line.at, format!("call {id} to activator {} got none: {why}", call.to));
                 }
@@ -245,6 +245,9 @@
     #[case::number_used_twice(vec![sent("s"), sent("s"), came(0, false), answered()], vec![ONE])]
     #[case::broken(vec![sent("s"), lost()], vec![ONE])]
     #[case::broken_before_the_end(vec![sent("s"), life(Turn::Told), lost()], vec![ONE])]
+    #[case::broken_by_its_end(vec![sent("s"), life(Turn::Told), life(Turn::Ended), lost()], vec![ONE])]
+    #[case::sent_to_one_that_ends(vec![life(Turn::Told), sent("s"), life(Turn::Ended), lost()], vec![])]
+    #[case::sent_to_its_next_life(vec![life(Turn::Told), life(Turn::Ended), life(Turn::Started), sent("s"), lost()], vec![ONE])]
     #[case::killed(vec![sent("s"), life(Turn::Killed), lost()], vec![])]
     #[case::not_there(vec![life(Turn::Ended), sent("s"), lost()], vec![])]
     #[case::stopped(vec![life(Turn::Stopped), sent("s"), life(Turn::Continued), lost()], vec![])]
--- a/crates/lab/src/history.rs
+++ b/crates/lab/src/history.rs
@@ -12,7 +12,10 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::list::Be;
 use crate::relay::Faults;
+use crate::scenario::Which;
+use crate::tamper::{Tamper, Tampered};
 
 /// Lines of a history at the most: some 100 MB. 60 s at 1,000 calls a second take 240,000.
 pub const MOST_LINES: usize = 1_000_000;
@@ -45,6 +48,19 @@
     pub classes: BTreeMap<String, Terms>,
     /// Sites; they are numbered from 0.
     pub sites: usize,
+    /// Whether the program of an earlier time is another file than this one.
+    #[serde(default)]
+    pub two_programs: bool,
+    /// Bytes with parts of documents that a member may tell in a period, and that period in microseconds; 0: none stated.
+    #[serde(default)]
+    pub pace: (u64, u64),
+    /// How long after activators were told that a host is to be sent nothing new something may come there, in
+    /// microseconds.
+    #[serde(default)]
+    pub list_grace_us: u64,
+    /// Datagrams that a member may tell in a second, by kind and without parts of documents; none: not looked at.
+    #[serde(default)]
+    pub told_most: Option<[f64; 4]>,
     /// What must hold.
     pub hold: crate::scenario::Hold,
 }
@@ -84,7 +100,7 @@
 #[serde(rename_all = "snake_case", tag = "what")]
 pub enum Saw {
     /// The run begins.
-    Setup(Setup),
+    Setup(Box<Setup>),
     /// From here on is another phase: `calm`, `faults`, `after`.
     Phase {
         /// Its name.
@@ -144,6 +160,50 @@
         /// What it does from now on.
         faults: Faults,
     },
+    /// How a way tampers changed.
+    Tamper {
+        /// From this activator.
+        from: usize,
+        /// To this one.
+        to: usize,
+        /// What it does from now on.
+        how: Tamper,
+    },
+    /// What tampering made of all words on their way to an activator, up to here.
+    Tampered {
+        /// The activator.
+        to: usize,
+        /// So many of each.
+        #[serde(flatten)]
+        tampered: Tampered,
+    },
+    /// What an activator told others up to here, as relays counted it before they did anything to it.
+    Told {
+        /// The activator.
+        who: usize,
+        /// Datagrams by kind, without parts of documents.
+        kinds: [u64; 4],
+        /// Bytes of datagrams with parts of documents.
+        chunks: u64,
+    },
+    /// What an activator believes of sites.
+    Beliefs {
+        /// The activator.
+        who: usize,
+        /// By site's number, as a word: whether it is there, and its load in means of those that are.
+        sites: BTreeMap<String, (bool, f64)>,
+        /// Bytes that its tables of turns take.
+        bytes: u64,
+    },
+    /// All activators were told something of a host.
+    Listed {
+        /// The host's site.
+        site: usize,
+        /// The host.
+        host: usize,
+        /// What becomes of it.
+        be: Be,
+    },
     /// A site was cut off or came back.
     Site {
         /// The site.
@@ -151,6 +211,20 @@
         /// Whether it is there.
         there: bool,
     },
+    /// The program that an activator is started from, just before it is.
+    Runs {
+        /// The activator.
+        who: usize,
+        /// Which.
+        program: Which,
+    },
+    /// A process ended that nobody had told to, or ended otherwise than it should.
+    Crashed {
+        /// The activator.
+        who: usize,
+        /// How it ended, and the last that it said.
+        said: String,
+    },
     /// Something happened to a process.
     Life {
         /// The activator.
@@ -340,13 +414,13 @@
         let history = History::bounded(&path, 4).unwrap();
         history.saw(Saw::Acts { who: 1, obeys: Obeys::Both(3, 4) });
         history.saw(Saw::Acts { who: 1, obeys: Obeys::One(4, "0a".into()) });
-        history.saw(Saw::Setup(Setup::default()));
+        history.saw(Saw::Setup(Box::default()));
         (0..3).for_each(|_| history.saw(Saw::End));
         history.flush().unwrap();
         let lines = read(&path).unwrap();
         assert_eq!(lines.len(), 4);
         assert_eq!(lines[0].saw, Saw::Acts { who: 1, obeys: Obeys::Both(3, 4) });
-        assert_eq!(lines[2].saw, Saw::Setup(Setup::default()));
+        assert_eq!(lines[2].saw, Saw::Setup(Box::default()));
         assert_eq!(lines[3].saw, Saw::Full);
         assert!(lines.windows(2).all(|w| w[0].at <= w[1].at));
         std::fs::write(&path, "{\"at\":1,\"what\":\"dreamt\"}\n").unwrap();
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -12,7 +12,9 @@
 pub mod history;
 pub mod host;
 pub mod http;
+pub mod list;
 pub mod load;
+pub mod page;
 pub mod program;
 pub mod relay;
 pub mod resolver;
@@ -20,6 +22,7 @@
 pub mod run;
 pub mod scenario;
 pub mod site;
+pub mod tamper;
 
 use std::thread::sleep;
 use std::time::{Duration, Instant};
--- a/crates/lab/src/load.rs
+++ b/crates/lab/src/load.rs
@@ -3,14 +3,19 @@
 //! The generator is open and bounded: what finds every worker of an activator busy and its queue full is not sent, and
 //! that is counted in the history, so that a lab that can't keep up never looks like a fleet that can.
 
-use std::net::SocketAddr;
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::ops::Range;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
 use std::sync::mpsc::{sync_channel, Receiver, SyncSender, TrySendError};
 use std::sync::{Arc, Mutex};
 use std::thread::{sleep, spawn, JoinHandle};
 use std::time::{Duration, Instant};
 
+use crate::bus::whole_call_frame;
 use crate::history::{History, Saw};
+use crate::http::call;
+use crate::list::By;
 use crate::scenario::Calls;
 
 /// Calls of one activator that are out at a time.
@@ -19,6 +24,21 @@
 const QUEUE: usize = 48;
 /// Longer than any class gives up after (5 s), by what an answer may take besides on a busy machine.
 const PATIENCE: Duration = Duration::from_secs(9);
+/// Between two halves of a call: a front waits longer for the rest.
+const PAUSES: Range<Duration> = Duration::from_millis(100)..Duration::from_millis(800);
+/// Numbers of calls that come in halves begin here; others never come so far.
+const HALVES: u64 = 1 << 32;
+/// What a client of the platform gives a call, in milliseconds.
+const PLATFORM_MS: u32 = 4_000;
+/// For how long a connection of the platform may have been idle and still be used: half of what its configuration says.
+const IDLE: Duration = Duration::from_millis(500);
+/// How a call of the platform ended; any other code is a failure.
+const SERVED: u8 = 79;
+const REFUSED: u8 = 66;
+/// The longest frame that is read, in bytes.
+const LONGEST_FRAME: usize = 1 << 20;
+/// The longest head of a response, in bytes.
+const LONGEST_HEAD: usize = 16_384;
 /// Scripts that calls are for.
 const FUNCTIONS: u64 = 8;
 /// Blocks of a turn at the most; the conversation ends with it.
@@ -71,7 +91,8 @@
 
 impl Load {
     /// Sends calls to these activators until it is ended.
-    pub fn start(calls: &Calls, fronts: Fronts, seed: u64, history: Arc<History>) -> Self {
+    /// Those that are told of hosts by the bus have the platform's front.
+    pub fn start(calls: &Calls, by: By, fronts: Fronts, seed: u64, history: Arc<History>) -> Self {
         let over = Arc::new(AtomicBool::new(false));
         let mut threads = Vec::new();
         let mut queues = Vec::new();
@@ -81,9 +102,18 @@
             queues.push(queue);
             for _ in 0..WORKERS {
                 let (jobs, fronts, history) = (jobs.clone(), fronts.clone(), history.clone());
-                threads.push(spawn(move || work(to, &jobs, &fronts, &history)));
+                threads.push(spawn(move || match by {
+                    By::Dns => work(to, &jobs, &fronts, &history),
+                    By::Bus => work_by_frames(to, &jobs, &fronts, &history),
+                }));
             }
         }
+        for client in 0..calls.halves * fronts.len() {
+            let (calls, fronts, history, over) =
+                (calls.clone(), fronts.clone(), history.clone(), over.clone());
+            let rng = fastrand::Rng::with_seed(seed ^ 0x4a1f ^ (client as u64) << 32);
+            threads.push(spawn(move || in_halves(client, &calls, &fronts, rng, &over, &history)));
+        }
         let (calls, stop) = (calls.clone(), over.clone());
         threads.push(spawn(move || pace(&calls, &fronts, queues, seed, &stop, &history)));
         Self { over, threads }
@@ -115,12 +145,7 @@
         // Times between calls as of many clients that know nothing of each other.
         due += Duration::from_secs_f64(-(1.0 - rng.f64()).ln() / calls.per_s);
         sleep(due.saturating_sub(begun.elapsed()));
-        let lot = rng.f64();
-        let class = match lot {
-            l if l < calls.keyed => 1,
-            l if l < calls.keyed + calls.unsafe_ => 2,
-            _ => 0,
-        };
+        let class = class(calls, rng.f64());
         let turn = (!talk.is_empty()).then(|| {
             let conversation = &mut talk[rng.usize(..calls.conversations)];
             if conversation.blocks.len() >= LONGEST {
@@ -148,6 +173,149 @@
     }
 }
 
+/// The number of a call's class.
+fn class(calls: &Calls, lot: f64) -> usize {
+    match lot {
+        l if l < calls.keyed => 1,
+        l if l < calls.keyed + calls.unsafe_ => 2,
+        _ => 0,
+    }
+}
+
+/// A client whose calls come in two halves: it sends one, waits, and sends the rest if the connection stands. Only then
+/// was the call sent; whose connection is gone by then was never whole, and must come to no host.
+fn in_halves(
+    client: usize,
+    calls: &Calls,
+    fronts: &Fronts,
+    mut rng: fastrand::Rng,
+    over: &AtomicBool,
+    history: &History,
+) {
+    let to = client % fronts.len();
+    let (mut standing, mut number) = (None, 0);
+    while !over.load(Relaxed) {
+        let Some(mut stream) = standing.take().or_else(|| connect((*fronts[to].lock().unwrap())?)) else {
+            sleep(PAUSES.start);
+            continue;
+        };
+        number += 1;
+        let id = HALVES + ((client as u64) << 20) + number;
+        let class = class(calls, rng.f64());
+        let key = format!("Idempotency-Key: key-{id}");
+        let headers: &[&str] = if class == 1 { &[&key] } else { &[] };
+        let text =
+            call(&format!("f{}", rng.u64(..FUNCTIONS)), CLASSES[class], headers, &format!("call-{id}"));
+        // Within the head, or within the body: never all of it.
+        let half = rng.usize(1..text.len());
+        if stream.write_all(&text.as_bytes()[..half]).is_err() {
+            continue;
+        }
+        sleep(PAUSES.start + (PAUSES.end - PAUSES.start).mul_f64(rng.f64()));
+        if !stands(&stream) {
+            continue;
+        }
+        history.saw(Saw::Sent { id, to, class: CLASSES[class].into() });
+        let answered = stream.write_all(&text.as_bytes()[half..]).and_then(|()| read_status(&mut stream));
+        let stands_on = answered.is_ok();
+        history.saw(match answered {
+            Ok(status) => Saw::Answered { id, status, found: None },
+            Err(why) => Saw::Broken { id, why: why.to_string() },
+        });
+        standing = stands_on.then_some(stream);
+    }
+}
+
+fn connect(to: SocketAddr) -> Option<TcpStream> {
+    let stream = TcpStream::connect_timeout(&to, PATIENCE).ok()?;
+    stream.set_read_timeout(Some(PATIENCE)).ok()?;
+    stream.set_nodelay(true).ok()?;
+    Some(stream)
+}
+
+/// Whether nothing has come on it, neither bytes nor its end.
+fn stands(stream: &TcpStream) -> bool {
+    let looked = stream.set_nonblocking(true).and_then(|()| stream.peek(&mut [0]));
+    let nothing = looked.is_err_and(|e| e.kind() == ErrorKind::WouldBlock);
+    stream.set_nonblocking(false).is_ok() && nothing
+}
+
+/// Reads one response, and tells its status.
+fn read_status(stream: &mut TcpStream) -> std::io::Result<u16> {
+    let wrong = || std::io::Error::new(ErrorKind::InvalidData, "no response of HTTP");
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        let mut byte = [0];
+        stream.read_exact(&mut byte)?;
+        head.push(byte[0]);
+        if head.len() > LONGEST_HEAD {
+            return Err(wrong());
+        }
+    }
+    let head = String::from_utf8_lossy(&head).to_lowercase();
+    let status = head.get(9..12).and_then(|s| s.parse().ok()).ok_or_else(wrong)?;
+    let length = head.lines().find_map(|l| l.strip_prefix("content-length: ")?.trim().parse::<u64>().ok());
+    std::io::copy(&mut stream.take(length.unwrap_or(0)), &mut std::io::sink())?;
+    Ok(status)
+}
+
+/// The same before the platform's front: one connection, one call at a time.
+fn work_by_frames(to: usize, jobs: &Mutex<Receiver<Job>>, fronts: &Fronts, history: &History) {
+    let mut standing: Option<(TcpStream, Instant)> = None;
+    let mut stream_number = 0;
+    loop {
+        let Ok(Job { id, class, function, .. }) = jobs.lock().unwrap().recv() else { return };
+        // One that was told to go elsewhere is gone, and so is one whose process was replaced. One that has been idle may be
+        // ended by the front at the very moment: a client that knows its bound does not use it.
+        let kept = standing.take().filter(|(stream, used)| used.elapsed() < IDLE && stands(stream));
+        let Some(mut stream) =
+            kept.map(|(stream, _)| stream).or_else(|| connect((*fronts[to].lock().unwrap())?))
+        else {
+            history.saw(Saw::Shed { calls: 1 });
+            continue;
+        };
+        stream_number += 1;
+        let (name, key, function) = (format!("{id:016x}"), format!("{id:08x}"), format!("{function:016x}"));
+        let fields = [name.as_str(), CLASSES[class], &key, &function];
+        let frame = whole_call_frame(stream_number, fields, PLATFORM_MS, format!("call-{id}").as_bytes());
+        history.saw(Saw::Sent { id, to, class: CLASSES[class].into() });
+        let answered = stream.write_all(&frame).and_then(|()| read_code(&mut stream, stream_number));
+        let stands_on = answered.is_ok();
+        history.saw(match answered {
+            Ok(code) => Saw::Answered { id, status: status(code), found: None },
+            Err(why) => Saw::Broken { id, why: why.to_string() },
+        });
+        standing = stands_on.then(|| (stream, Instant::now()));
+    }
+}
+
+/// How a call ended, as a status of HTTP would say it.
+fn status(code: u8) -> u16 {
+    match code {
+        SERVED => 200,
+        REFUSED => 503,
+        _ => 500,
+    }
+}
+
+/// Reads frames up to the answer on this stream, and tells its code.
+fn read_code(from: &mut TcpStream, number: u32) -> std::io::Result<u8> {
+    loop {
+        let mut length = [0; 4];
+        from.read_exact(&mut length)?;
+        let length = u32::from_le_bytes(length) as usize;
+        if !(5..=LONGEST_FRAME).contains(&length) {
+            return Err(std::io::Error::new(ErrorKind::InvalidData, "no frame of the platform"));
+        }
+        let mut bytes = vec![0; length];
+        from.read_exact(&mut bytes)?;
+        let of = u32::from_le_bytes([bytes[1], bytes[2], bytes[3], bytes[4]]);
+        if let (2, true, Some(code)) = (bytes[0], of == number, bytes.get(5)) {
+            return Ok(*code);
+        }
+    }
+}
+
 fn work(to: usize, jobs: &Mutex<Receiver<Job>>, fronts: &Fronts, history: &History) {
     let config = ureq::Agent::config_builder()
         .http_status_as_error(false)
@@ -212,8 +380,8 @@
         let path = std::env::temp_dir().join(format!("wheellink-load-{}", std::process::id()));
         let history = Arc::new(History::create(&path).unwrap());
         let fronts: Fronts = Arc::new(vec![Mutex::new(None)]);
-        let calls = Calls { per_s: 2_000.0, keyed: 0.2, unsafe_: 0.2, conversations: 0 };
-        let load = Load::start(&calls, fronts, 3, history.clone());
+        let calls = Calls { per_s: 2_000.0, keyed: 0.2, unsafe_: 0.2, conversations: 0, halves: 0 };
+        let load = Load::start(&calls, By::Dns, fronts, 3, history.clone());
         sleep(Duration::from_millis(1_300));
         load.end();
         history.flush().unwrap();
--- a/crates/lab/src/program.rs
+++ b/crates/lab/src/program.rs
@@ -315,6 +315,11 @@
         status.unwrap()
     }
 
+    /// Its end, if it has ended by now.
+    pub fn has_ended(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().ok().flatten()
+    }
+
     /// Its end, if it has ended within that time.
     pub fn ended_within(&mut self, time: Duration) -> Option<ExitStatus> {
         let begun = std::time::Instant::now();
--- a/crates/lab/src/relay.rs
+++ b/crates/lab/src/relay.rs
@@ -15,6 +15,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::ms;
+use crate::tamper::{change_numbers, spoil, Due, Kept, Kind, Lie, Tamper, Tampered};
 
 /// Datagrams that wait on one way at the most; further ones are lost, as in any network with queues of an end.
 const MOST_WAITING: usize = 4_096;
@@ -54,6 +55,12 @@
 pub struct Tally {
     /// Came in.
     pub came: AtomicU64,
+    /// Came in, by [`Kind`], without parts of documents.
+    pub kinds: [AtomicU64; 4],
+    /// Bytes of datagrams with parts of documents that came in.
+    pub chunks: AtomicU64,
+    /// Spoilt, sent again and made up.
+    pub tampered: Mutex<Tampered>,
     /// Lost, by the share or for want of room.
     pub lost: AtomicU64,
     /// Went out, doubles among them.
@@ -61,9 +68,11 @@
 }
 
 /// One direction between two members.
-#[derive(Clone)]
+#[derive(Clone, Default)]
 pub struct Way {
     faults: Arc<Mutex<Faults>>,
+    tamper: Arc<Mutex<Tamper>>,
+    kept: Arc<Mutex<Kept>>,
     /// What became of its datagrams.
     pub tally: Arc<Tally>,
 }
@@ -71,13 +80,52 @@
 /// What waits for its time: when, its number, and the bytes.
 type Waiting = BinaryHeap<Reverse<(Instant, u64, Vec<u8>)>>;
 
+/// The ways whose words one may lend to another: those from its own sender to others, and all others.
+#[derive(Clone, Default)]
+struct Lenders {
+    own: Vec<Arc<Mutex<Kept>>>,
+    others: Vec<Arc<Mutex<Kept>>>,
+}
+
+/// A datagram that is no part of a way's traffic, and what it counts as.
+fn made_up(
+    rng: &mut fastrand::Rng,
+    tamper: &Tamper,
+    kept: &Mutex<Kept>,
+    lenders: &Lenders,
+    replay: bool,
+) -> Option<Vec<u8>> {
+    let of = |rng: &mut fastrand::Rng, ways: &[Arc<Mutex<Kept>>]| {
+        let way = ways.get(rng.usize(..ways.len().max(1)))?;
+        way.lock().unwrap().any(rng, tamper)
+    };
+    match (replay, tamper.forge) {
+        (true, _) => kept.lock().unwrap().old(rng, tamper),
+        (false, Lie::Misdelivered) => of(rng, &lenders.own),
+        (false, Lie::Borrowed) => of(rng, &lenders.others),
+        (false, Lie::Numbers) => {
+            let said = kept.lock().unwrap().any(rng, tamper)?;
+            Some(change_numbers(rng, &said))
+        }
+    }
+}
+
 impl Way {
-    fn start(from: UdpSocket, out: UdpSocket, to: SocketAddr, seed: u64, over: Arc<AtomicBool>) -> Self {
-        let way = Self { faults: Arc::default(), tally: Arc::default() };
-        let shared = way.clone();
+    fn start(
+        &self,
+        [from, out]: [UdpSocket; 2],
+        to: SocketAddr,
+        seed: u64,
+        lenders: Lenders,
+        over: Arc<AtomicBool>,
+    ) {
+        let shared = self.clone();
         spawn(move || {
             let mut rng = fastrand::Rng::with_seed(seed);
+            // Of its own, so that what is lost does not hang on what is made up.
+            let mut liar = fastrand::Rng::with_seed(seed ^ 0x11a7);
             let (mut waiting, mut number) = (Waiting::new(), 0);
+            let mut due = [Due::new(Instant::now()), Due::new(Instant::now())];
             let mut buf = [0; LONGEST];
             while !over.load(Relaxed) {
                 let next = waiting.peek().map(|Reverse((due, ..))| *due);
@@ -85,8 +133,11 @@
                 // A time-out of nothing would mean to wait for ever.
                 let _ = from.set_read_timeout(Some(left.max(Duration::from_micros(100))));
                 if let Ok((n, _)) = from.recv_from(&mut buf) {
-                    shared.take(&mut rng, &buf[..n], &mut waiting, &mut number);
+                    shared.count(&buf[..n]);
+                    let spoilt = shared.tamper(&mut liar, &buf[..n]);
+                    shared.take(&mut rng, spoilt.as_deref().unwrap_or(&buf[..n]), &mut waiting, &mut number);
                 }
+                shared.make_up(&mut liar, &lenders, &mut due, &mut waiting, &mut number);
                 let stalled = shared.faults.lock().unwrap().stalled;
                 let now = Instant::now();
                 while !stalled && waiting.peek().is_some_and(|Reverse((due, ..))| *due <= now) {
@@ -97,12 +148,54 @@
                 }
             }
         });
-        way
+    }
+
+    /// Counts what came, as it came.
+    fn count(&self, bytes: &[u8]) {
+        self.tally.came.fetch_add(1, Relaxed);
+        if is_chunk(bytes) {
+            self.tally.chunks.fetch_add(bytes.len() as u64, Relaxed);
+        } else {
+            self.tally.kinds[Kind::of(bytes) as usize].fetch_add(1, Relaxed);
+        }
+        self.kept.lock().unwrap().keep(bytes);
+    }
+
+    /// The datagram spoilt, if it is to be.
+    fn tamper(&self, liar: &mut fastrand::Rng, bytes: &[u8]) -> Option<Vec<u8>> {
+        let tamper = self.tamper.lock().unwrap();
+        let hit = liar.f64() < tamper.spoil && tamper.means(Kind::of(bytes));
+        hit.then(|| {
+            self.tally.tampered.lock().unwrap().spoilt += 1;
+            spoil(liar, bytes)
+        })
+    }
+
+    /// Puts what is made up among what waits. Where nothing comes through, nothing made up does.
+    fn make_up(
+        &self,
+        liar: &mut fastrand::Rng,
+        lenders: &Lenders,
+        due: &mut [Due; 2],
+        waiting: &mut Waiting,
+        number: &mut u64,
+    ) {
+        let tamper = self.tamper.lock().unwrap().clone();
+        let (now, cut) = (Instant::now(), self.faults().is_cut());
+        for (replay, per_s) in [(true, tamper.replay_per_s), (false, tamper.forge_per_s)] {
+            for _ in 0..due[usize::from(replay)].take(now, per_s) {
+                let made = made_up(liar, &tamper, &self.kept, lenders, replay);
+                let Some(bytes) = made.filter(|_| !cut && waiting.len() < MOST_WAITING) else { continue };
+                let mut tampered = self.tally.tampered.lock().unwrap();
+                *if replay { &mut tampered.replayed } else { &mut tampered.forged } += 1;
+                *number += 1;
+                waiting.push(Reverse((now, *number, bytes)));
+            }
+        }
     }
 
     fn take(&self, rng: &mut fastrand::Rng, bytes: &[u8], waiting: &mut Waiting, number: &mut u64) {
         let faults = *self.faults.lock().unwrap();
-        self.tally.came.fetch_add(1, Relaxed);
         // Always as many draws, so that one fault does not change what another one hits.
         let [lost, doubled, late] = [rng.f64(), rng.f64(), rng.f64()];
         let after = rng.u64(1..50);
@@ -124,12 +217,24 @@
         *self.faults.lock().unwrap() = faults;
     }
 
+    /// How it tampers from now on.
+    pub fn set_tamper(&self, tamper: Tamper) {
+        *self.tamper.lock().unwrap() = tamper;
+    }
+
     /// What it does.
     pub fn faults(&self) -> Faults {
         *self.faults.lock().unwrap()
     }
 }
 
+/// Whether a datagram has a part of a document in it.
+fn is_chunk(bytes: &[u8]) -> bool {
+    use wheellink_accord::parts::{decode, Message};
+    let head = bytes.len().min(5);
+    Kind::of(bytes) == Kind::Accord && matches!(decode(&bytes[head..]), Some(Message::Chunk { .. }))
+}
+
 /// The ways between all members, for datagrams.
 pub struct Mesh {
     ways: Vec<Vec<Option<Way>>>,
@@ -146,6 +251,9 @@
         let n = at.len();
         let over = Arc::new(AtomicBool::new(false));
         let mut mesh = Self { ways: vec![vec![None; n]; n], near: vec![vec![None; n]; n], over };
+        for (from, to) in (0..n).flat_map(|a| (0..n).map(move |b| (a, b))).filter(|(a, b)| a != b) {
+            mesh.ways[from][to] = Some(Way::default());
+        }
         for a in 0..n {
             for b in a + 1..n {
                 // The first stands for `b` before `a`, the second for `a` before `b`.
@@ -155,13 +263,56 @@
                 for (from, to, k) in [(a, b, 0), (b, a, 1)] {
                     let (take, give) = (near[k].try_clone()?, near[1 - k].try_clone()?);
                     let own = seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ (from * 64 + to) as u64;
-                    mesh.ways[from][to] = Some(Way::start(take, give, at[to], own, mesh.over.clone()));
+                    let lenders = mesh.lenders(from, to);
+                    mesh.way(from, to).start([take, give], at[to], own, lenders, mesh.over.clone());
                 }
             }
         }
         Ok(mesh)
     }
 
+    fn lenders(&self, from: usize, to: usize) -> Lenders {
+        let n = self.ways.len();
+        let of = |ways: Vec<(usize, usize)>| {
+            let real = ways.into_iter().filter(|(a, b)| a != b && (*a, *b) != (from, to));
+            real.map(|(a, b)| self.way(a, b).kept.clone()).collect()
+        };
+        let own = of((0..n).map(|other| (from, other)).collect());
+        let others = of((0..n).filter(|a| *a != from).flat_map(|a| (0..n).map(move |b| (a, b))).collect());
+        Lenders { own, others }
+    }
+
+    /// One of the members begins a new life: what it said and was told is of an earlier one from now on.
+    pub fn new_life(&self, who: usize) {
+        for other in (0..self.ways.len()).filter(|other| *other != who) {
+            for way in [self.way(who, other), self.way(other, who)] {
+                way.kept.lock().unwrap().new_life();
+            }
+        }
+    }
+
+    /// What became of one member's words on all its ways: datagrams by [`Kind`], and bytes with parts of documents.
+    pub fn told(&self, who: usize) -> ([u64; 4], u64) {
+        let (mut kinds, mut chunks) = ([0; 4], 0);
+        for way in (0..self.ways.len()).filter(|other| *other != who).map(|other| self.way(who, other)) {
+            kinds.iter_mut().zip(&way.tally.kinds).for_each(|(sum, n)| *sum += n.load(Relaxed));
+            chunks += way.tally.chunks.load(Relaxed);
+        }
+        (kinds, chunks)
+    }
+
+    /// What was made of other members' words on their way to one, by tampering.
+    pub fn tampered(&self, to: usize) -> Tampered {
+        let mut sum = Tampered::default();
+        for way in (0..self.ways.len()).filter(|other| *other != to).map(|other| self.way(other, to)) {
+            let own = *way.tally.tampered.lock().unwrap();
+            sum.spoilt += own.spoilt;
+            sum.replayed += own.replayed;
+            sum.forged += own.forged;
+        }
+        sum
+    }
+
     /// Where `who` reaches `other`.
     pub fn near(&self, who: usize, other: usize) -> SocketAddr {
         self.near[who][other].expect("two members")
@@ -373,9 +524,70 @@
         assert_eq!([heard(&b), heard(&b)], [b"x", b"x"]);
     }
 
+    #[test]
+    fn what_is_made_up_comes_as_the_members_word_and_is_counted() {
+        let (mesh, a, b) = two();
+        let (said, kinds) = ([&[0xff, 0x57, 0x4c, 1, 2][..], b"counts"].concat(), vec![Kind::Drafts]);
+        a.send_to(&said, mesh.near(0, 1)).unwrap();
+        assert_eq!(heard(&b), said);
+        mesh.new_life(0);
+        let replay = Tamper { kinds: kinds.clone(), replay_per_s: 100.0, ..Tamper::default() };
+        mesh.way(0, 1).set_tamper(replay);
+        let mut buf = [0; 64];
+        for _ in 0..3 {
+            let (n, from) = b.recv_from(&mut buf).unwrap();
+            assert_eq!((&buf[..n], from), (&said[..], mesh.near(1, 0)));
+        }
+        assert!(mesh.tampered(1).replayed >= 3 && mesh.tampered(0) == Tampered::default());
+        assert_eq!(mesh.told(0), ([0, 0, 1, 0], 0), "what is made up is nobody's word in the count");
+        // Spoilt, and of the kind that is meant only.
+        mesh.way(0, 1).set_tamper(Tamper { kinds, spoil: 1.0, ..Tamper::default() });
+        a.send_to(b"other", mesh.near(0, 1)).unwrap();
+        while heard(&b) != b"other" {}
+        a.send_to(&said, mesh.near(0, 1)).unwrap();
+        assert_ne!(heard(&b), said);
+        assert_eq!(mesh.tampered(1).spoilt, 1);
+    }
+
+    #[test]
+    fn a_cut_way_makes_nothing_up_and_a_lent_word_is_another_ways() {
+        let way = Way::default();
+        let lent = Way::default();
+        lent.count(b"lent");
+        let lenders = Lenders { own: vec![lent.kept.clone()], others: Vec::new() };
+        let tamper = |forge| Tamper { forge_per_s: 100.0, forge, ..Tamper::default() };
+        let (mut liar, mut number) = (fastrand::Rng::with_seed(2), 0);
+        let mut play = |faults, forge| {
+            way.set(faults);
+            way.set_tamper(tamper(forge));
+            let long_ago = Instant::now().checked_sub(ms(50)).unwrap();
+            let (mut due, mut waiting) = ([Due::new(long_ago), Due::new(long_ago)], Waiting::new());
+            way.make_up(&mut liar, &lenders, &mut due, &mut waiting, &mut number);
+            waiting.into_iter().map(|Reverse((_, _, bytes))| bytes).collect::<Vec<_>>()
+        };
+        assert!(play(Faults::CUT, Lie::Misdelivered).is_empty());
+        let made = play(Faults::default(), Lie::Misdelivered);
+        assert!(made.len() >= 4 && made.iter().all(|bytes| bytes == b"lent"));
+        assert!(play(Faults::default(), Lie::Borrowed).is_empty(), "nobody lends");
+        assert!(play(Faults::default(), Lie::Numbers).is_empty(), "it said nothing yet");
+    }
+
+    #[test]
+    fn parts_of_documents_are_counted_by_bytes() {
+        use wheellink_accord::parts::{encode, Message};
+        let digest = wheellink_accord::Document::default().digest();
+        let chunk = Message::Chunk { digest, base: None, total: 9, at: 0, bytes: vec![1; 9] };
+        let way = Way::default();
+        let datagram = [&[0xff, 0x57, 0x4c, 1, 1][..], &encode(&chunk)].concat();
+        way.count(&datagram);
+        way.count(&[&[0xff, 0x57, 0x4c, 1, 1][..], b"other"].concat());
+        assert_eq!(way.tally.chunks.load(Relaxed), datagram.len() as u64);
+        assert_eq!(way.tally.kinds[Kind::Accord as usize].load(Relaxed), 1);
+    }
+
     #[test]
     fn a_stalled_way_holds_no_more_than_its_bound() {
-        let way = Way { faults: Arc::default(), tally: Arc::default() };
+        let way = Way::default();
         way.set(Faults { stalled: true, doubled: 0.5, ..Faults::default() });
         let (mut rng, mut waiting, mut number) = (fastrand::Rng::with_seed(1), Waiting::new(), 0);
         for _ in 0..2 * MOST_WAITING {
@@ -388,7 +600,7 @@
     #[test]
     fn the_same_seed_loses_the_same() {
         let lost = |seed| {
-            let way = Way { faults: Arc::default(), tally: Arc::default() };
+            let way = Way::default();
             way.set(Faults { loss: 0.3, reordered: 0.2, ..Faults::default() });
             let (mut rng, mut waiting, mut number) = (fastrand::Rng::with_seed(seed), Waiting::new(), 0);
             for k in 0..200u8 {
--- a/crates/lab/src/rig.rs
+++ b/crates/lab/src/rig.rs
@@ -1,25 +1,28 @@
 //! What a scenario runs on: processes, relays between them, sites behind relays, and resolvers that tell of those.
 
-use std::net::{SocketAddr, UdpSocket};
-use std::path::{Path, PathBuf};
+use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use serde_json::Value;
 
+use crate::bus::config_of;
 use crate::history::{History, Obeys, Saw, Setup, Terms, Turn};
+use crate::list::{Be, By, Host, List};
 use crate::load::{Fronts, CLASSES};
 use crate::ms;
 use crate::program::{Program, Send, Start};
 use crate::relay::{Mesh, Pipe};
-use crate::resolver::Resolver;
-use crate::scenario::Scenario;
+use crate::run::Programs;
+use crate::scenario::{Restart, Scenario, Which};
 use crate::site::{source, Model, Site};
 
 /// How long a fleet may take to meet. A busy machine with nine of a debug build takes some 10 s.
 const MEET: Duration = Duration::from_secs(60);
 /// How long hosts drop repeats of a key, as the file below tells.
 const WINDOW: Duration = Duration::from_millis(8_000);
+/// How long a process that is told to end may take.
+const END: Duration = Duration::from_secs(20);
 /// How long a process may take to say what it obeys once it is let go, and how far two logs are read apart.
 const GRACE_US: u64 = 300_000;
 
@@ -68,14 +71,18 @@
 
 pub(crate) struct Rig {
     pub(crate) scenario: Scenario,
-    program: PathBuf,
+    programs: Programs,
+    /// The program that each runs, or is to be started from.
+    runs: Vec<Which>,
     pub(crate) history: Arc<History>,
-    pub(crate) mesh: Mesh,
+    pub(crate) mesh: Arc<Mesh>,
     at: Vec<SocketAddr>,
+    /// Where each serves, from its first start on.
+    listens: Vec<Option<SocketAddr>>,
     pub(crate) sites: Vec<Site>,
     /// By activator, site and host.
     pub(crate) pipes: Vec<Vec<Vec<Pipe>>>,
-    resolvers: Vec<Resolver>,
+    lists: Vec<List>,
     pub(crate) model: Arc<Model>,
     pub(crate) each: Vec<Option<Program>>,
     pub(crate) fronts: Fronts,
@@ -83,45 +90,50 @@
 }
 
 impl Rig {
-    pub(crate) fn new(scenario: &Scenario, program: &Path, history: Arc<History>) -> Result<Self, String> {
+    pub(crate) fn new(
+        scenario: &Scenario,
+        programs: &Programs,
+        history: Arc<History>,
+    ) -> Result<Self, String> {
         let n = scenario.fleet.activators;
         let failed = |e: std::io::Error| format!("no socket: {e}");
-        let held: Vec<_> =
-            (0..n).map(|_| UdpSocket::bind("127.0.0.1:0")).collect::<Result<_, _>>().map_err(failed)?;
+        let held: Vec<_> = (0..n)
+            .map(|who| UdpSocket::bind((own_address(who), 0)))
+            .collect::<Result<_, _>>()
+            .map_err(failed)?;
         let at: Vec<_> = held.iter().map(UdpSocket::local_addr).collect::<Result<_, _>>().map_err(failed)?;
         drop(held);
-        let mesh = Mesh::new(&at, scenario.seed).map_err(failed)?;
+        let mesh = Arc::new(Mesh::new(&at, scenario.seed).map_err(failed)?);
         let model = Arc::new(Model::new(&scenario.sites.acceptance, scenario.seed ^ 0x5175));
         let site =
             |k| Site::start(k, &scenario.sites, WINDOW, model.clone(), history.clone()).map_err(failed);
         let sites: Vec<Site> = (0..scenario.sites.count).map(site).collect::<Result<_, _>>()?;
-        let (mut pipes, mut resolvers) = (Vec::new(), Vec::new());
+        let (mut pipes, mut lists) = (Vec::new(), Vec::new());
         for who in 0..n {
-            let (mut own, mut instances) = (Vec::new(), Vec::new());
+            let (mut own, mut told) = (Vec::new(), Vec::new());
             for (k, site) in sites.iter().enumerate() {
                 let to = |host: &SocketAddr| Pipe::new(*host, source(who)).map_err(failed);
                 let hosts: Vec<Pipe> = site.hosts.iter().map(to).collect::<Result<_, _>>()?;
                 for (h, pipe) in hosts.iter().enumerate() {
-                    let label = format!("s{k}h{h}");
-                    instances.push((label, pipe.address.port(), vec![format!("cell={k}")]));
+                    told.push(Host { site: k, host: h, life: 0, be: Be::Up, address: pipe.address });
                 }
                 own.push(hosts);
             }
-            let resolver = Resolver::start(&[]);
-            resolver.zone.lock().unwrap().instances = instances;
             pipes.push(own);
-            resolvers.push(resolver);
+            lists.push(List::start(scenario.fleet.hosts, told).map_err(failed)?);
         }
         let none = || (0..n).map(|_| Mutex::new(None)).collect::<Vec<_>>();
         Ok(Self {
             scenario: scenario.clone(),
-            program: program.to_path_buf(),
+            programs: programs.clone(),
+            runs: (0..n).map(|who| scenario.fleet.program(who)).collect(),
             history,
             mesh,
             at,
+            listens: vec![None; n],
             sites,
             pipes,
-            resolvers,
+            lists,
             model,
             each: (0..n).map(|_| None).collect(),
             fronts: Arc::new(none()),
@@ -142,6 +154,13 @@
             grace_us: GRACE_US,
             classes: CLASSES.iter().zip(effects).map(|(name, e)| (name.to_string(), terms(e))).collect(),
             sites: self.sites.len(),
+            two_programs: self.programs.before.is_some(),
+            pace: self.scenario.accord.as_ref().map_or((0, 0), |accord| {
+                let us = accord.number("period_ms", 500) as u64 * 1_000;
+                (accord.number("pace_bytes", 120_000) as u64, us)
+            }),
+            list_grace_us: self.scenario.fleet.hosts.grace().as_micros() as u64,
+            told_most: Some(self.scenario.told_most()),
             hold: self.scenario.hold.clone(),
         }
     }
@@ -149,12 +168,18 @@
     /// An activator's file.
     pub(crate) fn file(&self, who: usize) -> String {
         let n = self.each.len();
+        let listen = self.listens[who].unwrap_or(SocketAddr::from((own_address(who), 0)));
+        if self.scenario.fleet.hosts == By::Bus {
+            let list = &self.lists[who];
+            return config_of(&format!("n{who}"), &listen.to_string(), list.address(), &list.members());
+        }
         let mut text = format!(
-            "listen = \"127.0.0.1:0\"\ncontrol = \"127.0.0.1:0\"\nsockets = 1024\nmemory_mb = 192\n\n[hosts]\nresolver = \"{}\"\n\
+            "listen = \"{}\"\ncontrol = \"127.0.0.1:0\"\nsockets = 1024\nmemory_mb = 192\n\n[hosts]\nresolver = \"{}\"\n\
              service = \"_script-host._tcp.hosts.test.\"\nactivators = {n}\non_miss = \"miss\"\nkeep_ms = 9500\n\
              max_attempts = 5\nretry_after_ms = 1000\ncold_from = 0.17\ncold_ms = 18000\nfall_multiple = 4.0\n\
              fall_ms = 3000\norders = {{ free = 2.0, share = 0.2, period_ms = 10000 }}\n\n",
-            self.resolvers[who].address
+            listen,
+            self.lists[who].address()
         );
         let effects = [
             "effect = \"safe\"\naim_ms = 2000\ngive_up_ms = 5000",
@@ -196,10 +221,15 @@
                 history.saw(saw);
             }
         };
+        self.mesh.new_life(who);
+        let operator = self.scenario.fleet.hosts == By::Dns;
         // Before its first line can come: what it obeys belongs to this life.
+        self.history.saw(Saw::Runs { who, program: self.runs[who] });
         self.life(who, Turn::Started);
-        let started = Start::new(&self.program, &text, true).tap(Box::new(tap)).run();
+        let started =
+            Start::new(self.programs.path(self.runs[who]), &text, operator).tap(Box::new(tap)).run();
         let program = started.map_err(|said| format!("activator {who}: {said}"))?;
+        self.listens[who] = Some(program.address);
         *self.controls.0[who].lock().unwrap() = program.control();
         *self.fronts[who].lock().unwrap() = Some(program.address);
         self.each[who] = Some(program);
@@ -221,7 +251,18 @@
         Ok(())
     }
 
+    /// Tells all activators of a host.
+    pub(crate) fn list(&mut self, site: usize, host: usize, be: Be) {
+        self.lists.iter_mut().for_each(|list| list.change(site, host, be));
+        // Told after: nobody knew it before it was written, nor is held to it before it could know.
+        self.history.saw(Saw::Listed { site, host, be });
+    }
+
     fn ready(&self, who: usize) -> bool {
+        if self.scenario.fleet.hosts == By::Bus {
+            // It knows the hosts of its configuration from the start.
+            return self.controls.view(who, "/status").is_some();
+        }
         let front = *self.fronts[who].lock().unwrap();
         let healthy = front.is_some_and(|front| {
             let config = ureq::Agent::config_builder().timeout_global(Some(ms(500))).proxy(None).build();
@@ -235,7 +276,73 @@
         healthy && agreed && met.is_some_and(|there| there.len() == self.each.len())
     }
 
+    /// Tells of processes that ended by themselves.
+    pub(crate) fn look_for_crashes(&mut self) {
+        (0..self.each.len()).for_each(|who| self.look_for_crash(who));
+    }
+
+    fn look_for_crash(&mut self, who: usize) {
+        if let Some(status) = self.each[who].as_mut().and_then(Program::has_ended) {
+            self.crashed(who, &format!("it ended by itself: {status}"));
+            self.gone(who);
+            self.each[who] = None;
+            self.life(who, Turn::Ended);
+        }
+    }
+
+    fn crashed(&self, who: usize, said: &str) {
+        let lines = self.each[who].as_ref().map(Program::lines).unwrap_or_default();
+        let last = lines[lines.len().saturating_sub(5)..].join("; ");
+        self.history.saw(Saw::Crashed { who, said: format!("{said}; it said: {last}") });
+    }
+
+    /// Ends these, and starts each again at its address as soon as it has.
+    pub(crate) fn restart(&mut self, restart: &Restart) -> Result<(), String> {
+        let mut ending: Vec<usize> = restart.who.clone();
+        for who in &restart.who {
+            self.look_for_crash(*who);
+            if restart.kill {
+                self.signal(*who, Turn::Killed);
+            } else {
+                self.life(*who, Turn::Told);
+                self.gone(*who);
+                if let Some(program) = &self.each[*who] {
+                    program.signal(Send::Terminate);
+                }
+            }
+        }
+        let begun = Instant::now();
+        while !ending.is_empty() {
+            for who in std::mem::take(&mut ending) {
+                if self.each[who].is_some() && !self.has_ended_as_told(who) {
+                    if begun.elapsed() > END {
+                        return Err(format!("activator {who} did not end within {END:?} of being told"));
+                    }
+                    ending.push(who);
+                    continue;
+                }
+                if self.each[who].take().is_some() {
+                    self.life(who, Turn::Ended);
+                }
+                self.runs[who] = restart.program.unwrap_or(self.runs[who]);
+                self.start(who)?;
+            }
+            std::thread::sleep(ms(2));
+        }
+        Ok(())
+    }
+
+    /// Whether one that was told to end has. It tells of one that ended otherwise than it should.
+    fn has_ended_as_told(&mut self, who: usize) -> bool {
+        let Some(status) = self.each[who].as_mut().and_then(Program::has_ended) else { return false };
+        if !status.success() {
+            self.crashed(who, &format!("it was told to end, and ended with {status}"));
+        }
+        true
+    }
+
     pub(crate) fn signal(&mut self, who: usize, turn: Turn) {
+        self.look_for_crash(who);
         let Some(program) = &mut self.each[who] else { return };
         match turn {
             Turn::Stopped => {
@@ -260,10 +367,11 @@
                 self.gone(who);
                 if let Some(program) = &mut self.each[who] {
                     program.signal(Send::Terminate);
-                    if program.ended_within(Duration::from_secs(20)).is_none() {
-                        let said = format!("activator {who} did not end within 20 s of being told");
+                    if program.ended_within(END).is_none() {
+                        let said = format!("activator {who} did not end within {END:?} of being told");
                         self.history.saw(Saw::Trouble { said });
                     }
+                    self.has_ended_as_told(who);
                 }
                 self.each[who] = None;
                 self.life(who, Turn::Ended);
@@ -279,6 +387,13 @@
     }
 }
 
+/// An address of loopback that is an activator's of this run alone, so that nobody else takes its port between two of its
+/// lives: neither a connection, which comes from another address, nor another run.
+fn own_address(who: usize) -> Ipv4Addr {
+    let run = std::process::id();
+    Ipv4Addr::new(127, 100 + (run / 250 % 100) as u8, 1 + (run % 250) as u8, 1 + who as u8)
+}
+
 /// Those whom a view of `GET /members` holds for there, the one who says so among them.
 pub(crate) fn there(who: usize, view: &Value) -> Option<Vec<usize>> {
     let mut there = vec![who];
@@ -301,6 +416,9 @@
 
 /// What a line of the log shows, if anything. `number` activators have names `m0`, `m1` and so on.
 fn read_line(who: usize, number: usize, line: &str) -> Option<Saw> {
+    if line.contains("panicked at") {
+        return Some(Saw::Crashed { who, said: line.to_string() });
+    }
     let text = line.split_once(' ').map_or(line, |(_, text)| text);
     if let Some(rest) = text.strip_prefix("accord: acts on ") {
         let words: Vec<&str> = rest.split([' ', ',', ':']).collect();
@@ -330,6 +448,7 @@
     #[case::floor("1.5 accord: acts on the floor of 7", Some(Saw::Acts { who: 1, obeys: Obeys::Floor(7) }))]
     #[case::bare_floor("1.5 accord: acts on the floor", Some(Saw::Acts { who: 1, obeys: Obeys::Floor(0) }))]
     #[case::gone("1.5 activator m2 is gone: heard 1740 ms ago", Some(Saw::Gone { who: 1, of: 2 }))]
+    #[case::panic("thread 'x' panicked at a.rs:1:", Some(Saw::Crashed { who: 1, said: "thread 'x' panicked at a.rs:1:".into() }))]
     #[case::stranger("1.5 activator m9 is gone: heard 1740 ms ago", None)]
     #[case::other("1.5 host s0h0 is there", None)]
     fn lines_of_the_log_are_read(#[case] line: &str, #[case] wanted: Option<Saw>) {
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -15,7 +15,7 @@
 use crate::ms;
 use crate::relay::Faults;
 use crate::rig::{there, version, Controls, Rig};
-use crate::scenario::{Act, Change, Scenario};
+use crate::scenario::{Act, Change, Scenario, Which};
 use crate::site::Model;
 
 /// How often control addresses are asked.
@@ -56,18 +56,55 @@
     })
 }
 
+/// The files that activators are started from.
+#[derive(Clone, Debug)]
+pub struct Programs {
+    /// The one that is being tried.
+    pub this: PathBuf,
+    /// One of an earlier time; without it the other one stands in for it.
+    pub before: Option<PathBuf>,
+}
+
+impl Programs {
+    /// These; the first is looked for beside this executable if it is not given.
+    ///
+    /// # Errors
+    /// As [`program`].
+    pub fn find(this: Option<&Path>, before: Option<&Path>) -> Result<Self, String> {
+        let before = match before {
+            Some(path) if !path.is_file() => return Err(format!("--before: {} is no file", path.display())),
+            before => before.map(Path::to_path_buf),
+        };
+        Ok(Self { this: program(this)?, before })
+    }
+
+    /// The file of one of them.
+    pub fn path(&self, which: Which) -> &Path {
+        match which {
+            Which::This => &self.this,
+            Which::Before => self.before.as_deref().unwrap_or(&self.this),
+        }
+    }
+}
+
 /// Plays a scenario into a history at this path.
 ///
 /// # Errors
 /// When the fleet does not come up, or the history can't be written. What goes wrong later is in the history.
-pub fn run(scenario: &Scenario, program: &Path, into: &Path) -> Result<(), String> {
+pub fn run(scenario: &Scenario, programs: &Programs, into: &Path) -> Result<(), String> {
     let wrong = |e: std::io::Error| format!("{}: {e}", into.display());
     let history = Arc::new(History::create(into).map_err(wrong)?);
-    let mut rig = Rig::new(scenario, program, history.clone())?;
-    history.saw(Saw::Setup(rig.setup()));
+    let mut rig = Rig::new(scenario, programs, history.clone())?;
+    history.saw(Saw::Setup(Box::new(rig.setup())));
     rig.meet()?;
     let looks = Looks::start(&rig);
-    let load = Load::start(&scenario.calls, rig.fronts.clone(), scenario.seed, history.clone());
+    let load = Load::start(
+        &scenario.calls,
+        scenario.fleet.hosts,
+        rig.fronts.clone(),
+        scenario.seed,
+        history.clone(),
+    );
     let begun = Instant::now();
     let mut changes = Vec::new();
     for at in &scenario.at {
@@ -82,6 +119,10 @@
         let _ = change.join();
     }
     looks.end();
+    rig.look_for_crashes();
+    for to in 0..rig.each.len() {
+        history.saw(Saw::Tampered { to, tampered: rig.mesh.tampered(to) });
+    }
     history.saw(Saw::End);
     drop(rig);
     history.flush().map_err(wrong)
@@ -123,10 +164,20 @@
         Act::Cut(ways) => ways.iter().for_each(|(from, to)| link(rig, *from, *to, Faults::CUT)),
         Act::All(faults) => link_all(rig, *faults),
         Act::Heal => link_all(rig, Faults::default()),
+        Act::Tamper { ways, how } => {
+            let n = rig.each.len();
+            let all = (0..n).flat_map(|a| (0..n).map(move |b| (a, b))).filter(|(a, b)| a != b);
+            let ways = if ways.is_empty() { all.collect() } else { ways.clone() };
+            for (from, to) in ways {
+                rig.history.saw(Saw::Tamper { from, to, how: how.clone() });
+                rig.mesh.way(from, to).set_tamper(how.clone());
+            }
+        }
         Act::Stop(who) => signal(rig, who, Turn::Stopped),
         Act::GoOn(who) => signal(rig, who, Turn::Continued),
         Act::Kill(who) => signal(rig, who, Turn::Killed),
         Act::End(who) => signal(rig, who, Turn::Told),
+        Act::Restart(how) => rig.restart(how)?,
         Act::Start(who) => who.iter().try_for_each(|who| rig.start(*who))?,
         Act::Leave(who) => {
             for who in who {
@@ -147,6 +198,7 @@
                 signal(rig, &[change.to], Turn::Killed);
             }
         }
+        Act::List { site, host, be } => rig.list(*site, *host, *be),
         Act::Lose(sites) | Act::Back(sites) => {
             let lost = matches!(act, Act::Lose(_));
             for site in sites {
@@ -261,6 +313,15 @@
     all.into_iter().collect()
 }
 
+/// What a view of `GET /turns` believes; sites are cells with the lab's numbers for names.
+fn beliefs(who: usize, view: &Value) -> Option<Saw> {
+    let site = |site: &Value| {
+        Some((site["site"].as_str()?.to_string(), (site["there"].as_bool()?, site["load"].as_f64()?)))
+    };
+    let sites = view["sites"].as_array()?.iter().map(site).collect::<Option<_>>()?;
+    Some(Saw::Beliefs { who, sites, bytes: view["bytes"].as_u64()? })
+}
+
 /// Looks at control addresses all the time.
 struct Looks {
     over: Arc<AtomicBool>,
@@ -284,7 +345,18 @@
                 look(who, &controls, &history, &model, &served, &mut last);
             })
         };
-        let threads = (0..rig.each.len()).map(look).collect();
+        let mut threads: Vec<_> = (0..rig.each.len()).map(look).collect();
+        let (mesh, history, stop) = (rig.mesh.clone(), rig.history.clone(), over.clone());
+        let n = rig.each.len();
+        threads.push(spawn(move || {
+            while !stop.load(Relaxed) {
+                for who in 0..n {
+                    let (kinds, chunks) = mesh.told(who);
+                    history.saw(Saw::Told { who, kinds, chunks });
+                }
+                sleep(LOOK);
+            }
+        }));
         Self { over, threads }
     }
 
@@ -313,6 +385,9 @@
     }
     for (of, path, figures) in [("accord", "/accord", "acting"), ("turns", "/turns", "emptied")] {
         if let Some(view) = controls.view(who, path) {
+            if let Some(beliefs) = (of == "turns").then(|| beliefs(who, &view)).flatten() {
+                history.saw(beliefs);
+            }
             if anew(of, view[figures].clone()) {
                 history.saw(Saw::View { who, of: of.into(), said: cut(view.to_string()) });
             }
@@ -348,6 +423,29 @@
 mod tests {
     use super::*;
 
+    #[test]
+    fn without_another_program_one_file_is_both() {
+        let own = std::env::current_exe().unwrap();
+        let programs = Programs::find(Some(&own), None).unwrap();
+        assert_eq!(programs.path(Which::Before), programs.path(Which::This));
+        let none = own.with_extension("none");
+        assert!(Programs::find(Some(&own), Some(&none)).unwrap_err().starts_with("--before: "));
+        let other = Programs { before: Some(none.clone()), ..programs };
+        assert_eq!((other.path(Which::Before), other.path(Which::This)), (&*none, &*own));
+    }
+
+    #[test]
+    fn beliefs_are_read_whole_or_not_at_all() {
+        let view = |load| {
+            json!({"bytes": 99, "sites": [{"site": "0", "there": true, "load": load},
+            {"site": "1", "there": false, "load": 0.5}]})
+        };
+        let sites = [("0".into(), (true, 1.5)), ("1".into(), (false, 0.5))].into();
+        assert_eq!(beliefs(2, &view(json!(1.5))), Some(Saw::Beliefs { who: 2, sites, bytes: 99 }));
+        assert_eq!(beliefs(2, &view(json!("x"))), None);
+        assert_eq!(beliefs(2, &json!({})), None);
+    }
+
     #[test]
     fn those_left_out_are_read_by_name() {
         let view = json!({"names": {"77": "m3", "78": "m0"}, "learnt": {"workloads":
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -5,12 +5,16 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::list::{Be, By};
 use crate::relay::Faults;
+use crate::tamper::{Tamper, MOST_PER_S};
 
 /// The most activators of a fleet: each has some 40 threads of the lab's around it.
 const MOST_ACTIVATORS: usize = 9;
 /// The longest run, in seconds, by which a history stays within its bound.
 const LONGEST: f64 = 120.0;
+/// The most clients of one activator that send calls in halves: each is a thread.
+const MOST_HALVES: f64 = 16.0;
 /// The most calls a second, all activators together.
 const MOST_CALLS: f64 = 2_000.0;
 
@@ -58,12 +62,47 @@
     /// Activators whose files have neither these tables nor `[accord]`: programs from before there was such a thing.
     #[serde(default)]
     pub before: Vec<usize>,
+    /// How they are told of hosts. By the bus they are platform activators, which know nothing of each other.
+    #[serde(default)]
+    pub hosts: By,
+    /// The program that each is started from, by number; those that it does not reach are started from this one.
+    #[serde(default)]
+    pub programs: Vec<Which>,
 }
 
 impl Fleet {
     fn period() -> u64 {
         100
     }
+
+    /// The program that an activator is started from at first.
+    pub fn program(&self, who: usize) -> Which {
+        self.programs.get(who).copied().unwrap_or_default()
+    }
+}
+
+/// One of the two programs that a scenario may have.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Which {
+    /// The one that is being tried.
+    #[default]
+    This,
+    /// One of an earlier time; the same where no other is given.
+    Before,
+}
+
+/// How processes are started anew.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Restart {
+    /// Which; all of them at one time.
+    pub who: Vec<usize>,
+    /// Killed without a word rather than told to end.
+    #[serde(default)]
+    pub kill: bool,
+    /// From this program; else from the one that they run.
+    pub program: Option<Which>,
 }
 
 /// The accord of a scenario.
@@ -95,12 +134,16 @@
         )
     }
 
+    /// A setting, or what the program takes for it.
+    pub fn number(&self, key: &str, else_: i64) -> i64 {
+        self.settings.get(key).and_then(toml::Value::as_integer).unwrap_or(else_)
+    }
+
     /// T, in microseconds: a lease and a period, by the slowest clock against the fastest. Where `lease_ms`, `period_ms` or
     /// `drift_ppm` are not set, it is what the program takes them for.
     pub fn bound_us(&self) -> u64 {
-        let of = |key, else_: i64| self.settings.get(key).and_then(toml::Value::as_integer).unwrap_or(else_);
-        let ms = of("lease_ms", 6_000) + of("period_ms", 500);
-        let twice = 1.0 + 2.0 * of("drift_ppm", 500) as f64 / 1e6;
+        let ms = self.number("lease_ms", 6_000) + self.number("period_ms", 500);
+        let twice = 1.0 + 2.0 * self.number("drift_ppm", 500) as f64 / 1e6;
         (ms as f64 * 1e3 * twice) as u64
     }
 }
@@ -150,6 +193,9 @@
     /// Conversations that go on at a time; 0: calls are no turns.
     #[serde(default)]
     pub conversations: usize,
+    /// Clients of each activator whose calls come in two halves, with a pause between them; besides `per_s`.
+    #[serde(default)]
+    pub halves: usize,
 }
 
 /// One entry of the timeline.
@@ -175,8 +221,16 @@
     Cut(Vec<(usize, usize)>),
     /// What all ways do.
     All(Faults),
-    /// No way does anything any more.
+    /// No way does anything any more, but for tampering.
     Heal,
+    /// Ways tamper with what goes along them, in place of how they did.
+    Tamper {
+        /// From the first to the second; none named: all.
+        #[serde(default)]
+        ways: Vec<(usize, usize)>,
+        /// How; nothing: no more.
+        how: Tamper,
+    },
     /// These processes stand still.
     Stop(Vec<usize>),
     /// They go on.
@@ -187,6 +241,8 @@
     Start(Vec<usize>),
     /// They are told to end, and do.
     End(Vec<usize>),
+    /// They end, and each is started again at its address as soon as it has.
+    Restart(Restart),
     /// They take their leave of the others and serve on.
     Leave(Vec<usize>),
     /// A change is handed to an activator.
@@ -197,6 +253,15 @@
     Back(Vec<usize>),
     /// Every connection to these sites is broken off.
     Reset(Vec<usize>),
+    /// All activators are told something else of a host. It itself goes on as before.
+    List {
+        /// Its site.
+        site: usize,
+        /// Its number there.
+        host: usize,
+        /// What becomes of it.
+        be: Be,
+    },
     /// Acceptance of drafted tokens from now on.
     Acceptance(Vec<f64>),
     /// What hosts tell this activator of drafts is made up, with all accepted and so many rounds at a time.
@@ -257,6 +322,32 @@
     pub left_out: Option<Vec<usize>>,
     /// The longest draft that any table has in the phase `after`, if that is looked at.
     pub draft_most: Option<u64>,
+    /// Within so many seconds after the last fault all know the same sites, and which are there, and keep to that; 0: not
+    /// looked at.
+    pub sites_agree_s: f64,
+    /// How far apart two may hold the load of one site then, in means; 0: any.
+    pub loads_apart: f64,
+    /// What the tables of turns may take, in megabytes; 0: not looked at.
+    pub turns_mb: f64,
+    /// Blocks that a site may compute anew in a second; 0: any number.
+    pub anew_per_s: f64,
+    /// The program that all run in the end, if that is looked at.
+    pub runs: Option<Which>,
+    /// Both programs must have answered calls.
+    pub mixed: bool,
+}
+
+impl Hold {
+    /// What is wanted besides what always must hold, in a line: each key that is set, with its value.
+    pub fn wanted(&self) -> String {
+        let keys = |of: &Self| {
+            serde_json::to_value(of).ok().and_then(|v| v.as_object().cloned()).unwrap_or_default()
+        };
+        let usual = keys(&Self::default());
+        let set = keys(self).into_iter().filter(|(key, value)| usual.get(key) != Some(value));
+        let told: Vec<_> = set.map(|(key, value)| format!("{key} {value}")).collect();
+        told.join(", ").replace('"', "")
+    }
 }
 
 /// Why a scenario is turned down: the file, the key and the reason.
@@ -292,6 +383,39 @@
         Ok(scenario)
     }
 
+    /// Datagrams that a member may tell in a second, by [`crate::tamper::Kind`] and without parts of documents: what each
+    /// protocol sends within a period of its own at the most, if all that can be due in it is. A storm is many times that.
+    pub fn told_most(&self) -> [f64; 4] {
+        let n = self.fleet.activators as f64;
+        let tables: toml::Table = self.fleet.tables.parse().unwrap_or_default();
+        let of = |table: &str, key: &str, else_: i64| {
+            let set = tables.get(table).and_then(|t| t.get(key)).and_then(toml::Value::as_integer);
+            set.unwrap_or(else_) as f64
+        };
+        // One probe and four by way of others, six of gossip, one that seeks; all others' probes, those by way of this
+        // one there and back, and those who seek it.
+        if self.fleet.hosts == By::Bus {
+            return [0.0; 4];
+        }
+        let members = (12.0 + 8.0 * (n - 1.0)) / (self.fleet.period_ms as f64 / 1e3);
+        let accord = self.accord.as_ref().map_or(0.0, |accord| {
+            // To voters: a request, two steps of a round, a change, a state and its answer. To all: answers to requests,
+            // to two steps, and news. Then what is wanted of a document.
+            let voters = accord.voters as f64;
+            (6.0 * voters + 5.0 * n + 40.0) / (accord.number("period_ms", 500) as f64 / 1e3)
+        });
+        let drafts = (of("drafts", "fanout", 3) + 1.0) / (of("drafts", "period_ms", 1_000) / 1e3);
+        let turns = (of("turns", "told_bytes", 9_600) / 1_200.0 + n) / (of("turns", "period_ms", 500) / 1e3);
+        let on = |table: &str, most: f64| if tables.contains_key(table) { most } else { 0.0 };
+        [members, accord, on("drafts", drafts), on("turns", turns)]
+    }
+
+    /// Whether any process is started from the program of before.
+    pub fn is_mixed(&self) -> bool {
+        let anew = |at: &At| matches!(&at.act, Act::Restart(how) if how.program == Some(Which::Before));
+        self.fleet.programs.contains(&Which::Before) || self.at.iter().any(anew)
+    }
+
     fn check(&self, name: &str) -> Result<(), String> {
         let within = |key: &str, value: f64, least: f64, most: f64| match (least..=most).contains(&value) {
             true => Ok(()),
@@ -304,12 +428,22 @@
         within("calls.per_s", self.calls.per_s, 1.0, MOST_CALLS)?;
         within("calls.keyed + calls.unsafe", self.calls.keyed + self.calls.unsafe_, 0.0, 1.0)?;
         within("calls.conversations", self.calls.conversations as f64, 0.0, 100_000.0)?;
+        within("calls.halves", self.calls.halves as f64, 0.0, MOST_HALVES)?;
+        within("fleet.programs", self.fleet.programs.len() as f64, 0.0, n as f64)?;
         within("sites.count", self.sites.count as f64, 1.0, 8.0)?;
         within("sites.hosts", self.sites.hosts as f64, 1.0, 8.0)?;
         within("sites.blocks", self.sites.blocks as f64, 1.0, 1e6)?;
         if let Some(accord) = &self.accord {
             within("accord.voters", accord.voters as f64, 1.0, n as f64)?;
         }
+        let agreed = self.accord.is_some() || !self.fleet.tables.is_empty();
+        if self.fleet.hosts == By::Bus && (agreed || self.calls.conversations + self.calls.halves > 0) {
+            return Err(refused(
+                name,
+                "fleet.hosts",
+                "platform activators agree on nothing and take no turns",
+            ));
+        }
         for (phase, share) in &self.hold.served {
             within(&format!("hold.served.{phase}"), *share, 0.0, 1.0)?;
             let begins =
@@ -333,7 +467,8 @@
                 | Act::Kill(who)
                 | Act::Start(who)
                 | Act::End(who)
-                | Act::Leave(who) => known("activator", who, n)?,
+                | Act::Leave(who)
+                | Act::Restart(Restart { who, .. }) => known("activator", who, n)?,
                 Act::Part(groups) => groups.iter().try_for_each(|g| known("activator", g, n))?,
                 Act::Cut(ways) => {
                     ways.iter().try_for_each(|(a, b)| known("activator", &[*a, *b], n))?;
@@ -349,6 +484,19 @@
                         return Err(refused(name, &format!("{key}.do.change"), "there is no [accord]"));
                     }
                 }
+                Act::List { site, host, .. } => {
+                    known("site", &[*site], self.sites.count)?;
+                    known("host", &[*host], self.sites.hosts)?;
+                }
+                Act::Tamper { ways, how } => {
+                    ways.iter().try_for_each(|(a, b)| known("activator", &[*a, *b], n))?;
+                    if ways.iter().any(|(a, b)| a == b) {
+                        return Err(refused(name, &format!("{key}.do.tamper"), "a way is between two"));
+                    }
+                    within(&format!("{key}.do.tamper.spoil"), how.spoil, 0.0, 1.0)?;
+                    within(&format!("{key}.do.tamper.replay_per_s"), how.replay_per_s, 0.0, MOST_PER_S)?;
+                    within(&format!("{key}.do.tamper.forge_per_s"), how.forge_per_s, 0.0, MOST_PER_S)?;
+                }
                 Act::Forge { to, .. } => known("activator", &[*to], n)?,
                 Act::Lose(sites) | Act::Back(sites) | Act::Reset(sites) => {
                     known("site", sites, self.sites.count)?
@@ -390,6 +538,26 @@
         "[[at]]\ns = 1.0\ndo.cut = [[1, 1]]\n[hold]",
         "f.toml: at[0].do.cut: a way is between two"
     )]
+    #[case::bus(
+        "activators = 3\n[calls]",
+        "activators = 3\nhosts = \"bus\"\n[calls]\nconversations = 3",
+        "f.toml: fleet.hosts: platform activators"
+    )]
+    #[case::listed(
+        "[hold]",
+        "[[at]]\ns = 1.0\ndo.list = { site = 0, host = 9, be = \"gone\" }\n[hold]",
+        "f.toml: at[0].do: there is no host 9"
+    )]
+    #[case::tamper(
+        "[hold]",
+        "[[at]]\ns = 1.0\ndo.tamper = { how = { forge_per_s = 9000.0 } }\n[hold]",
+        "f.toml: at[0].do.tamper.forge_per_s: 9000 is not within 0 to 400"
+    )]
+    #[case::tampered_way(
+        "[hold]",
+        "[[at]]\ns = 1.0\ndo.tamper = { ways = [[2, 2]], how = { spoil = 0.1 } }\n[hold]",
+        "f.toml: at[0].do.tamper: a way is between two"
+    )]
     #[case::accord(
         "[hold]",
         "[[at]]\ns = 1.0\ndo.change = { to = 0 }\n[hold]",
@@ -397,6 +565,17 @@
     )]
     #[case::phase("[hold]", "[hold.served]\nafter = 0.9", "f.toml: hold.served.after: no such phase")]
     #[case::hold("[hold]", "[hold]\nagreed = true", "unknown field `agreed`")]
+    #[case::programs(
+        "activators = 3",
+        "activators = 3\nprograms = [\"this\", \"this\", \"this\", \"before\"]",
+        "f.toml: fleet.programs: 4 is not within 0 to 3"
+    )]
+    #[case::program("activators = 3", "activators = 3\nprograms = [\"next\"]", "unknown variant `next`")]
+    #[case::restart(
+        "[hold]",
+        "[[at]]\ns = 1.0\ndo.restart = { who = [3] }\n[hold]",
+        "f.toml: at[0].do: there is no activator 3"
+    )]
     fn what_makes_no_sense_is_refused_with_file_key_and_reason(
         #[case] from: &str,
         #[case] to: &str,
@@ -407,6 +586,20 @@
         assert!(said.contains(wanted) && said.starts_with("f.toml: "), "{said}");
     }
 
+    #[test]
+    fn what_is_wanted_is_told_in_a_line_and_a_mixed_scenario_known() {
+        let text = GOOD.replace("[hold]", "[hold]\nagree = true\nversions = 2\n[hold.served]\ncalm = 0.9\n");
+        let scenario = Scenario::parse("f.toml", &text).unwrap();
+        assert_eq!(scenario.hold.wanted(), "agree true, served {calm:0.9}, versions 2");
+        assert!(!scenario.is_mixed());
+        let back = "[[at]]\ns = 1.0\ndo.restart = { who = [1], program = \"before\" }\n[hold]";
+        assert!(Scenario::parse("f.toml", &GOOD.replace("[hold]", back)).unwrap().is_mixed());
+        let first = "activators = 3\nprograms = [\"this\", \"before\"]";
+        let mixed = Scenario::parse("f.toml", &GOOD.replace("activators = 3", first)).unwrap();
+        assert!(mixed.is_mixed());
+        assert_eq!([0, 1, 2].map(|who| mixed.fleet.program(who)), [Which::This, Which::Before, Which::This]);
+    }
+
     #[test]
     fn every_scenario_of_the_folder_can_be_read() {
         let folder = Path::new(concat!(env!("CARGO_MANIFEST_DIR"), "/scenarios"));
--- /dev/null
+++ b/crates/lab/src/tamper.rs
@@ -0,0 +1,293 @@
+//! What a relay does to datagrams besides losing them: it spoils them, sends old ones again, and makes some up.
+//!
+//! A relay *is* the address that a member is known by, so what it makes up comes as that member's word. Everything is
+//! bounded: so many datagrams kept of each kind, so many made up a second, and none where nothing comes through.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+
+/// Datagrams of a kind that a way remembers of a life, the newest.
+const KEPT: usize = 128;
+/// The most that a way makes up in a second.
+pub const MOST_PER_S: f64 = 400.0;
+/// What may be owed at most, in seconds of the rate: a relay that could not run does not make up for all of it.
+const MOST_OWED: f64 = 0.1;
+/// Bytes that a datagram of a part begins with; then comes one that tells whose it is. Any other is the members' own.
+const MARK: [u8; 4] = [0xff, 0x57, 0x4c, 0x01];
+/// The longest that is made, in bytes: what is longer is read by nobody.
+const LONGEST: usize = 1_400;
+
+/// Whose words a datagram has.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Kind {
+    /// Of the protocol of members, or nothing that makes sense.
+    Members,
+    /// Of what is agreed.
+    Accord,
+    /// Of counts of drafts.
+    Drafts,
+    /// Of places of turns.
+    Turns,
+}
+
+impl Kind {
+    /// All of them, in the order of their numbers.
+    pub const ALL: [Self; 4] = [Self::Members, Self::Accord, Self::Drafts, Self::Turns];
+
+    /// Whose words these are.
+    pub fn of(bytes: &[u8]) -> Self {
+        match bytes.strip_prefix(&MARK).and_then(|rest| rest.first()) {
+            Some(1) => Self::Accord,
+            Some(2) => Self::Drafts,
+            Some(3) => Self::Turns,
+            _ => Self::Members,
+        }
+    }
+
+    /// The bytes before the part's own.
+    fn head(self) -> usize {
+        match self {
+            Self::Members => 0,
+            _ => MARK.len() + 1,
+        }
+    }
+}
+
+/// What is made up.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Lie {
+    /// What the member said to others comes to this one: all of it true, and none of it meant for it.
+    #[default]
+    Misdelivered,
+    /// What others said, as if this member had.
+    Borrowed,
+    /// What the member said, with numbers changed so that it can still be read.
+    Numbers,
+}
+
+/// What a way does to datagrams of some kinds.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Tamper {
+    /// Of these kinds only; none named: of all.
+    pub kinds: Vec<Kind>,
+    /// The share that is spoilt on its way: bits flipped, cut short, made longer, or nothing but noise.
+    pub spoil: f64,
+    /// So many a second that the member said come again, from an earlier life of either end if there was one.
+    pub replay_per_s: f64,
+    /// So many a second are made up.
+    pub forge_per_s: f64,
+    /// How.
+    pub forge: Lie,
+}
+
+impl Tamper {
+    /// Whether datagrams of this kind are meant.
+    pub fn means(&self, kind: Kind) -> bool {
+        self.kinds.is_empty() || self.kinds.contains(&kind)
+    }
+}
+
+/// What became of a way's datagrams by tampering.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Tampered {
+    /// Spoilt.
+    pub spoilt: u64,
+    /// Sent again.
+    pub replayed: u64,
+    /// Made up.
+    pub forged: u64,
+}
+
+/// Datagrams of a way, by kind: of this life of its ends and of earlier ones.
+#[derive(Debug, Default)]
+pub struct Kept {
+    now: [VecDeque<Vec<u8>>; 4],
+    earlier: [VecDeque<Vec<u8>>; 4],
+}
+
+impl Kept {
+    /// Remembers one; the oldest of its kind makes room.
+    pub fn keep(&mut self, bytes: &[u8]) {
+        push(&mut self.now[Kind::of(bytes) as usize], bytes.to_vec());
+    }
+
+    /// One of its ends begins a new life.
+    pub fn new_life(&mut self) {
+        for (now, earlier) in self.now.iter_mut().zip(&mut self.earlier) {
+            now.drain(..).for_each(|bytes| push(earlier, bytes));
+        }
+    }
+
+    /// Any of this life, of kinds that are meant.
+    pub fn any(&self, rng: &mut fastrand::Rng, tamper: &Tamper) -> Option<Vec<u8>> {
+        pick(rng, &self.now, tamper)
+    }
+
+    /// Any of an earlier life, or of this one if there was none.
+    pub fn old(&self, rng: &mut fastrand::Rng, tamper: &Tamper) -> Option<Vec<u8>> {
+        pick(rng, &self.earlier, tamper).or_else(|| self.any(rng, tamper))
+    }
+}
+
+fn push(kept: &mut VecDeque<Vec<u8>>, bytes: Vec<u8>) {
+    if kept.len() == KEPT {
+        kept.pop_front();
+    }
+    kept.push_back(bytes);
+}
+
+/// Kinds first, so that one that is said often does not hide the others.
+fn pick(rng: &mut fastrand::Rng, kept: &[VecDeque<Vec<u8>>; 4], tamper: &Tamper) -> Option<Vec<u8>> {
+    let meant = |kind: &Kind| tamper.means(*kind) && !kept[*kind as usize].is_empty();
+    let kinds: Vec<_> = Kind::ALL.into_iter().filter(meant).collect();
+    let of = &kept[*kinds.get(rng.usize(..kinds.len().max(1)))? as usize];
+    Some(of[rng.usize(..of.len())].clone())
+}
+
+/// Spoils a datagram: some bits, or its length, or all of it. What tells whose it is stays, so that its part reads it.
+pub fn spoil(rng: &mut fastrand::Rng, bytes: &[u8]) -> Vec<u8> {
+    let head = Kind::of(bytes).head().min(bytes.len());
+    let (mut made, body) = (bytes.to_vec(), bytes.len() - head);
+    match rng.u8(..4) {
+        0 if body > 0 => {
+            for _ in 0..rng.usize(1..=4) {
+                made[head + rng.usize(..body)] ^= 1 << rng.u8(..8);
+            }
+        }
+        1 if body > 0 => made.truncate(head + rng.usize(..body)),
+        2 => made[head..].iter_mut().for_each(|byte| *byte = rng.u8(..)),
+        _ => {
+            let more = rng.usize(1..=64).min(LONGEST.saturating_sub(made.len()));
+            made.extend((0..more).map(|_| rng.u8(..)));
+        }
+    }
+    made
+}
+
+/// Changes numbers: the highest bit of a byte, by which numbers of several bytes hang together, stays as it is.
+pub fn change_numbers(rng: &mut fastrand::Rng, bytes: &[u8]) -> Vec<u8> {
+    let head = Kind::of(bytes).head().min(bytes.len());
+    let mut made = bytes.to_vec();
+    if made.len() > head {
+        for _ in 0..rng.usize(1..=3) {
+            let at = rng.usize(head..made.len());
+            made[at] = made[at] & 0x80 | rng.u8(..0x80);
+        }
+    }
+    made
+}
+
+/// What is due of something that happens so often a second.
+#[derive(Debug)]
+pub struct Due {
+    last: Instant,
+    owed: f64,
+}
+
+impl Due {
+    /// From now on.
+    pub fn new(now: Instant) -> Self {
+        Self { last: now, owed: 0.0 }
+    }
+
+    /// How many are due since this was last asked.
+    pub fn take(&mut self, now: Instant, per_s: f64) -> usize {
+        let since = now.saturating_duration_since(self.last).min(Duration::from_secs(1));
+        self.last = now;
+        self.owed = (self.owed + since.as_secs_f64() * per_s).min((per_s * MOST_OWED).max(1.0));
+        let due = self.owed.floor();
+        self.owed -= due;
+        due as usize
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn parcel(kind: u8, body: &[u8]) -> Vec<u8> {
+        [&MARK[..], &[kind], body].concat()
+    }
+
+    #[test]
+    fn kinds_are_told_by_their_first_bytes() {
+        let kinds = [1, 2, 3, 9].map(|k| Kind::of(&parcel(k, b"x")));
+        assert_eq!(kinds, [Kind::Accord, Kind::Drafts, Kind::Turns, Kind::Members]);
+        assert_eq!([Kind::of(b""), Kind::of(&MARK), Kind::of(b"abc")], [Kind::Members; 3]);
+    }
+
+    #[test]
+    fn what_is_spoilt_differs_keeps_its_head_and_is_spoilt_in_every_way() {
+        let mut rng = fastrand::Rng::with_seed(5);
+        let whole = parcel(1, &[0x55; 60]);
+        let mut ways = [0; 3];
+        for _ in 0..400 {
+            let spoilt = spoil(&mut rng, &whole);
+            assert!(spoilt != whole && spoilt[..5] == whole[..5] && spoilt.len() <= LONGEST);
+            ways[(spoilt.len().cmp(&whole.len()) as i8 + 1) as usize] += 1;
+        }
+        assert!(ways.iter().all(|n| *n > 50), "shorter, as long, longer: {ways:?}");
+        // What is empty or hardly anything is no reason to break down.
+        for short in [&b""[..], b"x", &MARK, &parcel(2, b"")] {
+            (0..50).for_each(|_| assert!(spoil(&mut rng, short).len() <= 70));
+            change_numbers(&mut rng, short);
+        }
+        let long = vec![7; LONGEST];
+        assert!((0..100).all(|_| spoil(&mut rng, &long).len() <= LONGEST));
+    }
+
+    #[test]
+    fn changed_numbers_hang_together_as_before() {
+        let mut rng = fastrand::Rng::with_seed(6);
+        let whole = parcel(2, &(0..=255).collect::<Vec<u8>>());
+        let mut changed = 0;
+        for _ in 0..100 {
+            let lie = change_numbers(&mut rng, &whole);
+            assert_eq!((lie.len(), &lie[..5]), (whole.len(), &whole[..5]));
+            assert!(lie.iter().zip(&whole).all(|(a, b)| a & 0x80 == b & 0x80));
+            changed += usize::from(lie != whole);
+        }
+        assert!(changed > 95);
+    }
+
+    #[test]
+    fn what_is_kept_is_bounded_and_an_earlier_life_comes_first() {
+        let (mut kept, mut rng) = (Kept::default(), fastrand::Rng::with_seed(7));
+        let all = Tamper::default();
+        assert_eq!(kept.old(&mut rng, &all), None);
+        (0..3 * KEPT).for_each(|k| kept.keep(&parcel(1, &[k as u8])));
+        assert_eq!(kept.now[Kind::Accord as usize].len(), KEPT);
+        assert!(kept.old(&mut rng, &all).is_some(), "there was no earlier life");
+        kept.new_life();
+        kept.keep(&parcel(1, b"later"));
+        kept.keep(&parcel(3, b"turns"));
+        assert_eq!(
+            kept.any(&mut rng, &Tamper { kinds: vec![Kind::Accord], ..all.clone() }).unwrap(),
+            parcel(1, b"later")
+        );
+        for _ in 0..50 {
+            assert_ne!(kept.old(&mut rng, &all).unwrap(), parcel(1, b"later"));
+        }
+        assert_eq!(kept.any(&mut rng, &Tamper { kinds: vec![Kind::Drafts], ..all }), None);
+        kept.new_life();
+        (0..3 * KEPT).for_each(|k| kept.keep(&parcel(1, &[k as u8])));
+        kept.new_life();
+        assert_eq!(kept.earlier[Kind::Accord as usize].len(), KEPT);
+    }
+
+    #[test]
+    fn no_more_is_due_than_the_rate_and_a_pause_is_not_made_up_for() {
+        let begun = Instant::now();
+        let mut due = Due::new(begun);
+        let at = |n: u64| begun + Duration::from_millis(n);
+        let all: usize = (1..=1_000).map(|k| due.take(at(k), 40.0)).sum();
+        assert!((39..=40).contains(&all), "{all}");
+        assert!(due.take(at(60_000), 40.0) <= 4);
+        assert_eq!((1..=1_000).map(|k| due.take(at(60_000 + k), 0.0)).sum::<usize>(), 0);
+    }
+}
