--- a/crates/accord/tests/measure.rs
+++ b/crates/accord/tests/measure.rs
@@ -65,15 +65,116 @@
         say(&format!("members_{members}.new_alone_with_all"), (net.now - begun) as f64 / 1e6, "s");
     }
     entries();
+    pauses();
 }
 
-/// The last part by itself.
+/// The last parts by itself.
 #[test]
 #[ignore = "a measurement"]
 fn accord_entries() {
     entries();
 }
 
+/// The longest single call of each kind, in processor time, while large documents come, are replaced, freed and served.
+#[test]
+#[ignore = "a measurement"]
+fn accord_pauses() {
+    pauses();
+}
+
+/// What the calls of this part took at most, by kind.
+fn tell(net: &mut Net, entries: usize, what: &str) {
+    for (kind, longest) in std::mem::take(&mut net.pauses) {
+        say(&format!("entries_{entries}.{what}.longest_{kind}"), longest as f64 / 1e3, "ms");
+    }
+}
+
+fn in_force(net: &mut Net, number: u64) {
+    let done = net.wait(600_000, |net| net.agreed().is_some_and(|version| version.number == number));
+    assert!(done, "{number} is not in force: {:#?}", net.notes);
+    net.run(10_000);
+}
+
+fn pauses() {
+    for entries in [100_000, 200_000] {
+        let mut net = Net::new(4, 3, 8);
+        net.settings.pace = 600_000;
+        net.check = false;
+        (1..=4).for_each(|name| net.restart(Name(name)));
+        net.start();
+        net.pauses.clear();
+        // The last entries alone are not in both lists, so that the bounds allow each.
+        let list =
+            |from: usize| (from..entries + from - 20).map(|at| key(&format!("list/blocked/host-{at}")));
+        net.propose(Name(4), |change| change.set = list(0).map(|key| (key, Value::Flag(true))).collect())
+            .unwrap();
+        in_force(&mut net, 2);
+        tell(&mut net, entries, "made_and_fetched");
+        net.propose(Name(4), |change| drop(change.set.insert(key("list/blocked/more"), Value::Flag(true))))
+            .unwrap();
+        in_force(&mut net, 3);
+        tell(&mut net, entries, "one_entry_more");
+        net.propose(Name(4), |change| {
+            change.set = list(0).map(|key| (key, Value::Flag(false))).collect();
+        })
+        .unwrap();
+        in_force(&mut net, 4);
+        tell(&mut net, entries, "all_values_changed");
+        net.propose(Name(4), |change| change.drop = list(0).collect()).unwrap();
+        in_force(&mut net, 5);
+        tell(&mut net, entries, "all_taken_out");
+        for number in 6..=12 {
+            net.propose(Name(4), |change| {
+                drop(change.set.insert(key(&format!("list/few/{number}")), Value::Flag(true)))
+            })
+            .unwrap();
+            in_force(&mut net, number);
+        }
+        tell(&mut net, entries, "freed_at_last");
+        net.propose(Name(4), |change| change.set = list(0).map(|key| (key, Value::Flag(true))).collect())
+            .unwrap();
+        in_force(&mut net, 13);
+        net.pauses.clear();
+        net.kill(Name(2));
+        net.restart(Name(2));
+        in_force(&mut net, 13);
+        tell(&mut net, entries, "fetched_whole_by_a_voter_from_nothing");
+    }
+    // As many keys that are hard, with floors: nothing is passed over then.
+    let entries = 100_000;
+    let mut net = Net::new(4, 3, 9);
+    net.settings.pace = 600_000;
+    let hosts = || (0..entries / 2 - 9).map(|at| format!("out/host-{at}"));
+    net.settings.floor = net
+        .settings
+        .floor
+        .iter()
+        .map(|(key, value)| (key.clone(), value.clone()))
+        .chain(hosts().map(|host| (key(&host), Value::Flag(true))))
+        .collect();
+    net.check = false;
+    (1..=4).for_each(|name| net.restart(Name(name)));
+    net.start();
+    net.pauses.clear();
+    net.propose(Name(4), |change| {
+        change.set = hosts().map(|host| (key(&host), Value::Flag(true))).collect();
+    })
+    .unwrap();
+    in_force(&mut net, 2);
+    tell(&mut net, entries, "hard_made_and_fetched");
+    net.propose(Name(4), |change| {
+        change.drop.insert(key("out/host-7"));
+    })
+    .unwrap();
+    in_force(&mut net, 3);
+    tell(&mut net, entries, "hard_one_entry_less");
+    net.cut(&[4], &[1, 2, 3], true);
+    net.run(10_000);
+    net.cuts.clear();
+    in_force(&mut net, 3);
+    tell(&mut net, entries, "hard_cut_off_and_back");
+}
+
 fn entries() {
     let list: Document =
         (0..100_000).map(|at| (key(&format!("list/blocked/host-{at}")), Value::Flag(true))).collect();
--- a/crates/accord/tests/net/mod.rs
+++ b/crates/accord/tests/net/mod.rs
@@ -115,6 +115,14 @@
     pub hard: Vec<String>,
     /// The longest that one acted on another version after the first acted on a newer.
     pub longest: u64,
+    /// By kind of call, the most processor time that one took, in microseconds, what it freed included.
+    pub pauses: BTreeMap<&'static str, u64>,
+}
+
+/// Processor time of this thread, in microseconds: other work on the machine does not count.
+pub fn busy() -> u64 {
+    let time = rustix::time::clock_gettime(rustix::time::ClockId::ThreadCPUTime);
+    time.tv_sec as u64 * 1_000_000 + time.tv_nsec as u64 / 1_000
 }
 
 impl Net {
@@ -144,6 +152,7 @@
             first: BTreeMap::new(),
             hard: Vec::new(),
             longest: 0,
+            pauses: BTreeMap::new(),
             settings,
         };
         let most = i64::from(net.settings.drift_ppm);
@@ -285,14 +294,31 @@
             return;
         }
         let mut out = Vec::new();
-        match event {
-            Event::Datagram { from, data, .. } => member.accord.heard(now, from, &data, &mut out),
-            Event::Prepared { version, result, .. } => member.accord.prepared(now, version, result, &mut out),
-            Event::Look { .. } => member.accord.wake(now, &mut out),
-        }
+        let begun = busy();
+        let kind = match event {
+            Event::Datagram { from, data, .. } => {
+                member.accord.heard(now, from, &data, &mut out);
+                "heard"
+            }
+            Event::Prepared { version, result, .. } => {
+                member.accord.prepared(now, version, result, &mut out);
+                "prepared"
+            }
+            Event::Look { .. } => {
+                member.accord.wake(now, &mut out);
+                "wake"
+            }
+        };
+        self.paused(kind, begun);
         self.carry(to, out);
     }
 
+    fn paused(&mut self, kind: &'static str, begun: u64) {
+        let took = busy() - begun;
+        let longest = self.pauses.entry(kind).or_default();
+        *longest = took.max(*longest);
+    }
+
     fn judge(&mut self) {
         if !self.check {
             return;
@@ -357,7 +383,9 @@
         let mut wanted = Change { base: self.members[at].accord.view(now).known.number, ..Change::default() };
         change(&mut wanted);
         let mut out = Vec::new();
+        let begun = busy();
         let id = self.members[at].accord.propose(now, wanted, &mut out);
+        self.paused("propose", begun);
         self.carry(name, out);
         id
     }
