--- a/crates/accord/src/accord.rs
+++ b/crates/accord/src/accord.rs
@@ -1,5 +1,9 @@
 //! One member: what is called from outside, and how what comes in is handed to the parts.
 
+mod leases;
+mod rounds;
+mod starts;
+
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
@@ -8,6 +12,7 @@
 use crate::document::{Digest, Document, Key, Value};
 use crate::fetch::{Fetch, Fetched, Store, WINDOW};
 use crate::lease::Holder;
+use crate::quorum::{key_of, named, Lists, Voters};
 use crate::round::{Round, Step};
 use crate::schema::{stricter_of, uncovered};
 use crate::settings::{Name, Settings, SettingsError};
@@ -33,7 +38,6 @@
     id: ProposalId,
     base: Version,
     new: Version,
-    tightens: bool,
     heard: Duration,
 }
 
@@ -118,15 +122,17 @@
         let first = settings.first();
         let version = Version { number: 0, digest: first.digest() };
         let by = ProposalId { name: me, life, count: 0 };
-        let record =
-            Record { mark: Mark::default(), phase: Phase::Pure(version), least: Mark::default(), by };
+        let (mark, lists) = (Mark::default(), settings.first_list()?);
+        let record = Record { mark, phase: Phase::Pure(version), least: mark, by, lists };
         let first = Arc::new(first);
         let floor = Arc::new(stricter_of(&settings.floor, &first.floor()));
         let mut store = Store::default();
         store.put(version.digest, first.clone(), &[]);
-        let voter =
-            settings.voters.contains(&me).then(|| Voter::new(me, life, Limits::of(&settings), record, now));
-        let holder = Holder::new(settings.majority(), settings.shorter(settings.lease));
+        let may = settings.may_vote();
+        let voter = may
+            .contains(&me)
+            .then(|| Voter::new(me, life, Limits::of(&settings), may.iter().copied(), record, now));
+        let holder = Holder::new(record.quorum(), settings.shorter(settings.lease));
         Ok(Accord {
             voter,
             holder,
@@ -208,7 +214,9 @@
         let Some(document) = self.store.get(base.digest) else {
             return Err(Rejected::NotNow("the version in force is still on its way here"));
         };
+        let change = self.with_voters(change, document)?;
         let made = change.apply(document).map_err(Rejected::Change)?;
+        self.next_list(document, &made).map_err(Rejected::Voters)?;
         let new = Version { number: base.number + 1, digest: made.digest() };
         self.keep(new.digest, Arc::new(made));
         self.count += 1;
@@ -228,9 +236,7 @@
         if !matches!(self.known.phase, Phase::Prepare { .. }) {
             return Err(Rejected::NotNow("no version is being prepared"));
         }
-        for voter in self.settings.voters.clone() {
-            self.send(voter, &Message::Withdraw(self.known.mark), out);
-        }
+        self.send_voters(&Message::Withdraw(self.known.mark), out);
         self.finish(now, out);
         Ok(())
     }
@@ -293,7 +299,10 @@
     /// For operators.
     pub fn view(&self, now: Duration) -> View {
         let until = self.holder.until(self.adopted.mark);
-        let role = match self.voter.as_ref().map(Voter::standing) {
+        let lists = self.known.lists;
+        let granted =
+            |list: &Voters| list.iter().map(|name| (name, self.holder.from(now, name))).collect::<Vec<_>>();
+        let role = match self.voter.as_ref().filter(|_| lists.contains(self.me)).map(Voter::standing) {
             None => Role::Activator,
             Some(Standing::Voting) => Role::Voter,
             Some(_) => Role::Silent,
@@ -312,7 +321,8 @@
             known: self.known.obeyed(),
             lease_left: (until > now).then(|| until - now),
             role,
-            voters: self.settings.voters.iter().map(|name| (*name, self.holder.from(now, *name))).collect(),
+            voters: granted(&lists.now),
+            voters_to_come: lists.next.as_ref().map(granted),
             pending: self
                 .known
                 .coming()
@@ -331,10 +341,15 @@
         }
     }
 
+    /// To all that vote or are to vote.
     fn send_voters(&mut self, message: &Message, out: &mut Vec<Out>) {
-        for voter in self.settings.voters.clone() {
-            self.send(voter, message, out);
-        }
+        let lists = self.known.lists;
+        lists.all().for_each(|voter| self.send(voter, message, out));
+    }
+
+    /// Whether one may have a vote, by this one's file or by what it knows to be chosen.
+    fn may_vote(&self, name: Name) -> bool {
+        self.settings.may_vote().contains(&name) || self.known.lists.contains(name)
     }
 
     /// What this one said to itself.
@@ -361,9 +376,8 @@
             Message::Known(record) => self.learn(now, from, &record, out),
             Message::Ask(ask) => {
                 self.highest = self.highest.max(ask.ballot.0);
-                let Some(voter) = self.voter.as_mut().filter(|_| self.settings.voters.contains(&from)) else {
-                    return;
-                };
+                let may = self.may_vote(from);
+                let Some(voter) = self.voter.as_mut().filter(|_| may) else { return };
                 let behind = ask.mark <= voter.known().mark;
                 match voter.ask(now, &ask) {
                     Some(promise) => self.send(from, &Message::Promise(promise), out),
@@ -379,9 +393,8 @@
                 }
             }
             Message::Accept(accept) => {
-                let Some(voter) = self.voter.as_mut().filter(|_| self.settings.voters.contains(&from)) else {
-                    return;
-                };
+                let may = self.may_vote(from);
+                let Some(voter) = self.voter.as_mut().filter(|_| may) else { return };
                 if voter.accept(now, &accept) {
                     let accepted = Message::Accepted {
                         mark: accept.record.mark,
@@ -394,7 +407,12 @@
                 }
             }
             Message::Accepted { mark, ballot, life } => {
-                if let Some((round, _)) = self.round.as_mut().filter(|(round, _)| round.ask().mark == mark) {
+                // A founding that is not chosen soon never is: those that accepted it are bound for a silence only.
+                let soon = self.settings.period * 4;
+                let open = |(round, at): &&mut (Round, Duration)| {
+                    round.ask().mark == mark && (!round.founds() || now < *at + soon)
+                };
+                if let Some((round, _)) = self.round.as_mut().filter(open) {
                     let step = round.accepted(from, ballot, life);
                     self.stepped(now, step, out);
                 }
@@ -447,74 +465,6 @@
         }
     }
 
-    // ---- leases ------------------------------------------------------------------------------------------------
-
-    fn requested(&mut self, now: Duration, from: Name, request: &Request, out: &mut Vec<Out>) {
-        let Some(voter) = &mut self.voter else { return };
-        let granted = voter.grant(now, from, request);
-        let mark = voter.known().mark;
-        let known = (mark > request.known).then_some(*voter.known());
-        let (life, at) = (request.life, request.at);
-        let reply =
-            Message::Reply { life, at, mark: request.mark, granted, known, tell: request.known > mark };
-        self.send(from, &reply, out);
-    }
-
-    fn replied(&mut self, now: Duration, from: Name, at: u64, mark: Mark, granted: bool, out: &mut Vec<Out>) {
-        if let Some((_, answered)) = self.asked.get_mut(&from) {
-            *answered = true;
-        }
-        if granted && self.settings.voters.contains(&from) && mark.same_epoch(self.adopted.mark) {
-            self.holder.granted(now, from, mark, Duration::from_micros(at));
-            self.check_lease(now, out);
-        }
-    }
-
-    /// Tells what is obeyed if a lease began or ended.
-    fn check_lease(&mut self, now: Duration, out: &mut Vec<Out>) {
-        let leased = self.holder.holds(now, self.adopted.mark);
-        if leased == self.leased {
-            return;
-        }
-        self.leased = leased;
-        if leased {
-            out.push(Out::Note(format!(
-                "lease of a majority; obeying version {}",
-                self.adopted.obeyed().number
-            )));
-        } else {
-            out.push(Out::Note("no lease of a majority of voters: obeying the floor".into()));
-        }
-        out.push(Out::Act(self.acting(now)));
-    }
-
-    /// Asks voters for a lease: at once if something changed, else those whose answer is missing or old.
-    fn ask_leases(&mut self, now: Duration, at_once: bool, out: &mut Vec<Out>) {
-        let word = self
-            .known
-            .coming()
-            .and_then(|version| Some((version, self.prepared.get(&version.digest)?.clone())));
-        let request = Request {
-            life: self.life,
-            // Down, so that the holder's count never begins after the sending.
-            at: now.as_micros() as u64,
-            mark: self.adopted.mark,
-            known: self.known.mark,
-            word,
-        };
-        for voter in self.settings.voters.clone() {
-            let due = match self.asked.get(&voter) {
-                None => true,
-                Some((at, true)) => now >= *at + self.settings.lease / 6,
-                Some((at, false)) => now >= *at + self.settings.period,
-            };
-            if due || at_once {
-                self.asked.insert(voter, (now, false));
-                self.send(voter, &Message::Request(request.clone()), out);
-            }
-        }
-    }
-
     // ---- records and documents ---------------------------------------------------------------------------------
 
     fn learn(&mut self, now: Duration, from: Name, record: &Record, out: &mut Vec<Out>) {
@@ -609,7 +559,7 @@
         };
         let same = self.obeyed == obeyed;
         self.adopted = record;
-        self.holder.keep(record.mark);
+        self.holder.keep(record.mark, record.quorum(), |name| record.lists.contains(name));
         self.obeyed = obeyed;
         self.floor = Arc::new(stricter_of(&self.settings.floor, &floors));
         let leased = self.holder.holds(now, record.mark);
@@ -623,17 +573,19 @@
     /// What the voter of this member goes by: the document on its way, and what the one in force says.
     fn tell_voter(&mut self) {
         let Some(voter) = &mut self.voter else { return };
-        let holds = self.known.coming().is_none_or(|version| self.store.get(version.digest).is_some());
         let in_force = self.store.get(self.known.obeyed().digest);
         let coming = self.known.coming().and_then(|version| self.store.get(version.digest));
+        // The list that the record names must be the document's own.
+        let listed = |document: &Arc<Document>| match Voters::of(document) {
+            Ok(Some(list)) => list == self.known.last_list(),
+            Ok(None) => self.known.lists.next.is_none(),
+            Err(_) => false,
+        };
+        let holds = self.known.coming().is_none() || coming.is_some_and(listed);
         let word = |key: &str| Key::new(key).ok().and_then(|key| in_force?.get(&key).cloned());
         let go_on = word("accord/refused") == Some(Value::Word("go_on".into()));
-        let gone = |name: &Name| {
-            let key = Key::new(&format!("gone/{name}")).ok();
-            key.is_some_and(|key| {
-                [in_force, coming].into_iter().flatten().any(|document| document.get(&key).is_some())
-            })
-        };
+        let gone =
+            |name: &Name| [in_force, coming].into_iter().flatten().any(|document| gone(document, *name));
         let needed = match self.known.phase {
             Phase::Prepare { tightens: true, .. } => {
                 self.settings.roster.iter().filter(|name| !gone(name)).copied().collect()
@@ -711,284 +663,11 @@
             self.send(to, &Message::Chunk { digest, base, total, at, bytes }, out);
         }
     }
+}
 
-    // ---- changes -----------------------------------------------------------------------------------------------
-
-    /// Sends this one's change to a voter, each time to another.
-    fn push_mine(&mut self, now: Duration, out: &mut Vec<Out>) {
-        let Some(mine) = &mut self.mine else { return };
-        let change = mine.id;
-        if self.known.by == change && self.known.coming() == Some(mine.new) {
-            return; // it was taken: from here on it comes into force or is withdrawn, however long that takes
-        }
-        if now >= mine.until {
-            self.mine = None;
-            out.push(Out::Settled { change, result: Err(Rejected::Unanswered) });
-            return;
-        }
-        let propose = Message::Propose { id: mine.id, base: mine.base, new: mine.new };
-        let voters = &self.settings.voters;
-        // A voter has a few periods for it before the next is asked; this one's own vote first, if it has one.
-        let own = voters.iter().position(|voter| *voter == self.me).unwrap_or(mine.id.count as usize);
-        let to = voters[(own + mine.tries / 4) % voters.len()];
-        mine.tries += 1;
-        self.send(to, &propose, out);
-    }
-
-    fn settle(&mut self, _now: Duration, before: &Record, out: &mut Vec<Out>) {
-        let Some(mine) = &self.mine else { return };
-        let (known, change) = (&self.known, mine.id);
-        let ours = known.by == mine.id;
-        let result = match known.phase {
-            Phase::Prepare { .. } if ours => return,
-            Phase::Prepare { old, .. } if old == mine.new => Ok(mine.new),
-            Phase::Prepare { old, new, .. } if old == mine.base => Err(Rejected::Busy(new)),
-            Phase::Joint { new, .. } if new == mine.new && ours => Ok(new),
-            Phase::Pure(version) if version == mine.new => Ok(version),
-            // The same version as before: a change was given up, ours or another's.
-            Phase::Pure(version) if version == mine.base => match before.by == mine.id || ours {
-                true => Err(Rejected::Withdrawn),
-                false => return,
-            },
-            _ => Err(Rejected::Stale(known.obeyed())),
-        };
-        self.mine = None;
-        out.push(Out::Settled { change, result });
-    }
-
-    fn proposed(
-        &mut self,
-        now: Duration,
-        from: Name,
-        id: ProposalId,
-        base: Version,
-        new: Version,
-        out: &mut Vec<Out>,
-    ) {
-        if self.voter.is_none() || id.name != from {
-            return;
-        }
-        if self.known.phase != Phase::Pure(base) {
-            self.send(from, &Message::Known(self.known), out);
-            return;
-        }
-        if let Some(wish) = &mut self.wish {
-            if wish.id == id {
-                wish.heard = now;
-                return self.drive(now, out);
-            }
-            // Another's stands while it is repeated and still fits: first come, first served.
-            if wish.base == base && now < wish.heard + self.settings.period * 6 {
-                return;
-            }
-        }
-        self.wish = Some(Wish { id, base, new, tightens: true, heard: now });
-        self.pull(now, false, out);
-        self.drive(now, out);
-    }
-
-    /// Whether the wish is of the version in force, its document here, and a change that may be made.
-    fn checked_wish(&mut self, in_force: Version, out: &mut Vec<Out>) -> Option<Record> {
-        let wish = self.wish.as_mut().filter(|wish| wish.base == in_force)?;
-        let (old, new) = (self.store.get(wish.base.digest)?, self.store.get(wish.new.digest)?);
-        // Checked by the proposer as well, which may be an older program, or wrong.
-        if let Err(why) = Change::between(in_force.number, old, new).apply(old) {
-            out.push(Out::Note(format!("change of {} refused: {why}", wish.id.name)));
-            self.wish = None;
-            return None;
-        }
-        wish.tightens = tightens(old, new).is_some();
-        let phase = Phase::Prepare { old: in_force, new: wish.new, tightens: wish.tightens };
-        Some(Record { mark: self.known.mark.next(), phase, least: self.known.least, by: wish.id })
-    }
-
-    // ---- rounds ------------------------------------------------------------------------------------------------
-
-    /// Begins a round if there is something to choose and nobody who stands before this one seems to do it.
-    fn drive(&mut self, now: Duration, out: &mut Vec<Out>) {
-        if self.voter.as_ref().map(Voter::standing) != Some(Standing::Voting) {
-            return;
-        }
-        let again = |at: &Duration, wait: Duration| now >= *at + wait;
-        let wait = self.settings.period * 2;
-        if self.round.as_ref().is_some_and(|(_, at)| !again(at, wait)) {
-            return;
-        }
-        let rank = self.settings.voters.iter().position(|voter| *voter == self.me).unwrap_or(0) as u32;
-        let turn = now >= self.known_since + wait * rank;
-        let next = self.known.mark.next();
-        let Record { least, by, .. } = self.known;
-        let wish = match self.known.phase {
-            Phase::Pure(version) => self.checked_wish(version, out),
-            _ if !turn => None,
-            Phase::Prepare { old, new, .. } => {
-                let lost = self.store.get(new.digest).is_none()
-                    && again(&self.known_since, self.settings.patience * 2);
-                Some(match lost || self.unwanted == Some(self.known.mark) {
-                    true => Record { mark: next, phase: Phase::Pure(old), least, by },
-                    false => Record { mark: next, phase: Phase::Joint { old, new }, least: next, by },
-                })
-            }
-            Phase::Joint { new, .. } => Some(Record { mark: next, phase: Phase::Pure(new), least, by }),
-        };
-        let Some(voter) = &self.voter else { return };
-        // What was accepted here and is not known to be chosen must be finished, whoever began it.
-        let open =
-            voter.accepted().filter(|(_, record)| record.mark == next && again(&self.known_since, wait));
-        let wish = match (wish, open) {
-            (_, Some((_, record))) => Some(*record),
-            (Some(record), None) if voter.allows(now, &record) => Some(record),
-            _ => None,
-        };
-        let Some(wish) = wish else { return };
-        self.highest = self.highest.max(voter.promised().0) + 1;
-        let ballot: Ballot = (self.highest, self.me);
-        let round = Round::new(wish, ballot, self.settings.majority());
-        let ask = Message::Ask(*round.ask());
-        // Apart, so that two do not beat each other for ever.
-        let apart = self.settings.period.mul_f64(self.rng.f64());
-        self.round = Some((round, now + apart));
-        self.send_voters(&ask, out);
-    }
-
-    fn stepped(&mut self, now: Duration, step: Step, out: &mut Vec<Out>) {
-        match step {
-            Step::Wait => {}
-            Step::Accept(accept) => self.send_voters(&Message::Accept(accept), out),
-            Step::Beaten(ballot) => self.highest = self.highest.max(ballot.0),
-            Step::Chosen(record) => {
-                self.round = None;
-                self.learn(now, self.me, &record, out);
-                for voter in self.settings.voters.clone() {
-                    if voter != self.me {
-                        self.send(voter, &Message::Known(record), out);
-                    }
-                }
-            }
-        }
-    }
-
-    // ---- voters that start from nothing ------------------------------------------------------------------------
-
-    fn wake_voter(&mut self, now: Duration, out: &mut Vec<Out>) {
-        let Some(voter) = &mut self.voter else { return };
-        voter.sweep(now);
-        if voter.wake(now) {
-            out.push(Out::Note(format!("as a voter: {}", standing(voter.standing()))));
-        }
-        let recent = self.settings.period * 4;
-        let voting = |peer: &Peer| peer.standing == Standing::Voting && now < peer.heard + recent;
-        if self.peers.values().filter(|peer| voting(peer)).count() + 1 >= self.settings.majority() {
-            self.healthy = now;
-        }
-        let lost = |peer: &Peer| {
-            now < peer.heard + recent
-                && matches!(peer.standing, Standing::Ready | Standing::Silent { forgot: true, .. })
-        };
-        let silence = self.settings.longer(self.settings.lease + self.settings.period);
-        if voter.standing() == Standing::Voting
-            && now > self.healthy + silence * 3
-            && self.peers.values().any(lost)
-        {
-            out.push(Out::Note(
-                "as a voter: too few others vote; silent, to found anew with those that forgot".into(),
-            ));
-            voter.forget(now);
-            self.healthy = now;
-        }
-        let state = |yours: u64, voter: &Voter| Message::State {
-            life: voter.life(),
-            yours,
-            standing: voter.standing(),
-            known: *voter.known(),
-            promised: voter.promised(),
-            accepted: voter.accepted().copied(),
-        };
-        let lives: Vec<(Name, Message)> = self
-            .settings
-            .voters
-            .iter()
-            .filter(|name| **name != self.me)
-            .map(|name| (*name, state(self.peers.get(name).map_or(0, |peer| peer.life), voter)))
-            .collect();
-        for (name, message) in lives {
-            self.send(name, &message, out);
-        }
-        self.found(now, out);
-    }
-
-    #[allow(clippy::too_many_arguments)] // the fields of one message
-    fn told_state(
-        &mut self,
-        now: Duration,
-        from: Name,
-        life: u64,
-        yours: u64,
-        stands: Standing,
-        known: Record,
-        promised: Ballot,
-        accepted: Option<(Ballot, Record)>,
-        out: &mut Vec<Out>,
-    ) {
-        if !self.settings.voters.contains(&from) || self.peers.get(&from).is_some_and(|peer| peer.life > life)
-        {
-            return;
-        }
-        let met = yours == self.life;
-        self.peers.insert(from, Peer { life, standing: stands, known: known.mark, met, heard: now });
-        self.learn(now, from, &known, out);
-        let Some(voter) = &mut self.voter else { return };
-        voter.met(from, life);
-        // It counts for a recovery only if it was said to this life, by one that forgot nothing.
-        let sound = matches!(stands, Standing::Voting | Standing::Silent { forgot: false, .. });
-        if met && sound {
-            voter.recall(now, from, &known, promised, accepted);
-        }
-    }
-
-    /// Founds a new epoch, if a majority of voters was silent for a lease: no lease of before is left then.
-    fn found(&mut self, now: Duration, out: &mut Vec<Out>) {
-        let Some(voter) = self.voter.as_ref().filter(|voter| voter.standing() == Standing::Ready) else {
-            return;
-        };
-        if self.round.as_ref().is_some_and(|(_, at)| now < *at + self.settings.period * 2) {
-            return;
-        }
-        let recent = self.settings.period * 4;
-        let ready = |peer: &Peer| peer.standing == Standing::Ready && peer.met && now < peer.heard + recent;
-        let mut lives: Vec<(Name, u64)> = self
-            .peers
-            .iter()
-            .filter(|(_, peer)| ready(peer))
-            .map(|(name, peer)| (*name, peer.life))
-            .collect();
-        if lives.len() + 1 < self.settings.majority() || lives.iter().any(|(name, _)| *name < self.me) {
-            return;
-        }
-        // The newest document: what is known, and after long patience what is here.
-        let late = now >= voter.since() + self.settings.patience;
-        let known = self.known.obeyed();
-        let old = self.known.versions().next().unwrap_or(known);
-        let candidates = [known, old, self.adopted.obeyed()];
-        let held = candidates.into_iter().find(|version| self.store.get(version.digest).is_some());
-        let Some(version) = held.filter(|version| *version == known || late) else { return };
-        let number = match self.known.mark.epoch {
-            0 => 1,
-            // Above whatever was chosen and is known to nobody any more.
-            _ => (known.number / 1_000 + 1) * 1_000,
-        };
-        let epoch =
-            self.peers.values().map(|peer| peer.known.epoch).max().unwrap_or(0).max(self.known.mark.epoch)
-                + 1;
-        let mark = Mark { epoch, salt: self.rng.u32(..), step: 0 };
-        let by = ProposalId { name: self.me, life: self.life, count: 0 };
-        let phase = Phase::Pure(Version { number, digest: version.digest });
-        let record = Record { mark, phase, least: mark, by };
-        lives.push((self.me, self.life));
-        let accept = Accept { ballot: (1, self.me), record, lives, basis: Some(self.known.mark) };
-        self.round = Some((Round::founding(accept.clone(), self.settings.majority()), now));
-        self.send_voters(&Message::Accept(accept), out);
-    }
+/// Whether the operator declared this one's process stopped for good.
+fn gone(document: &Document, name: Name) -> bool {
+    Key::new(&format!("gone/{name}")).is_ok_and(|key| document.get(&key).is_some())
 }
 
 fn standing(standing: Standing) -> &'static str {
--- a/crates/accord/src/lease.rs
+++ b/crates/accord/src/lease.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use crate::quorum::Quorum;
 use crate::settings::Name;
 use crate::table::Mark;
 use crate::voter::Flaws;
@@ -10,7 +11,8 @@
 /// The grants one activator has.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Holder {
-    majority: usize,
+    /// Whose grants make a lease under what is obeyed now.
+    quorum: Quorum,
     /// A lease by the holder's clock: shorter than by the grantor's.
     lease: Duration,
     /// By voter: the mark it was asked for, and when it ends.
@@ -20,8 +22,8 @@
 
 impl Holder {
     /// One without any.
-    pub fn new(majority: usize, lease: Duration) -> Holder {
-        Holder { majority, lease, grants: BTreeMap::new(), flaws: Flaws::default() }
+    pub fn new(quorum: Quorum, lease: Duration) -> Holder {
+        Holder { quorum, lease, grants: BTreeMap::new(), flaws: Flaws::default() }
     }
 
     /// For tests: plants flaws.
@@ -41,16 +43,17 @@
         }
     }
 
-    /// Until when a majority's grants run, in the epoch of `mark`. Zero if there is no majority.
+    /// Until when grants of a majority of each list run, in the epoch of `mark`. Zero if there is none.
     pub fn until(&self, mark: Mark) -> Duration {
-        let mut ends: Vec<Duration> =
-            self.grants.values().filter(|(at, _)| at.same_epoch(mark)).map(|(_, until)| *until).collect();
-        ends.sort_unstable();
-        let majority = if self.flaws.half_is_majority { self.majority - 1 } else { self.majority };
-        if ends.len() < majority {
-            return Duration::ZERO;
+        let of = |voter: Name| self.grants.get(&voter).filter(|(at, _)| at.same_epoch(mark));
+        let end = |voter: Name| of(voter).map_or(Duration::ZERO, |(_, until)| *until);
+        if self.flaws.half_is_majority {
+            return self.quorum.clone().less().until(end);
         }
-        ends[ends.len() - majority]
+        if self.flaws.lease_of_old {
+            return self.quorum.clone().alone(false).until(end);
+        }
+        self.quorum.until(end)
     }
 
     /// Whether there is a lease at this moment.
@@ -69,8 +72,10 @@
         self.grants.get(&voter).map_or(Duration::ZERO, |(_, until)| *until)
     }
 
-    /// Drops what belongs to another epoch.
-    pub fn keep(&mut self, mark: Mark) {
-        self.grants.retain(|_, (at, _)| at.same_epoch(mark));
+    /// Another record is obeyed: under it a lease needs these. Drops what belongs to another epoch, or is of one that
+    /// `votes` says neither votes nor is to vote.
+    pub fn keep(&mut self, mark: Mark, quorum: Quorum, votes: impl Fn(Name) -> bool) {
+        self.quorum = quorum;
+        self.grants.retain(|voter, (at, _)| at.same_epoch(mark) && votes(*voter));
     }
 }
--- /dev/null
+++ b/crates/accord/src/quorum.rs
@@ -0,0 +1,264 @@
+//! Lists of voters, and whose word is enough.
+
+use std::fmt;
+use std::hash::{Hash, Hasher};
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::document::{Document, Key};
+use crate::settings::Name;
+
+/// Most names of a list of voters: two lists stand in each record, of which a datagram has room for two.
+pub const MOST_VOTERS: usize = 9;
+
+/// A list of voters: 1 to 9 names in order, none twice.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(try_from = "Vec<Name>", into = "Vec<Name>")]
+pub struct Voters {
+    names: [Name; MOST_VOTERS],
+    count: u8,
+}
+
+/// Why names are no list of voters.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct VotersError(pub String);
+
+impl Voters {
+    /// A list of these, in whatever order they come.
+    ///
+    /// # Errors
+    /// None at all, more than [`MOST_VOTERS`], or a name that stands twice.
+    pub fn new(names: impl IntoIterator<Item = Name>) -> Result<Voters, VotersError> {
+        let mut names: Vec<Name> = names.into_iter().take(MOST_VOTERS + 1).collect();
+        names.sort_unstable();
+        if names.is_empty() {
+            return Err(VotersError("at least one voter stays".into()));
+        }
+        if names.len() > MOST_VOTERS {
+            return Err(VotersError(format!("more than {MOST_VOTERS} voters")));
+        }
+        if names.windows(2).any(|pair| pair[0] == pair[1]) {
+            return Err(VotersError("a voter stands twice".into()));
+        }
+        let mut list = Voters { names: [Name(0); MOST_VOTERS], count: names.len() as u8 };
+        list.names[..names.len()].copy_from_slice(&names);
+        Ok(list)
+    }
+
+    /// Those that a document names by `voter/NUMBER`; none if it names nobody.
+    ///
+    /// # Errors
+    /// As [`Voters::new`].
+    pub fn of(document: &Document) -> Result<Option<Voters>, VotersError> {
+        // Of a document's lists none is looked at: this is asked each period.
+        let names = document.beside_lists().filter_map(|(key, _)| named(key));
+        let names: Vec<Name> = names.take(MOST_VOTERS + 1).collect();
+        if names.is_empty() {
+            return Ok(None);
+        }
+        Voters::new(names).map(Some)
+    }
+
+    /// The names, the lowest first.
+    pub fn iter(&self) -> impl Iterator<Item = Name> + '_ {
+        self.names[..usize::from(self.count)].iter().copied()
+    }
+
+    /// Whether this one votes.
+    pub fn contains(&self, name: Name) -> bool {
+        self.iter().any(|known| known == name)
+    }
+
+    /// How many there are: never 0.
+    #[allow(clippy::len_without_is_empty)] // a list of nobody cannot be made
+    pub fn len(&self) -> usize {
+        usize::from(self.count)
+    }
+
+    /// How many of them are a majority.
+    pub fn majority(&self) -> usize {
+        self.len() / 2 + 1
+    }
+}
+
+/// Of the names alone: the rest is always the same, and models hash millions of lists.
+impl Hash for Voters {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        self.names[..usize::from(self.count)].hash(state);
+    }
+}
+
+impl fmt::Debug for Voters {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_set().entries(self.iter().map(|name| name.0)).finish()
+    }
+}
+
+impl fmt::Display for Voters {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let names: Vec<String> = self.iter().map(|name| name.to_string()).collect();
+        f.write_str(&names.join(", "))
+    }
+}
+
+impl TryFrom<Vec<Name>> for Voters {
+    type Error = VotersError;
+    fn try_from(names: Vec<Name>) -> Result<Voters, VotersError> {
+        Voters::new(names)
+    }
+}
+
+impl From<Voters> for Vec<Name> {
+    fn from(list: Voters) -> Vec<Name> {
+        list.iter().collect()
+    }
+}
+
+impl fmt::Display for VotersError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl std::error::Error for VotersError {}
+
+/// The voter that a key `voter/NUMBER` names.
+pub(crate) fn named(key: &Key) -> Option<Name> {
+    key.as_str().strip_prefix("voter/").and_then(|number| number.parse().ok()).map(Name)
+}
+
+/// The key that names this voter.
+pub(crate) fn key_of(name: Name) -> Option<Key> {
+    Key::new(&format!("voter/{name}")).ok()
+}
+
+/// The lists of a record: who votes, and who is to vote once the version on its way is in force.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Lists {
+    /// Of the version in force.
+    pub now: Voters,
+    /// Of the one on its way, where that is another list.
+    pub next: Option<Voters>,
+}
+
+impl Lists {
+    /// One list and no other on its way.
+    pub fn only(now: Voters) -> Lists {
+        Lists { now, next: None }
+    }
+
+    /// All that vote or are to vote, each once.
+    pub fn all(&self) -> impl Iterator<Item = Name> + '_ {
+        let added = self.next.iter().flat_map(Voters::iter).filter(|name| !self.now.contains(*name));
+        self.now.iter().chain(added)
+    }
+
+    /// Whether this one votes or is to vote.
+    pub fn contains(&self, name: Name) -> bool {
+        self.now.contains(name) || self.next.is_some_and(|next| next.contains(name))
+    }
+}
+
+/// Whose word is enough: so many of each of these groups.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Quorum {
+    groups: [Option<Group>; 2],
+}
+
+/// Names, shared, and how many of them are enough.
+type Group = (Arc<[Name]>, usize);
+
+impl Quorum {
+    /// A majority of the list, and of the other if there is one.
+    pub fn majorities(list: &Voters, other: Option<&Voters>) -> Quorum {
+        let group = |list: &Voters| (list.iter().collect(), list.majority());
+        Quorum { groups: [Some(group(list)), other.map(group)] }
+    }
+
+    /// So many of these.
+    pub fn of(names: Vec<Name>, need: usize) -> Quorum {
+        Quorum { groups: [Some((names.into(), need)), None] }
+    }
+
+    /// Whether those that `has` says yes of are enough. A quorum of no group is never met.
+    pub fn met(&self, has: impl Fn(Name) -> bool) -> bool {
+        let enough = |(names, need): &Group| names.iter().filter(|n| has(**n)).count() >= *need;
+        self.groups[0].is_some() && self.groups.iter().flatten().all(enough)
+    }
+
+    /// Until when they are enough, if each is counted until `end`; zero for one that is not counted.
+    pub fn until(&self, end: impl Fn(Name) -> Duration) -> Duration {
+        let of = |(names, need): &Group| {
+            let mut ends: Vec<Duration> = names.iter().map(|name| end(*name)).collect();
+            ends.sort_unstable();
+            ends.len().checked_sub(*need).and_then(|at| ends.get(at).copied()).unwrap_or_default()
+        };
+        self.groups.iter().flatten().map(of).min().unwrap_or_default()
+    }
+
+    /// For tests of planted flaws: one less of each group.
+    #[doc(hidden)]
+    pub fn less(mut self) -> Quorum {
+        self.groups.iter_mut().flatten().for_each(|(_, need)| *need -= 1);
+        self
+    }
+
+    /// For tests of planted flaws: of two lists the old alone, or the new alone.
+    #[doc(hidden)]
+    pub fn alone(mut self, new: bool) -> Quorum {
+        if let [Some(_), Some(_)] = self.groups {
+            self.groups.swap(0, usize::from(new));
+            self.groups[1] = None;
+        }
+        self
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn list(names: &[u32]) -> Voters {
+        Voters::new(names.iter().map(|name| Name(*name))).unwrap()
+    }
+
+    #[test]
+    fn two_quorums_of_a_list_meet_and_of_a_joint_one_meet_in_both_lists() {
+        let lists = [list(&[1, 2, 3]), list(&[3, 4, 5, 6])];
+        let joint = Quorum::majorities(&lists[0], Some(&lists[1]));
+        let names = [1, 2, 3, 4, 5, 6];
+        let has = |set: u32| move |name: Name| set >> name.0 & 1 == 1;
+        let quorums: Vec<u32> = (0..128).filter(|set| joint.met(has(*set))).collect();
+        assert!(!quorums.is_empty());
+        for a in &quorums {
+            for b in &quorums {
+                for of in &lists {
+                    assert!(names.iter().any(|n| (a & b) >> n & 1 == 1 && of.contains(Name(*n))));
+                }
+            }
+            assert!(lists.iter().all(|list| Quorum::majorities(list, None).met(has(*a))));
+        }
+        assert!(!Quorum::default().met(|_| true));
+    }
+
+    #[test]
+    fn a_quorum_lasts_until_the_first_of_its_groups_is_short_of_one() {
+        let joint = Quorum::majorities(&list(&[1, 2, 3]), Some(&list(&[4])));
+        let ends = |of: [u64; 5]| move |name: Name| Duration::from_secs(of[name.0 as usize]);
+        assert_eq!(joint.until(ends([0, 5, 7, 0, 9])), Duration::from_secs(5));
+        assert_eq!(joint.until(ends([0, 5, 7, 6, 2])), Duration::from_secs(2));
+        assert_eq!(joint.until(ends([0, 5, 7, 6, 0])), Duration::ZERO);
+    }
+
+    #[test]
+    fn a_list_has_bounds_and_one_order() {
+        assert_eq!(list(&[3, 1, 2]), list(&[1, 2, 3]));
+        let refused = |names: &[u32]| Voters::new(names.iter().map(|name| Name(*name))).unwrap_err().0;
+        assert_eq!(refused(&[]), "at least one voter stays");
+        assert_eq!(refused(&[1, 2, 1]), "a voter stands twice");
+        assert_eq!(refused(&(0..10).collect::<Vec<_>>()), "more than 9 voters");
+        assert_eq!((list(&[1, 2, 3, 4]).majority(), list(&[1]).majority()), (3, 1));
+    }
+}
--- a/crates/accord/src/schema.rs
+++ b/crates/accord/src/schema.rs
@@ -67,14 +67,18 @@
         (2, "gone", _) if words[1].parse::<u32>().is_ok_and(|name| name.to_string() == words[1]) => {
             (false, Takes::Present)
         }
+        // Who votes. Hard: no two lists are ever gone by at once.
+        (2, "voter", _) if words[1].parse::<u32>().is_ok_and(|name| name.to_string() == words[1]) => {
+            (true, Takes::Present)
+        }
         _ => return None,
     })
 }
 
 fn looked_up(key: &Key) -> Option<(bool, Takes)> {
     match key.floored() {
-        // A floor is hard or soft as its key is. Only keys below `accord/` and `gone/` have none.
-        Some(of) if of.words().next() != Some("accord") && of.words().next() != Some("gone") => rule(&of),
+        // A floor is hard or soft as its key is. Only keys below `accord/`, `gone/` and `voter/` have none.
+        Some(of) if !matches!(of.words().next(), Some("accord" | "gone" | "voter")) => rule(&of),
         Some(_) => None,
         None => rule(key),
     }
@@ -160,7 +164,9 @@
 /// The first hard key on which `floor` is looser than `terms`, or silent: one that acts on the floor would contradict one
 /// that acts on the terms. None if the floor covers them.
 pub fn uncovered(terms: &Document, floor: &Document) -> Option<Key> {
-    let hard = terms.beside_lists().filter(|(key, _)| hard(key) && key.floored().is_none());
+    // Nobody votes by the floor, so it says nothing of voters: their lists are in the records.
+    let floored = |key: &Key| hard(key) && key.floored().is_none() && !key.as_str().starts_with("voter/");
+    let hard = terms.beside_lists().filter(|(key, _)| floored(key));
     let open = |key: &Key, value: &Value| match floor.get(key) {
         None => true,
         Some(low) => stricter(key, value, low) != low,
--- a/crates/accord/src/settings.rs
+++ b/crates/accord/src/settings.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::document::Document;
+use crate::quorum::{named, Lists, Quorum, Voters};
 use crate::schema;
 
 /// A member of the fleet.
@@ -21,8 +22,12 @@
 /// What the accord is told at its start. All members of a fleet are told the same voters, lease and drift.
 #[derive(Clone, Debug)]
 pub struct Settings {
-    /// Who chooses versions and grants leases: 3 to 9 names, the same list for all.
+    /// Who chooses versions and grants leases until a document names others: 3 to 9 names, the same list for all.
     pub voters: Vec<Name>,
+    /// Who may vote by a document's `voter/NUMBER`: at most 16 names, the voters among them, the same list for all. Empty: the
+    /// voters, so that a list may not change. A founding counts on the silence of these, so names are added here before
+    /// a document has them, and taken out after.
+    pub may_vote: Vec<Name>,
     /// All who may act, voters among them: at most 4,096.
     pub roster: Vec<Name>,
     /// How long a lease lasts: 6 periods to an hour.
@@ -60,11 +65,14 @@
 
 /// Most members: what a voter keeps a lease for.
 const MOST_MEMBERS: usize = 4_096;
+/// Most that may vote: each says to each other how it stands, each period.
+const MOST_MAY_VOTE: usize = 16;
 
 impl Default for Settings {
     fn default() -> Settings {
         Settings {
             voters: Vec::new(),
+            may_vote: Vec::new(),
             roster: Vec::new(),
             lease: Duration::from_secs(6),
             period: Duration::from_millis(500),
@@ -96,6 +104,21 @@
         if let Some(name) = self.voters.iter().find(|name| !self.roster.contains(name)) {
             return refuse("voters", format!("{name} is not among the members"));
         }
+        let mut may = self.may_vote.clone();
+        may.sort_unstable();
+        may.dedup();
+        if may.len() != self.may_vote.len() || may.len() > MOST_MAY_VOTE {
+            return refuse(
+                "may_vote",
+                format!("{} names: at most {MOST_MAY_VOTE}, none twice", self.may_vote.len()),
+            );
+        }
+        if let Some(name) = may.iter().find(|name| !self.roster.contains(name)) {
+            return refuse("may_vote", format!("{name} is not among the members"));
+        }
+        if let Some(name) = self.voters.iter().find(|name| !may.is_empty() && !may.contains(name)) {
+            return refuse("may_vote", format!("the voter {name} is missing"));
+        }
         if self.roster.len() > MOST_MEMBERS {
             return refuse(
                 "voters",
@@ -126,6 +149,15 @@
                 return refuse(name, format!("{} entries, {} bytes", document.len(), document.bytes()));
             }
         }
+        if let Some(name) = self.document.beside_lists().find_map(|(key, _)| named(key)) {
+            return refuse(
+                "document",
+                format!("voter/{name}: who votes at the start is said by accord.voters"),
+            );
+        }
+        if let Some(name) = self.floor.beside_lists().find_map(|(key, _)| named(key)) {
+            return refuse("floor", format!("voter/{name}: voters have no floor"));
+        }
         if let Some(key) = self.floor.iter().find_map(|(key, _)| key.floored()) {
             return refuse("floor", format!("floor/{key}: keys of the floor have no floor/ before them"));
         }
@@ -161,9 +193,32 @@
         first
     }
 
-    /// How many voters a majority is.
-    pub fn majority(&self) -> usize {
-        self.voters.len() / 2 + 1
+    /// Who may ever vote.
+    pub(crate) fn may_vote(&self) -> &[Name] {
+        if self.may_vote.is_empty() {
+            &self.voters
+        } else {
+            &self.may_vote
+        }
+    }
+
+    /// Who votes where no document said otherwise yet.
+    pub(crate) fn first_list(&self) -> Result<Lists, SettingsError> {
+        let list = Voters::new(self.voters.iter().copied());
+        let list = list.map_err(|why| SettingsError { key: "voters", reason: why.to_string() })?;
+        Ok(Lists::only(list))
+    }
+
+    /// Whose silence is enough for a founding: all that may vote but for fewer than a majority of the smallest list there may
+    /// be, so that whatever list is in force, one of each of its majorities is silent. With a list that may not change: a majority.
+    ///
+    /// Who is `gone`, as the operator promises by a document, is silent.
+    pub(crate) fn founders(&self, gone: impl Fn(Name) -> bool) -> Quorum {
+        let may = self.may_vote();
+        let left: Vec<Name> = may.iter().copied().filter(|name| !gone(*name)).collect();
+        let need = may.len() - self.voters.len() / 2;
+        let need = need.saturating_sub(may.len() - left.len()).max(1);
+        Quorum::of(left, need)
     }
 
     /// A time on the holder's side: over before it is over for anybody else.
--- a/crates/accord/src/table.rs
+++ b/crates/accord/src/table.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::document::Digest;
+use crate::quorum::{Lists, Quorum, Voters};
 use crate::settings::Name;
 
 /// A version of the document.
@@ -83,9 +84,32 @@
     pub least: Mark,
     /// Whose change led here; the founder's where there was none.
     pub by: ProposalId,
+    /// Who votes. It stands in the record itself: whose word chooses the next one is known wherever this one is, whether or not a
+    /// document came.
+    pub lists: Lists,
 }
 
 impl Record {
+    /// Whose word a lease under it needs, and the choice of the place after it, whatever is put there.
+    pub fn quorum(&self) -> Quorum {
+        let joint = matches!(self.phase, Phase::Joint { .. });
+        Quorum::majorities(&self.lists.now, self.lists.next.as_ref().filter(|_| joint))
+    }
+
+    /// Whose word the choice of `next` needs at the place after it: for the joint step of a change of voters also a majority of
+    /// those to come, as nothing goes on without them from there.
+    pub fn quorum_for(&self, next: &Record) -> Quorum {
+        match next.phase {
+            Phase::Joint { .. } => next.quorum(),
+            _ => self.quorum(),
+        }
+    }
+
+    /// Who votes once the version on its way is in force.
+    pub fn last_list(&self) -> Voters {
+        self.lists.next.unwrap_or(self.lists.now)
+    }
+
     /// The newest version that activators obey.
     pub fn obeyed(&self) -> Version {
         match self.phase {
@@ -133,22 +157,28 @@
 /// | Pure(a) | | Take, if b is a's number + 1 | **never**: it would skip the preparing | **never** |
 /// | Prepare(a, b) | Withdraw | | Join | **never**: leases on a alone may last |
 /// | Joint(a, b) | **never**: some act on b | | | Finish |
+///
+/// The list of voters in force changes with *Finish* alone, to the one that *Take* named.
 pub fn legal(from: &Record, to: &Record) -> Option<Move> {
     if to.mark != from.mark.next() {
         return None;
     }
     match (from.phase, to.phase) {
         (Phase::Pure(a), Phase::Prepare { old, new, .. }) => {
-            (old == a && new.number == a.number + 1 && to.least == from.least).then_some(Move::Take)
+            let lists = to.lists.now == from.lists.now && to.lists.next != Some(from.lists.now);
+            (old == a && new.number == a.number + 1 && to.least == from.least && lists).then_some(Move::Take)
         }
         (Phase::Prepare { old, new, .. }, Phase::Joint { old: a, new: b }) => {
-            (a == old && b == new && to.least == to.mark && to.by == from.by).then_some(Move::Join)
+            let same = to.by == from.by && to.lists == from.lists;
+            (a == old && b == new && to.least == to.mark && same).then_some(Move::Join)
         }
         (Phase::Prepare { old, .. }, Phase::Pure(a)) => {
-            (a == old && to.least == from.least).then_some(Move::Withdraw)
+            let lists = Lists::only(from.lists.now);
+            (a == old && to.least == from.least && to.lists == lists).then_some(Move::Withdraw)
         }
         (Phase::Joint { new, .. }, Phase::Pure(b)) => {
-            (b == new && to.least == from.least && to.by == from.by).then_some(Move::Finish)
+            let same = to.by == from.by && to.lists == Lists::only(from.last_list());
+            (b == new && to.least == from.least && same).then_some(Move::Finish)
         }
         _ => None,
     }
--- a/crates/accord/src/view.rs
+++ b/crates/accord/src/view.rs
@@ -84,6 +84,8 @@
     Change(ChangeError),
     /// This one does not know what is in force, or already has as many changes under way as it may.
     NotNow(&'static str),
+    /// Its list of voters cannot be: why.
+    Voters(String),
     /// It was withdrawn before anybody acted on it.
     Withdrawn,
     /// No word of it within the time allowed. It may still come into force.
@@ -103,6 +105,7 @@
             Rejected::Busy(version) => write!(f, "version {} is on its way", version.number),
             Rejected::Change(error) => write!(f, "{error}"),
             Rejected::NotNow(why) => f.write_str(why),
+            Rejected::Voters(why) => f.write_str(why),
             Rejected::Withdrawn => f.write_str("withdrawn before anybody acted on it"),
             Rejected::Unanswered => f.write_str("no word of it in time; it may still come into force"),
         }
@@ -163,8 +166,10 @@
     pub lease_left: Option<Duration>,
     /// What this one is.
     pub role: Role,
-    /// The fixed list, and whether each granted this one a lease that still runs.
+    /// The list in force, and whether each granted this one a lease that still runs.
     pub voters: Vec<(Name, bool)>,
+    /// While voters change: the list to come, likewise. Once both versions are obeyed a lease needs a majority of each list.
+    pub voters_to_come: Option<Vec<(Name, bool)>>,
     /// The version on its way, and whether both are obeyed already.
     pub pending: Option<(Version, bool)>,
     /// Who refused it or keeps it waiting, and why, as far as this one knows (voters know most).
--- a/crates/accord/src/voter.rs
+++ b/crates/accord/src/voter.rs
@@ -2,10 +2,12 @@
 //! `tests/model.rs` drives this very code through all interleavings.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
+use crate::quorum::Voters;
 use crate::settings::{Name, Settings};
 use crate::table::{legal, Mark, Move, Phase, Record, Version};
 use crate::view::Refusal;
@@ -32,13 +34,23 @@
     pub stale_lease: bool,
     /// The lease is counted from when the grant came in, not from when it was asked for.
     pub from_arrival: bool,
+    /// A lease while voters change from a majority of the old list alone.
+    pub lease_of_old: bool,
+    /// The end of a change of voters is chosen by a majority of the new list alone.
+    pub choice_of_new: bool,
+    /// One that is to vote does so before it learnt from those that vote.
+    pub added_unlearnt: bool,
+    /// One that votes no more grants what it is asked for.
+    pub removed_grants: bool,
 }
 
 /// What of the settings a voter goes by.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Limits {
-    /// Voters that make a majority.
-    pub majority: usize,
+    /// Least names of a list of voters: what a founding counts on.
+    pub fewest: usize,
+    /// How long one that is to vote does so before it takes the joint step of its own change: so that holders have its grants then.
+    pub settle: Duration,
     /// How long a grant binds the grantor, by its own clock.
     pub grant: Duration,
     /// How long one that starts from nothing stays silent: the longest lease an earlier life may have granted.
@@ -52,7 +64,8 @@
         let grant = settings.longer(settings.lease);
         // A period more than a lease: the earlier life may have been in the middle of a turn of its loop.
         let silence = settings.longer(settings.lease + settings.period);
-        Limits { majority: settings.majority(), grant, silence, patience: settings.patience }
+        let settle = settings.lease / 6 + settings.period * 2;
+        Limits { fewest: settings.voters.len(), settle, grant, silence, patience: settings.patience }
     }
 }
 
@@ -142,7 +155,13 @@
     me: Name,
     life: u64,
     limits: Limits,
+    /// Who may vote, by this one's own file: the silence of nobody else is waited for by a founding.
+    may_vote: Arc<[Name]>,
     standing: Standing,
+    /// Since when it votes.
+    voting: Duration,
+    /// Until then a founding that it accepted may be chosen by that: it does not go back to voting as before.
+    bound: Duration,
     known: Record,
     /// When it learnt that.
     since: Duration,
@@ -167,12 +186,22 @@
 }
 
 impl Voter {
-    /// One that starts from nothing, knowing `first`.
-    pub fn new(me: Name, life: u64, limits: Limits, first: Record, now: Duration) -> Voter {
+    /// One that may vote and starts from nothing, knowing `first`.
+    pub fn new(
+        me: Name,
+        life: u64,
+        limits: Limits,
+        may_vote: impl IntoIterator<Item = Name>,
+        first: Record,
+        now: Duration,
+    ) -> Voter {
         Voter {
             me,
             life,
             limits,
+            may_vote: may_vote.into_iter().collect(),
+            voting: now,
+            bound: Duration::ZERO,
             standing: Standing::Silent { until: now + limits.silence, forgot: true },
             known: first,
             since: now,
@@ -258,17 +287,24 @@
             return false;
         }
         let founded_here = self.accepted.is_some_and(|(_, accepted)| accepted.mark.same_epoch(record.mark));
-        if !record.mark.same_epoch(self.known.mark) {
-            match self.standing {
-                // It was silent before it accepted the founding, and granted nothing since.
-                Standing::Ready if founded_here => self.standing = Standing::Voting,
-                // Two foundings follow no table: leases under the one are kept from those under the other by silence.
-                Standing::Voting => {
-                    self.standing = Standing::Silent { until: now + self.limits.silence, forgot: false };
-                    self.grants.clear();
-                }
-                Standing::Silent { .. } | Standing::Ready => {}
+        let epoch = !record.mark.same_epoch(self.known.mark);
+        if epoch || record.lists != self.known.lists {
+            // Whose word a recovery needs is another's now; it is said again each period.
+            self.learnt.clear();
+        }
+        let votes = record.lists.contains(self.me);
+        match self.standing {
+            // It votes no more. What it granted is covered by the guard of *Finish*, or is silent for as long as it may run;
+            // should it be named again, it learns first.
+            Standing::Voting | Standing::Silent { forgot: false, .. } if !votes => self.forget(now),
+            // It was silent before it accepted the founding, and granted nothing since.
+            Standing::Ready if epoch && founded_here && votes => self.vote(now),
+            // Two foundings follow no table: leases under the one are kept from those under the other by silence.
+            Standing::Voting if epoch => {
+                self.standing = Standing::Silent { until: now + self.limits.silence, forgot: false };
+                self.grants.clear();
             }
+            _ => {}
         }
         if record.coming() != self.known.coming() {
             self.words.clear();
@@ -318,24 +354,32 @@
 
     /// Ends a silence that is over. True if the standing changed.
     pub fn wake(&mut self, now: Duration) -> bool {
-        let learnt = self.learnt.len() >= self.limits.majority;
+        let votes = self.known.lists.contains(self.me);
+        // For each list a majority of others than itself, which is not in `learnt`: fewer may miss what its earlier life chose with them.
+        let learnt = votes
+            && (self.known.quorum().met(|name| self.learnt.contains(&name)) || self.flaws.added_unlearnt);
         let next = match self.standing {
             Standing::Silent { until, forgot } if now >= until => match forgot {
                 false => Standing::Voting,
                 true if learnt => Standing::Voting,
                 true => Standing::Ready,
             },
-            Standing::Ready if learnt => Standing::Voting,
+            Standing::Ready if learnt && now >= self.bound => Standing::Voting,
             other => other,
         };
         let changed = next != self.standing;
         self.standing = next;
         if changed && next == Standing::Voting {
             self.learnt.clear();
+            self.voting = now;
         }
         changed
     }
 
+    fn vote(&mut self, now: Duration) {
+        (self.standing, self.voting) = (Standing::Voting, now);
+    }
+
     /// Gives up its vote as if it had started from nothing, but for what it knows: too few others vote, and a founding
     /// needs a majority of those that were silent.
     pub fn forget(&mut self, now: Duration) {
@@ -386,6 +430,7 @@
                 // Founded by one alone, under a mark of its own: there is nothing to compare ballots with.
                 accept.basis.is_some_and(|basis| basis >= self.known.mark)
                     && record.mark.epoch > self.known.mark.epoch
+                    && record.lists.next.is_none()
                     && record.mark.step == 0
             }
         };
@@ -394,6 +439,10 @@
                 let known = self.lives.entry(*name).or_default();
                 *known = (*life).max(*known);
             }
+            if self.standing == Standing::Ready {
+                self.bound = now + self.limits.silence;
+                self.learnt.clear();
+            }
             self.promised = accept.ballot.max(self.promised);
             self.accepted = Some((accept.ballot, *record));
         }
@@ -403,7 +452,8 @@
     /// Whether the table allows the move, and the guard of the move holds here and now.
     pub fn allows(&self, now: Duration, record: &Record) -> bool {
         match legal(&self.known, record) {
-            Some(Move::Take | Move::Withdraw) => true,
+            Some(Move::Take) => record.lists.next.is_none_or(|next| self.may_all_vote(&next)),
+            Some(Move::Withdraw) => true,
             Some(Move::Join) => self.ready(now),
             Some(Move::Finish) => self.clear(now),
             None => {
@@ -415,9 +465,18 @@
         }
     }
 
+    /// Whether this one's file lets such a list vote: of others' silence no founding would know.
+    pub fn may_all_vote(&self, list: &Voters) -> bool {
+        list.len() >= self.limits.fewest && list.iter().all(|name| self.may_vote.contains(&name))
+    }
+
     /// Whether all that hold a lease from this one are ready for the version on its way, or it goes on without them.
     fn ready(&self, now: Duration) -> bool {
         let Phase::Prepare { tightens, .. } = self.known.phase else { return false };
+        let added = !self.known.lists.now.contains(self.me);
+        if added && now < self.voting + self.limits.settle {
+            return false;
+        }
         let late = now >= self.since + self.limits.patience;
         let fits = |name: &Name| match self.words.get(name) {
             Some(Ok(())) => true,
@@ -459,7 +518,8 @@
         let joint = self.accepted.is_some_and(|(_, record)| matches!(record.phase, Phase::Joint { .. }));
         let fits = request.mark.same_epoch(self.known.mark)
             && (self.known.least..=self.known.mark).contains(&request.mark);
-        if self.standing != Standing::Voting || joint || !fits {
+        let removed = self.flaws.removed_grants && !self.known.lists.contains(self.me);
+        if !removed && (self.standing != Standing::Voting || joint || !fits) {
             return false;
         }
         let binds = if self.flaws.grantor_first { self.limits.grant / 2 } else { self.limits.grant };
--- a/crates/accord/tests/faults.rs
+++ b/crates/accord/tests/faults.rs
@@ -238,6 +238,232 @@
     sound(&net);
 }
 
+fn voters(set: &[u32], drop: &[u32]) -> impl FnOnce(&mut Change) {
+    let (set, drop) = (set.to_vec(), drop.to_vec());
+    move |change| {
+        change.set.extend(set.iter().map(|name| (key(&format!("voter/{name}")), Value::Flag(true))));
+        change.drop.extend(drop.iter().map(|name| key(&format!("voter/{name}"))));
+    }
+}
+
+/// Five members of which each may vote, three vote.
+fn changing(seed: u64) -> Net {
+    let mut settings = settings(6, 3);
+    settings.may_vote = (1..=5).map(Name).collect();
+    Net::with(settings, seed, Default::default())
+}
+
+fn listed(net: &Net, name: u32) -> Vec<u32> {
+    net.view(Name(name)).voters.iter().map(|(name, _)| name.0).collect()
+}
+
+#[test]
+fn a_dead_voter_is_replaced_and_then_another_may_die() {
+    for seed in 0..6 {
+        let mut net = changing(seed);
+        net.start();
+        net.kill(Name(1));
+        net.run(8_000);
+        net.propose(Name(6), voters(&[4], &[1])).unwrap();
+        in_force(&mut net, 2);
+        assert_eq!((listed(&net, 2), listed(&net, 6)), (vec![2, 3, 4], vec![2, 3, 4]), "seed {seed}");
+        net.kill(Name(2));
+        net.run(8_000);
+        net.propose(Name(5), attempts(2)).unwrap();
+        in_force(&mut net, 3);
+        sound(&net);
+        // The one that was removed comes back with its old file, and is told who votes.
+        net.restart(Name(1));
+        in_force(&mut net, 3);
+        assert_eq!((listed(&net, 1), net.view(Name(1)).role), (vec![2, 3, 4], Role::Activator));
+        sound(&net);
+    }
+}
+
+#[test]
+fn a_change_of_all_voters_leaves_nobody_on_the_floor() {
+    let mut net = changing(1);
+    net.settings.may_vote = (1..=6).map(Name).collect();
+    (1..=6).for_each(|name| net.restart(Name(name)));
+    net.start();
+    net.propose(Name(1), voters(&[4, 5, 6], &[1, 2, 3])).unwrap();
+    let mut fell = 0;
+    while net.agreed().is_none_or(|version| version.number != 2) {
+        net.run(50);
+        fell += (1..=6).filter(|name| matches!(net.acting(Name(*name)), Acting::Floor(_))).count();
+        assert!(net.now < 120_000_000, "{:#?}", net.notes);
+    }
+    assert_eq!((fell, listed(&net, 1)), (0, vec![4, 5, 6]));
+    // The old ones matter to nobody any more.
+    (1..=3).for_each(|name| net.kill(Name(name)));
+    net.run(8_000);
+    net.propose(Name(5), attempts(2)).unwrap();
+    in_force(&mut net, 3);
+    sound(&net);
+}
+
+#[test]
+fn one_that_was_cut_off_through_a_change_of_all_it_knew_finds_the_new_voters() {
+    let mut net = changing(2);
+    net.settings.may_vote = (1..=6).map(Name).collect();
+    net.settings.roster = (1..=6).map(Name).collect();
+    (1..=6).for_each(|name| net.restart(Name(name)));
+    net.start();
+    net.cut(&[6], &[1, 2, 3, 4, 5], true);
+    net.run(6_000);
+    net.propose(Name(5), voters(&[4, 5], &[1, 2])).unwrap();
+    assert!(net.wait(60_000, |net| listed(net, 3) == [3, 4, 5]), "{:#?}", net.notes);
+    // Of those that it knows only one is left, and that cannot be heard.
+    (1..=2).for_each(|name| net.kill(Name(name)));
+    net.cuts.clear();
+    net.cut(&[6], &[1, 2, 3], true);
+    assert!(net.wait(60_000, |net| listed(net, 6) == [3, 4, 5]), "{:#?}", net.notes);
+    in_force(&mut net, 2);
+    sound(&net);
+}
+
+#[test]
+fn a_proposer_of_its_own_removal_that_dies_half_way_leaves_one_list() {
+    for (seed, millis) in (0..16).map(|at| (at, at * 150)) {
+        let mut net = changing(seed);
+        net.start();
+        net.propose(Name(1), voters(&[4, 5], &[1])).unwrap();
+        net.run(millis);
+        net.kill(Name(1));
+        let still =
+            |net: &Net| net.members[1..].iter().all(|one| one.accord.view(Duration::ZERO).pending.is_none());
+        assert!(
+            net.wait(90_000, |net| still(net) && net.agreed().is_some()),
+            "killed at {millis} ms: {:#?}",
+            net.notes
+        );
+        let lists: Vec<Vec<u32>> = (2..=6).map(|name| listed(&net, name)).collect();
+        assert!(lists.iter().all(|list| *list == lists[0]), "{lists:?}");
+        assert!([vec![1, 2, 3], vec![2, 3, 4, 5]].contains(&lists[0]));
+        sound(&net);
+    }
+}
+
+#[test]
+fn voters_that_all_start_with_old_files_find_the_newest_list() {
+    for seed in 0..6 {
+        let mut net = changing(seed);
+        net.start();
+        net.propose(Name(2), voters(&[4, 5], &[1, 2])).unwrap();
+        in_force(&mut net, 2);
+        // The files still name 1, 2 and 3. Member 6, which has no vote, is the only one that knows.
+        (1..=5).for_each(|name| net.kill(Name(name)));
+        net.run(600);
+        (1..=5).for_each(|name| net.restart(Name(name)));
+        assert!(net.wait(90_000, |net| net.agreed().is_some()), "seed {seed}: {:#?}", net.notes);
+        assert_eq!(listed(&net, 1), [3, 4, 5], "seed {seed}: {:#?}", net.notes);
+        sound(&net);
+    }
+}
+
+#[test]
+fn old_voters_alone_do_not_found_beside_the_new_ones() {
+    for seed in 0..6 {
+        let mut net = changing(seed);
+        net.start();
+        net.propose(Name(2), voters(&[4, 5], &[1, 2])).unwrap();
+        in_force(&mut net, 2);
+        // A majority of the files' list starts from nothing, and hears nobody else.
+        net.cut(&[1, 2], &[3, 4, 5, 6], true);
+        for name in [1, 2] {
+            net.kill(Name(name));
+            net.restart(Name(name));
+        }
+        net.propose(Name(6), attempts(2)).unwrap();
+        net.run(40_000);
+        assert!(matches!(net.acting(Name(1)), Acting::Floor(_)), "{:#?}", net.notes);
+        assert_eq!(held(&net, 6), Some(Value::Int(2)));
+        sound(&net);
+        net.cuts.clear();
+        in_force(&mut net, 3);
+        sound(&net);
+    }
+}
+
+#[test]
+fn those_declared_gone_are_not_waited_for_by_a_founding() {
+    for declared in [false, true] {
+        let mut net = changing(5);
+        net.settings.may_vote = (1..=4).map(Name).collect();
+        (1..=6).for_each(|name| net.restart(Name(name)));
+        net.start();
+        net.kill(Name(1));
+        net.run(8_000);
+        net.propose(Name(6), |change| {
+            voters(&[4], &[1])(change);
+            if declared {
+                change.set.insert(key("gone/1"), Value::Flag(true));
+            }
+        })
+        .unwrap();
+        in_force(&mut net, 2);
+        // Of 2, 3 and 4 one dies for good, and one forgets.
+        net.kill(Name(2));
+        net.kill(Name(3));
+        net.restart(Name(3));
+        net.run(60_000);
+        assert_eq!(net.agreed().is_some(), declared, "{:#?}", net.notes);
+        sound(&net);
+    }
+}
+
+#[test]
+fn a_list_that_cannot_be_is_refused_with_its_reason() {
+    let mut net = changing(3);
+    net.start();
+    let refused = |net: &mut Net, set: &[u32], drop: &[u32]| match net.propose(Name(1), voters(set, drop)) {
+        Err(Rejected::Voters(why)) => why,
+        other => panic!("{other:?}"),
+    };
+    assert!(refused(&mut net, &[7], &[]).contains("voter/7: no such member is on the roster"));
+    assert!(refused(&mut net, &[6], &[1]).contains("voter/6: it is not among accord.may_vote"));
+    assert!(refused(&mut net, &[], &[1]).contains("2 names, at least 3 stay"));
+    assert!(refused(&mut net, &[], &[1, 2, 3]).contains("at least one voter stays"));
+    let with_gone = net.propose(Name(1), |change| {
+        voters(&[4], &[])(change);
+        change.set.insert(key("gone/4"), Value::Flag(true));
+    });
+    assert!(matches!(with_gone, Err(Rejected::Voters(why)) if why.contains("gone/4 says")));
+    net.propose(Name(1), voters(&[4], &[])).unwrap();
+    in_force(&mut net, 2);
+    assert_eq!(listed(&net, 6), [1, 2, 3, 4], "an even number is no error");
+    // Files are not gone back to.
+    assert!(refused(&mut net, &[], &[1, 2, 3, 4]).contains("at least one voter stays"));
+    // Of two changes of voters the second is told of the first.
+    net.propose(Name(1), voters(&[5], &[1])).unwrap();
+    assert!(net.wait(30_000, |net| net.view(Name(6)).pending.is_some()));
+    let busy = net.propose(Name(6), voters(&[5], &[2]));
+    assert!(matches!(busy, Err(Rejected::Busy(_) | Rejected::Stale(_))), "{busy:?}");
+    in_force(&mut net, 3);
+    assert_eq!(listed(&net, 2), [2, 3, 4, 5]);
+    sound(&net);
+}
+
+#[test]
+fn a_list_whose_majority_is_dead_is_not_joined_and_can_be_withdrawn() {
+    let mut net = changing(4);
+    net.start();
+    net.kill(Name(4));
+    net.kill(Name(5));
+    net.propose(Name(6), voters(&[4, 5], &[1, 2])).unwrap();
+    net.run(30_000);
+    assert_eq!(net.agreed().map(|version| version.number), Some(1), "{:#?}", net.notes);
+    let view = net.view(Name(6));
+    let to_come: Vec<u32> = view.voters_to_come.unwrap().iter().map(|(name, _)| name.0).collect();
+    assert_eq!((view.pending.map(|(_, both)| both), to_come), (Some(false), vec![3, 4, 5]));
+    net.withdraw(Name(6));
+    assert!(net.wait(30_000, |net| net.view(Name(6)).pending.is_none()), "{:#?}", net.notes);
+    net.propose(Name(6), attempts(2)).unwrap();
+    in_force(&mut net, 2);
+    assert_eq!(listed(&net, 6), [1, 2, 3]);
+    sound(&net);
+}
+
 #[test]
 fn a_list_of_100_000_entries_comes_by_all_with_losses_and_a_change_of_it_is_small() {
     let mut net = Net::new(4, 3, 8);
--- a/crates/accord/tests/model.rs
+++ b/crates/accord/tests/model.rs
@@ -7,9 +7,12 @@
 //! there can be: they act on each record from the instant it is chosen, lease or not. Never does the one contradict them,
 //! and the bound is kept.
 
+mod check;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use check::{explored, found};
 use stateright::{Checker, Model, Property};
 use wheellink_accord::parts::{Accept, Ask, Flaws, Holder, Promise, Request, Round, Step, Voter};
 use wheellink_accord::*;
@@ -34,7 +37,11 @@
         2 => (Phase::Joint { old, new }, 2),
         _ => (Phase::Pure(new), 2),
     };
-    Record { mark: mark(step), phase, least: mark(least), by }
+    Record { mark: mark(step), phase, least: mark(least), by, lists: Lists::only(list(&[1, 2, 3])) }
+}
+
+fn list(names: &[u32]) -> Voters {
+    Voters::new(names.iter().map(|name| Name(*name))).unwrap()
 }
 
 fn secs(ticks: u8) -> Duration {
@@ -42,11 +49,17 @@
 }
 
 fn limits() -> wheellink_accord::parts::Limits {
-    wheellink_accord::parts::Limits { majority: 2, grant: secs(2), silence: secs(2), patience: secs(9) }
+    wheellink_accord::parts::Limits {
+        fewest: 1,
+        settle: secs(0),
+        grant: secs(2),
+        silence: secs(2),
+        patience: secs(9),
+    }
 }
 
 fn voter(name: u32, life: u64, now: u8, flaws: Flaws) -> Voter {
-    Voter::new(Name(name), life, limits(), record(0), secs(now)).flawed(flaws)
+    Voter::new(Name(name), life, limits(), (1..=VOTERS).map(Name), record(0), secs(now)).flawed(flaws)
 }
 
 // ---- one place, two proposers ----------------------------------------------------------------------------------
@@ -74,6 +87,7 @@
 }
 
 #[derive(Clone, Debug, PartialEq)]
+#[allow(clippy::large_enum_variant)]
 enum Act {
     Deliver(Name, Said),
     Forget(usize),
@@ -85,7 +99,7 @@
     fn wish(proposer: usize) -> Record {
         match proposer {
             0 => record(2),
-            _ => Record { mark: mark(2), phase: Phase::Pure(version(1)), least: mark(0), by: record(1).by },
+            _ => Record { mark: mark(2), phase: Phase::Pure(version(1)), least: mark(0), ..record(1) },
         }
     }
 
@@ -109,9 +123,8 @@
             one.told(true, false, BTreeSet::new());
             one
         };
-        let majority = if self.flaws.half_is_majority { 1 } else { 2 };
         let rounds = (0..2).map(|at| {
-            Round::new(Self::wish(at), (at as u32 + 1, Name(at as u32 + 1)), majority).flawed(self.flaws)
+            Round::new(&record(1), Self::wish(at), (at as u32 + 1, Name(at as u32 + 1))).flawed(self.flaws)
         });
         vec![Place {
             voters: (1..=VOTERS).map(ready).collect(),
@@ -309,7 +322,7 @@
     fn init_states(&self) -> Vec<Fleet> {
         let without = Flaws { votes_at_once: false, ..self.flaws };
         let activator = || Activator {
-            holder: Holder::new(2, secs(2)).flawed(self.flaws),
+            holder: Holder::new(record(1).quorum(), secs(2)).flawed(self.flaws),
             adopted: 0,
             grants: BTreeMap::new(),
         };
@@ -439,23 +452,6 @@
     }
 }
 
-/// States at most: more than any of these needs.
-const MOST: usize = 6_000_000;
-
-/// Every state that can be reached; fails if there are more than `most`, as a model that was cut short shows nothing.
-fn explored<M>(model: M) -> impl Checker<M>
-where
-    M: Model + Send + Sync + 'static,
-    M::State: std::hash::Hash + Send + Sync + Clone + std::fmt::Debug + PartialEq + Eq,
-    M::Action: Send + Sync + std::fmt::Debug + PartialEq + Clone,
-{
-    let checker = model.checker().threads(2).target_state_count(MOST).spawn_bfs().join();
-    let (all, unique) = (checker.state_count(), checker.unique_state_count());
-    println!("{all} states, {unique} different, depth {}", checker.max_depth());
-    assert!(all < MOST, "cut short");
-    checker
-}
-
 #[test]
 fn one_record_is_chosen_at_a_place() {
     let checker = explored(Choice { flaws: Flaws::default(), crashes: 1 });
@@ -472,21 +468,6 @@
     explored(Leases { flaws: Flaws::default(), crashes: 1, ticks: 3, late: false }).assert_properties();
 }
 
-/// The trace to a state that breaks the property; fails if the planted flaw is not found.
-fn found<M>(model: M, property: &'static str)
-where
-    M: Model + Send + Sync + 'static,
-    M::State: std::hash::Hash + Send + Sync + Clone + std::fmt::Debug + PartialEq + Eq,
-    M::Action: Send + Sync + std::fmt::Debug + PartialEq + Clone,
-{
-    let checker = model.checker().threads(2).target_state_count(MOST).spawn_bfs().join();
-    let path =
-        checker.discovery(property).unwrap_or_else(|| panic!("a planted flaw was not found: {property}"));
-    let steps = path.into_actions();
-    println!("found in {} steps: {steps:#?}", steps.len());
-    assert!(!steps.is_empty());
-}
-
 const PLACE: &str = "one record at one place";
 const APART: &str = "no two act on contradicting versions";
 
--- a/crates/accord/tests/net/mod.rs
+++ b/crates/accord/tests/net/mod.rs
@@ -34,6 +34,7 @@
 pub fn settings(members: u32, voters: u32) -> Settings {
     Settings {
         voters: (1..=voters).map(Name).collect(),
+        may_vote: Vec::new(),
         roster: (1..=members).map(Name).collect(),
         lease: Duration::from_secs(3),
         period: Duration::from_millis(250),
--- a/node/src/accords.rs
+++ b/node/src/accords.rs
@@ -20,6 +20,9 @@
 pub struct Setup {
     /// Names of the members that vote, the same list at all of them.
     voters: Vec<String>,
+    /// Names of the members that a document may make voters, the same list at all of them: the voters and their spares.
+    #[serde(default)]
+    may_vote: Vec<String>,
     /// How long a lease to act lasts.
     #[serde(default = "lease")]
     lease_ms: u64,
@@ -86,6 +89,14 @@
         if let Some(name) = self.voters.iter().find(|name| !members.names().any(|known| known == **name)) {
             return Err(format!("accord.voters: {name} is the name of no member"));
         }
+        if let Some(name) = self.may_vote.iter().find(|name| !members.names().any(|known| known == **name)) {
+            return Err(format!("accord.may_vote: {name} is the name of no member"));
+        }
+        if let Some(name) =
+            self.voters.iter().find(|n| !self.may_vote.is_empty() && !self.may_vote.contains(n))
+        {
+            return Err(format!("accord.may_vote: the voter {name} is missing"));
+        }
         let settings = self.settings(members)?;
         settings.check().map_err(|e| e.to_string())?;
         for (what, document) in [("document", &settings.document), ("floor", &settings.floor)] {
@@ -98,6 +109,7 @@
     pub fn settings(&self, members: &fellows::Setup) -> Result<Settings, String> {
         Ok(Settings {
             voters: self.voters.iter().map(|name| number(name)).collect(),
+            may_vote: self.may_vote.iter().map(|name| number(name)).collect(),
             roster: members.names().map(number).collect(),
             lease: Duration::from_millis(self.lease_ms),
             period: Duration::from_millis(self.period_ms),
--- a/node/src/node/accord/operate.rs
+++ b/node/src/node/accord/operate.rs
@@ -23,7 +23,7 @@
             Err(why) => {
                 let status = match why {
                     Rejected::Stale(_) | Rejected::Busy(_) => 409,
-                    Rejected::Change(_) => 400,
+                    Rejected::Change(_) | Rejected::Voters(_) => 400,
                     _ => 503,
                 };
                 Response::problem(status, &why.to_string())
