Calls that a rollout passes on keep their turn and their draft, learnt once by the holder

Need: a call that went to the candidate lost its turn and carried no draft, so that conversations paid their prefix anew for half of a rollout, and drafts learnt nothing at 100 percent. Change: protocol 2 of the lane has two more words, which carry fields by name: the turn in its shortest form, the draft, the advised places, and back found, accepted and the load that the host told. The candidate writes blocks= and draft= as the holder would and learns nothing; the holder counts an attempt from its Intent to its end, once, and runs a call that comes back with the same turn and advice. A version that speaks protocol 1 gets the word that it knows, and its calls have neither. Tokens of passed attempts were those of own ones: the mark of passed tickets was shifted out. It stays now. Ruled out: a draft for each load band, chosen by the candidate, which knows the load of hosts less well at a small share.

--- a/node/src/lane.rs
+++ b/node/src/lane.rs
@@ -6,13 +6,22 @@
 
 use crate::ring::Ring;
 
+pub mod more;
+
+use more::More;
+
 /// Protocols that this version speaks. The number changes where the meaning of a word does, and when one is
-/// added: who does not know a word takes the other side for broken.
-pub const PROTOCOLS: &[u32] = &[1];
-/// Longest word: an answer of a host, or the longest body that a front takes, and what goes with it.
+/// added: who does not know a word takes the other side for broken. The highest that both speak is spoken.
+pub const PROTOCOLS: &[u32] = &[1, WITH_MORE];
+/// From this one on calls and answers may carry further fields.
+pub const WITH_MORE: u32 = 2;
+/// Longest word: an answer of a host, or the longest body that a front takes, and what goes with it, which is
+/// [`more::MOST_WIRE`] at the most.
 pub const MOST_FRAME: usize = 1 << 20;
 /// Bytes of the length before each.
 const HEAD: usize = 4;
+// The longest answer of a host goes in one frame, with its line and all that is said besides.
+const _: () = assert!(crate::hosts::lines::LONGEST_ANSWER + more::MOST_WIRE < MOST_FRAME);
 
 /// One word. New ones go to the end: postcard tells them apart by their place.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -51,6 +60,10 @@
     Dismiss { why: String },
     /// Candidate: told to end.
     Leaving,
+    /// Holder, from [`WITH_MORE`] on: decide this call, which has these further fields.
+    CallWith(Passed, More),
+    /// Candidate, from [`WITH_MORE`] on: the final answer, with what the call's host said besides.
+    AnswerWith { seq: u64, reply: Reply, body: Vec<u8>, more: More },
 }
 
 /// A call as it is passed.
@@ -132,9 +145,9 @@
     use super::*;
     use rstest::rstest;
 
-    fn call(body: usize) -> Word {
+    fn passed(body: usize) -> Passed {
         let text = |t: &str| t.to_string();
-        Word::Call(Passed {
+        Passed {
             seq: 7,
             id: text("9b1f03aa5c7e2d41"),
             class: text("send-mail"),
@@ -145,7 +158,22 @@
             repeat: false,
             key: None,
             body: vec![3; body],
-        })
+        }
+    }
+
+    fn call(body: usize) -> Word {
+        Word::Call(passed(body))
+    }
+
+    fn with(prefix: usize) -> Word {
+        let given = more::Given { turn: Some((7, 2, vec![u64::MAX; prefix])), ..Default::default() };
+        Word::CallWith(passed(16 << 10), given.more())
+    }
+
+    fn answer_with() -> Word {
+        let fields = vec![("found".to_string(), "3".to_string())];
+        let more = more::Said { fields, held: None }.more();
+        Word::AnswerWith { seq: 1, reply: Reply::Served, body: vec![0; 300], more }
     }
 
     #[rstest]
@@ -156,6 +184,8 @@
     #[case(Word::Intent { seq: u64::MAX, number: 0, host: "s-1".into(), at: -1 })]
     #[case(Word::Answer { seq: 1, reply: Reply::Refused(250_000), body: vec![0; 300] })]
     #[case(Word::TakeOver)]
+    #[case(with(64))]
+    #[case(answer_with())]
     fn a_word_comes_as_it_left_in_pieces_of_any_size(#[case] word: Word) {
         let bytes = frame(&word).unwrap();
         let mut ring = Ring::new(MOST_FRAME + HEAD);
@@ -201,6 +231,32 @@
         assert_eq!(frame(&call(MOST_FRAME)), None);
     }
 
+    /// A version before this one tells words apart by their place: those that it knows stand where they stood.
+    #[rstest]
+    #[case(Word::Say(String::new()), 0)]
+    #[case(call(0), 3)]
+    #[case(Word::Left { seq: 1 }, 4)]
+    #[case(Word::Answer { seq: 1, reply: Reply::Failed, body: Vec::new() }, 7)]
+    #[case(Word::Leaving, 16)]
+    #[case(with(0), 17)]
+    #[case(answer_with(), 18)]
+    fn words_keep_their_places(#[case] word: Word, #[case] place: u8) {
+        assert_eq!(frame(&word).unwrap()[HEAD], place);
+    }
+
+    /// What goes with a call takes no more room in its frame than is stated.
+    #[test]
+    fn further_fields_have_a_bound_in_the_frame() {
+        let name = "z".repeat(255);
+        let places =
+            vec![more::Place::Host(name.clone()), more::Place::Zone(name.clone()), more::Place::Host(name)];
+        let draft = Some("255:8".parse().unwrap());
+        let given = more::Given { turn: Some((u64::MAX, u16::MAX, vec![u64::MAX; 64])), draft, places };
+        let (plain, with) = (call(16 << 10), Word::CallWith(passed(16 << 10), given.more()));
+        let length = |word: &Word| frame(word).unwrap().len();
+        assert!(length(&with) - length(&plain) <= more::MOST_WIRE);
+    }
+
     #[test]
     fn every_end_has_its_number() {
         assert!(ENDS.iter().all(|end| ENDS[usize::from(number(*end))] == *end));
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -41,6 +41,7 @@
 use crate::front::Reply;
 use crate::hosts::{self, Call, Hosts};
 use crate::http::Response;
+use crate::lane::more::Said;
 use crate::log::{Log, Reason};
 use crate::peers::Peers;
 use crate::upgrade::{self, Message, News, Place, State, Upgrade};
@@ -90,6 +91,17 @@
     /// Whose memory its body takes, and whom it counts for.
     owner: Owner,
     asking: Option<Asking>,
+    /// What came with it, where another process passed it.
+    passed: Option<Box<FromHolder>>,
+}
+
+/// What comes with a call that the holder of a rollout passes, and what goes back with its answer.
+#[derive(Default)]
+struct FromHolder {
+    /// Further fields of its line to a host.
+    line: String,
+    /// What the host said that answered last.
+    said: Said,
 }
 
 /// Who is owed it.
--- a/node/src/node/drafts.rs
+++ b/node/src/node/drafts.rs
@@ -22,6 +22,13 @@
     host: WorkerId,
 }
 
+/// What a call that another process decides is to run.
+pub(super) struct Offer {
+    workload: Workload,
+    pub(super) draft: Draft,
+    version: u64,
+}
+
 /// See the module's page.
 pub(super) struct Drafting {
     setup: Setup,
@@ -36,6 +43,9 @@
     version: u64,
     /// One for each attempt that is out.
     running: HashMap<AttemptId, Running>,
+    /// One for each call that was passed to another process, and the hosts to which such calls went last.
+    offered: HashMap<Ticket, Offer>,
+    went: HashMap<Workload, WorkerId>,
     /// Of hosts: attempts of this activator that are out there, and calls that the host last said it holds.
     out: HashMap<WorkerId, u32>,
     told: HashMap<WorkerId, f64>,
@@ -72,6 +82,8 @@
             floor,
             version: 0,
             running: HashMap::new(),
+            offered: HashMap::new(),
+            went: HashMap::new(),
             out: HashMap::new(),
             told: HashMap::new(),
             names: BTreeMap::new(),
@@ -85,6 +97,21 @@
         self.origin.elapsed()
     }
 
+    /// The load band in which a host is, by what it said last and what is out there.
+    fn band_of(&self, host: &WorkerId) -> u8 {
+        let out = self.out.get(host).copied().unwrap_or(0);
+        band(self.told.get(host).copied().unwrap_or(0.0).max(f64::from(out)), self.setup.bands())
+    }
+
+    fn pick(&mut self, workload: &Workload, band: u8) -> Draft {
+        self.drafts.pick(workload, band, &self.table, self.lots.f64())
+    }
+
+    fn begins(&mut self, attempt: AttemptId, host: &WorkerId, running: Running) {
+        *self.out.entry(host.clone()).or_default() += 1;
+        self.running.insert(attempt, running);
+    }
+
     pub(super) fn next_tick(&self, now: Micros) -> Micros {
         let wait = self.drafts.wake_at().map(|at| at.saturating_sub(self.now()));
         wait.map_or(Micros::MAX, |wait| now.saturating_add(wait.as_micros() as Micros))
@@ -152,25 +179,56 @@
         self.share_agreed();
     }
 
-    /// The further fields of a call to a host: what it is to draft. Nothing where drafts are off.
-    pub(super) fn draft_for(&mut self, attempt: AttemptId, host: &WorkerId) -> String {
-        let Some(d) = &mut self.drafting else { return String::new() };
-        let Some(pending) = self.pending.get(&attempt.ticket) else { return String::new() };
+    /// What this call drafts for, where drafts are on.
+    fn workload_of(&self, pending: &Pending) -> Option<Workload> {
+        let d = self.drafting.as_ref()?;
         let tenant = pending.new.tenant.filter(|_| d.setup.by_tenant);
         let tenant = tenant.and_then(|t| self.config.deployment.tenants.get(t)).map(String::as_str);
-        let Ok(workload) = Workload::new(&workload(&pending.call.class, tenant)) else {
-            return String::new();
-        };
-        let out = d.out.entry(host.clone()).or_default();
-        let calls = d.told.get(host).copied().unwrap_or(0.0).max(f64::from(*out));
-        let band = band(calls, d.setup.bands());
-        let draft = d.drafts.pick(&workload, band, &d.table, d.lots.f64());
-        *out += 1;
-        let running = Running { workload, draft, band, version: d.version, host: host.clone() };
-        d.running.insert(attempt, running);
+        Workload::new(&workload(&pending.call.class, tenant)).ok()
+    }
+
+    /// The further fields of a call to a host: what it is to draft. Nothing where drafts are off.
+    pub(super) fn draft_for(&mut self, attempt: AttemptId, host: &WorkerId) -> String {
+        let workload = self.pending.get(&attempt.ticket).and_then(|pending| self.workload_of(pending));
+        let (Some(workload), Some(d)) = (workload, &mut self.drafting) else { return String::new() };
+        let band = d.band_of(host);
+        let draft = d.pick(&workload, band);
+        d.begins(attempt, host, Running { workload, draft, band, version: d.version, host: host.clone() });
         format!(",draft={draft}")
     }
 
+    /// What a call is to run that another process decides. Its host is not known yet: it is chosen as for the one to
+    /// which such a call went last.
+    pub(super) fn offer_draft(&mut self, pending: &Pending) -> Option<Offer> {
+        let workload = self.workload_of(pending)?;
+        let d = self.drafting.as_mut()?;
+        let band = d.went.get(&workload).map_or(0, |host| d.band_of(host));
+        let draft = d.pick(&workload, band);
+        Some(Offer { workload, draft, version: d.version })
+    }
+
+    /// The call was passed with this, or is over.
+    pub(super) fn offered(&mut self, ticket: Ticket, offer: Option<Offer>) {
+        if let Some(d) = &mut self.drafting {
+            match offer {
+                Some(offer) => drop(d.offered.insert(ticket, offer)),
+                None => drop(d.offered.remove(&ticket)),
+            }
+        }
+    }
+
+    /// An attempt of a passed call goes to this host: what it runs is of the band in which the host is now.
+    pub(super) fn draft_begins(&mut self, attempt: AttemptId, host: &WorkerId) {
+        let Some(d) = &mut self.drafting else { return };
+        let Some(Offer { workload, draft, version }) = d.offered.get(&attempt.ticket) else { return };
+        let (workload, draft, version) = (workload.clone(), *draft, *version);
+        if d.went.len() < d.drafts.settings().workloads || d.went.contains_key(&workload) {
+            d.went.insert(workload.clone(), host.clone());
+        }
+        let band = d.band_of(host);
+        d.begins(attempt, host, Running { workload, draft, band, version, host: host.clone() });
+    }
+
     /// An attempt has ended: what its answer says of drafting is counted.
     pub(super) fn drafted(
         &mut self,
--- a/node/src/node/requests.rs
+++ b/node/src/node/requests.rs
@@ -176,10 +176,12 @@
         };
         let class = new.class;
         let by = Version::Old;
-        let mut pending = Pending { call, origin, answer: None, new, arrived: now, by, owner, asking };
-        let ticket = match self.pass(now, &pending) {
+        let mut pending =
+            Pending { call, origin, answer: None, new, arrived: now, by, owner, asking, passed: None };
+        let ticket = match self.pass(now, &pending, incoming.placed.as_ref(), &incoming.advice) {
             Some(ticket) => {
                 pending.by = Version::New;
+                self.carry_turn(ticket, incoming.placed, incoming.advice);
                 ticket
             }
             // A class that only the candidate knows, and no room on the way to it.
@@ -192,7 +194,7 @@
                 let new = pending.new.clone();
                 let advice = incoming.advice;
                 let ticket = self.run_engine(|engine, out| engine.request_advised(now, new, advice, out));
-                self.carry_turn(ticket, incoming.placed);
+                self.carry_turn(ticket, incoming.placed, Vec::new());
                 ticket
             }
         };
@@ -215,6 +217,7 @@
 
     pub(super) fn client_left(&mut self, ticket: Ticket) {
         let now = self.clock.now();
+        self.passed_over(now, ticket);
         self.turn_over(ticket);
         if let Some(pending) = self.pending.remove(&ticket) {
             self.release(now, &pending, false);
@@ -228,6 +231,7 @@
     pub(super) fn answer(&mut self, now: Micros, ticket: Ticket, verdict: Verdict) {
         let Some(mut pending) = self.pending.remove(&ticket) else { return };
         self.ids.remove(&pending.call.id);
+        self.passed_over(now, ticket);
         let found = self.turn_over(ticket);
         let reply = match (verdict, pending.answer.take()) {
             (Verdict::Served(by), Some((attempt, body))) if by == attempt => Reply::Served(body),
@@ -241,6 +245,10 @@
             (Side::Operator { front, .. }, Origin::Invoke(origin), Some(found)) => {
                 front.reply_found(now, origin, reply, found, &mut self.log)
             }
+            (_, Origin::Peer(seq), _) => {
+                let said = pending.passed.take().map(|p| p.said).unwrap_or_default();
+                self.answer_holder(*seq, reply, said)
+            }
             _ => self.reply(now, &pending.origin, reply),
         }
     }
@@ -253,7 +261,7 @@
             (Side::Operator { front, .. }, Origin::Invoke(origin)) => {
                 front.reply(now, origin, reply, &mut self.log)
             }
-            (_, Origin::Peer(seq)) => self.answer_holder(*seq, reply),
+            (_, Origin::Peer(seq)) => self.answer_holder(*seq, reply, Said::default()),
             _ => {}
         }
     }
@@ -265,6 +273,10 @@
                 self.drafted(now, attempt, &end, &fields);
                 self.turn_ended(now, attempt, &end, &fields);
                 if let Some(pending) = self.pending.get_mut(&attempt.ticket) {
+                    if let Some(passed) = &mut pending.passed {
+                        let done = end.outcome == Outcome::Done;
+                        passed.said = if done { Said::of(&fields, end.report) } else { Said::default() };
+                    }
                     pending.answer = (end.outcome == Outcome::Done).then_some((attempt, body));
                 }
                 self.tell_end(attempt, end.outcome);
--- a/node/src/node/rollout.rs
+++ b/node/src/node/rollout.rs
@@ -15,6 +15,7 @@
 use super::*;
 use crate::config::rollout::Begin;
 use crate::control::RolloutCall;
+use crate::lane::more::{Given, More, Place, Said};
 use crate::lane::{self, Passed, Word};
 use crate::upgrade::{Hail, Process};
 
@@ -79,6 +80,10 @@
     pub(super) role: Role,
     machine: Rollout,
     ledger: Ledger,
+    /// Of a holder: the attempt that is out of each passed call, as far as it was told.
+    out: HashMap<u64, u32>,
+    /// The protocol that is spoken.
+    protocol: u32,
     seq: u64,
     counts: Counts,
     /// The other side's name and classes, what binds both, and where they differ.
@@ -110,6 +115,8 @@
             role: Role::Alone,
             machine: Rollout::default(),
             ledger: Ledger::new(MOST_PASSED, memory / MEMORY_SHARE / 2),
+            out: HashMap::new(),
+            protocol: 0,
             seq: 0,
             counts: Counts::default(),
             peer: Hail::default(),
--- a/node/src/node/rollout/candidate.rs
+++ b/node/src/node/rollout/candidate.rs
@@ -1,6 +1,7 @@
 //! The candidate's side: it decides what is passed, tells before it sends, and serves on when the holder dies.
 
 use super::*;
+use crate::hosts::lines;
 
 impl Node {
     /// This process begins as a candidate.
@@ -15,7 +16,8 @@
         let successor = self.gradual.role == Role::Successor;
         match word {
             Word::Holds { life, percent } => self.gradual.told = (life, percent),
-            Word::Call(call) => self.take_passed(now, call),
+            Word::Call(call) => self.take_passed(now, call, None),
+            Word::CallWith(call, more) => self.take_passed(now, call, Some(more)),
             Word::Left { seq } => {
                 if let Some(ticket) = self.gradual.calls.remove(&seq) {
                     self.client_left(ticket);
@@ -56,8 +58,9 @@
         self.run_engine(|engine, out| engine.inherit(now, legacy, out));
     }
 
-    /// A call is passed to this process.
-    pub(super) fn take_passed(&mut self, now: Micros, passed: Passed) {
+    /// A call is passed to this process, with the turn that it carries, what it is to draft and where it is best served.
+    /// All that is learnt of it is the holder's: here nothing of it is counted.
+    pub(super) fn take_passed(&mut self, now: Micros, passed: Passed, more: Option<More>) {
         let seq = passed.seq;
         let d = &self.config.deployment;
         let class = d.class(&passed.class).filter(|_| !self.ids.contains(passed.id.as_str()));
@@ -80,6 +83,14 @@
             // The holder's word has no room for it; a call without one teaches nothing of speed.
             hint: 0,
         };
+        let (given, refused) = more.as_ref().map(Given::read).unwrap_or_default();
+        for why in refused {
+            self.log.line(now, format_args!("rollout: a field of call {} is refused: {why}", passed.id));
+        }
+        let draft = given.draft.map_or(String::new(), |draft| format!(",draft={draft}"));
+        let blocks = given.turn.as_ref().map_or(String::new(), |(.., prefix)| lines::blocks(prefix));
+        let from = FromHolder { line: draft + &blocks, ..FromHolder::default() };
+        let advice = self.follow(now, &given.places, &new);
         let call = Call {
             id: passed.id.into(),
             class: passed.class,
@@ -89,16 +100,39 @@
         };
         let origin = Origin::Peer(seq);
         let (by, owner) = (Version::New, Owner::Others);
-        let pending =
-            Pending { call, origin, answer: None, new: new.clone(), arrived: now, by, owner, asking: None };
-        let ticket = self.run_engine(|engine, out| engine.request(now, new, out));
+        let pending = Pending {
+            call,
+            origin,
+            answer: None,
+            new: new.clone(),
+            arrived: now,
+            by,
+            owner,
+            asking: None,
+            passed: more.map(|_| Box::new(from)),
+        };
+        let ticket = self.run_engine(|engine, out| engine.request_advised(now, new, advice, out));
         self.gradual.calls.insert(seq, ticket);
         self.ids.insert(pending.call.id.clone());
         self.pending.insert(ticket, pending);
     }
 
+    /// The places that the holder advises, as spots of this process's own list; where copies stand there by the file,
+    /// the engine is told of them.
+    fn follow(&mut self, now: Micros, places: &[Place], new: &NewRequest) -> Vec<Spot> {
+        let zones = &self.config.deployment.zones;
+        let spot = |place: &Place| match place {
+            Place::Cell(cell) => Some(Spot::Cell(*cell)),
+            Place::Zone(name) => zones.iter().position(|z| z == name).map(|zone| Spot::Zone(zone as u32)),
+            Place::Host(name) => Some(Spot::Worker(name.as_str().into())),
+        };
+        let advice = places.iter().filter_map(spot).collect();
+        self.stand_at(now, places, &new.function, new.lanes);
+        advice
+    }
+
     /// Answers a call that was passed to this process.
-    pub(in crate::node) fn answer_holder(&mut self, seq: u64, reply: Reply) {
+    pub(in crate::node) fn answer_holder(&mut self, seq: u64, reply: Reply, said: Said) {
         self.gradual.calls.remove(&seq);
         let (reply, body) = match reply {
             Reply::Served(body) => (lane::Reply::Served, body),
@@ -107,7 +141,12 @@
             Reply::Failed => (lane::Reply::Failed, Vec::new()),
             Reply::TimedOut => (lane::Reply::TimedOut, Vec::new()),
         };
-        self.upgrade.say(&Word::Answer { seq, reply, body });
+        // Empty for a call that came without further fields: its holder may not know of any.
+        let more = if reply == lane::Reply::Served { said.more() } else { More::default() };
+        self.upgrade.say(&match more.is_empty() {
+            true => Word::Answer { seq, reply, body },
+            false => Word::AnswerWith { seq, reply, body, more },
+        });
     }
 
     /// Sends an attempt. That of a passed call leaves once the system has taken all of its word.
@@ -146,7 +185,8 @@
             let Some((_, attempt, host, until)) = self.gradual.waiting.pop_front() else { return };
             match self.pending.get(&attempt.ticket) {
                 Some(pending) => {
-                    self.hosts.send(now, attempt, &host, (&pending.call, ""), until, &mut self.log)
+                    let more = pending.passed.as_ref().map_or("", |passed| passed.line.as_str());
+                    self.hosts.send(now, attempt, &host, (&pending.call, more), until, &mut self.log)
                 }
                 None => self.never_left(now, attempt),
             }
--- a/node/src/node/rollout/holder.rs
+++ b/node/src/node/rollout/holder.rs
@@ -1,13 +1,20 @@
 //! The holder's side: which calls are passed, what the candidate's words mean, and what becomes of its calls when it
 //! is gone.
 
+use wheellink::engine::AttemptEnd;
+
 use super::*;
 
+/// The highest protocol that both speak.
+fn spoken(hail: &Hail) -> Option<u32> {
+    hail.protocols.iter().copied().filter(|p| lane::PROTOCOLS.contains(p)).max()
+}
+
 impl Node {
     /// Whether a new process may be a candidate, and what it is answered.
     pub(in crate::node) fn may_be_candidate(&self, hail: &Hail) -> Option<Hail> {
         let rollout = self.config.rollout.as_ref()?;
-        let protocol = hail.protocols.iter().copied().filter(|p| lane::PROTOCOLS.contains(p)).max()?;
+        let protocol = spoken(hail)?;
         let classes = classes(&self.config.deployment);
         Some(Hail { protocols: vec![protocol], version: rollout.version(), classes })
     }
@@ -16,13 +23,21 @@
     pub(in crate::node) fn attach(&mut self, now: Micros, hail: Hail) {
         self.log.line(now, format_args!("rollout: version {} is there as a candidate", hail.version));
         let g = &mut self.gradual;
+        g.protocol = spoken(&hail).unwrap_or(0);
         (g.role, g.peer, g.heard, g.caught_up) = (Role::Holder, hail, now, false);
         g.machine.attach();
         self.bind(now);
     }
 
-    /// Which version decides this call; where it is the new one and there is room, it is passed.
-    pub(in crate::node) fn pass(&mut self, now: Micros, pending: &Pending) -> Option<Ticket> {
+    /// Which version decides this call; where it is the new one and there is room, it is passed, with the turn that it
+    /// carries and what it is to draft. Where the new version's protocol has no room for these, it has neither.
+    pub(in crate::node) fn pass(
+        &mut self,
+        now: Micros,
+        pending: &Pending,
+        turn: Option<&Turn>,
+        advice: &[Spot],
+    ) -> Option<Ticket> {
         if self.gradual.role != Role::Holder || !self.gradual.machine.runs() {
             return None;
         }
@@ -48,7 +63,7 @@
         }
         let tenant = pending.new.tenant.and_then(|t| self.config.deployment.tenants.get(t).cloned());
         let seq = self.gradual.seq + 1;
-        let word = Word::Call(Passed {
+        let call = Passed {
             seq,
             id: call.id.to_string(),
             class: call.class.clone(),
@@ -59,14 +74,62 @@
             repeat: pending.new.repeat,
             key: call.key.clone(),
             body: call.body.to_vec(),
-        });
+        };
+        let (mut given, mut offer) = (Given::default(), None);
+        if self.gradual.protocol >= lane::WITH_MORE {
+            offer = self.offer_draft(pending);
+            given.turn = turn.map(|t| (t.conversation, t.new, t.prefix.clone()));
+            given.draft = offer.as_ref().map(|offer| offer.draft);
+            given.places = advice.iter().filter_map(|spot| self.place(spot)).collect();
+        }
+        let more = given.more();
+        let word = if more.is_empty() { Word::Call(call) } else { Word::CallWith(call, more) };
         self.upgrade.say(&word)?;
+        self.offered(ticket(seq), offer);
         let passed = self.gradual.ledger.pass(seq, &terms, pending.new.due, size);
         debug_assert!(passed.is_ok(), "there was room");
         (self.gradual.seq, self.gradual.counts.passed) = (seq, self.gradual.counts.passed + 1);
         Some(ticket(seq))
     }
 
+    /// A spot as the other version knows it too.
+    fn place(&self, spot: &Spot) -> Option<Place> {
+        match spot {
+            Spot::Cell(cell) => Some(Place::Cell(*cell)),
+            Spot::Zone(zone) => self.config.deployment.zones.get(*zone as usize).cloned().map(Place::Zone),
+            Spot::Worker(host) => Some(Place::Host(host.0.to_string())),
+        }
+    }
+
+    /// Whether a call that goes by this ticket has its turn and its draft with it.
+    pub(in crate::node) fn carries(&self, of: Ticket) -> bool {
+        seq(of).is_none() || self.gradual.protocol >= lane::WITH_MORE
+    }
+
+    /// An attempt of a passed call may run from now on: it counts here, as this process's own do.
+    fn passed_begins(&mut self, now: Micros, seq: u64, number: u32, host: &WorkerId) {
+        let attempt = AttemptId { ticket: ticket(seq), number };
+        self.gradual.out.insert(seq, number);
+        self.turn_sent(now, attempt, host);
+        self.draft_begins(attempt, host);
+    }
+
+    /// An attempt of a passed call has ended, once: what its host said is learnt here and nowhere else.
+    fn passed_ends(&mut self, now: Micros, seq: u64, end: AttemptEnd, fields: &[(String, String)]) {
+        let Some(number) = self.gradual.out.remove(&seq) else { return };
+        let attempt = AttemptId { ticket: ticket(seq), number };
+        self.drafted(now, attempt, &end, fields);
+        self.turn_ended(now, attempt, &end, fields);
+    }
+
+    /// A call is over here, or is decided here from now on. Of what is still out of it where it was passed nothing is
+    /// counted, whatever is said of it later.
+    pub(in crate::node) fn passed_over(&mut self, now: Micros, of: Ticket) {
+        let Some(seq) = seq(of) else { return };
+        self.passed_ends(now, seq, Outcome::Cancelled.into(), &[]);
+        self.offered(of, None);
+    }
+
     /// The client of a passed call has left. False where the call was not passed.
     pub(in crate::node) fn passed_left(&mut self, of: Ticket) -> bool {
         let Some(seq) = seq(of) else { return false };
@@ -107,28 +170,66 @@
         self.answer(now, ticket, verdict);
     }
 
-    pub(super) fn holder_hears(&mut self, now: Micros, word: Word) -> Result<(), String> {
-        let g = &mut self.gradual;
+    /// What a word says of attempts and answers, which counts up to the last one that is read; other words are given back.
+    fn hear_of_attempt(&mut self, now: Micros, word: Word) -> Result<Option<Word>, String> {
+        let ledger = &mut self.gradual.ledger;
         match word {
-            Word::Stands { caught_up } => {
-                g.caught_up = caught_up;
-                if caught_up && g.machine.life() == Life::Idle {
-                    self.begin_by_file(now);
-                }
-            }
             Word::Intent { seq, number, host, at } => {
                 let host: WorkerId = host.as_str().into();
-                g.ledger.told(seq, number, &host, at).map_err(|fault| fault.0.to_string())?;
+                // One that cannot be told from a fault may have run all the same: no end will come for it.
+                if ledger.told(seq, number, &host, at).map_err(|fault| fault.0)? {
+                    self.passed_begins(now, seq, number, &host);
+                }
                 self.note_sent(now, host, at);
             }
             Word::Ended { seq, number, end } => {
                 let end = lane::ENDS.get(usize::from(end)).ok_or("an end that is none")?;
-                g.ledger.ended(seq, number, *end).map_err(|fault| fault.0.to_string())?;
+                if ledger.ended(seq, number, *end).map_err(|fault| fault.0)? {
+                    self.passed_ends(now, seq, (*end).into(), &[]);
+                }
             }
             Word::Answer { seq, reply, body } => {
-                let refused = matches!(reply, lane::Reply::Refused(_));
-                if g.ledger.answered(seq, refused).map_err(|fault| fault.0.to_string())? {
-                    self.answer_passed(now, seq, reply, body);
+                self.hear_answer(now, seq, reply, body, &More::default())?;
+            }
+            Word::AnswerWith { seq, reply, body, more } => self.hear_answer(now, seq, reply, body, &more)?,
+            other => return Ok(Some(other)),
+        }
+        Ok(None)
+    }
+
+    fn hear_answer(
+        &mut self,
+        now: Micros,
+        seq: u64,
+        reply: lane::Reply,
+        body: Vec<u8>,
+        more: &More,
+    ) -> Result<(), String> {
+        let refused = matches!(reply, lane::Reply::Refused(_));
+        // A second one, or one that comes late, is of a call that is over: nothing of it counts.
+        if !self.gradual.ledger.answered(seq, refused).map_err(|fault| fault.0)? {
+            return Ok(());
+        }
+        if reply == lane::Reply::Served {
+            let (said, refused) = Said::read(more);
+            for why in refused {
+                self.log.line(now, format_args!("rollout: a field of an answer is refused: {why}"));
+            }
+            let end = AttemptEnd { report: said.report(), ..Outcome::Done.into() };
+            self.passed_ends(now, seq, end, &said.fields);
+        }
+        self.answer_passed(now, seq, reply, body);
+        Ok(())
+    }
+
+    pub(super) fn holder_hears(&mut self, now: Micros, word: Word) -> Result<(), String> {
+        let Some(word) = self.hear_of_attempt(now, word)? else { return Ok(()) };
+        let g = &mut self.gradual;
+        match word {
+            Word::Stands { caught_up } => {
+                g.caught_up = caught_up;
+                if caught_up && g.machine.life() == Life::Idle {
+                    self.begin_by_file(now);
                 }
             }
             Word::Return { seq } => {
@@ -204,24 +305,7 @@
     /// A word read after its speaker was given up: only what tells of attempts and answers counts.
     pub(super) fn hear_last(&mut self, word: Word) {
         let now = self.clock.now();
-        let ledger = &mut self.gradual.ledger;
-        match word {
-            Word::Intent { seq, number, host, at } => {
-                // One that cannot be told from a fault may have run all the same: no end will come for it.
-                let _ = ledger.told(seq, number, &host.as_str().into(), at);
-            }
-            Word::Ended { seq, number, end } => {
-                if let Some(end) = lane::ENDS.get(usize::from(end)) {
-                    let _ = ledger.ended(seq, number, *end);
-                }
-            }
-            Word::Answer { seq, reply, body }
-                if ledger.answered(seq, matches!(reply, lane::Reply::Refused(_))) == Ok(true) =>
-            {
-                self.answer_passed(now, seq, reply, body)
-            }
-            _ => {}
-        }
+        let _ = self.hear_of_attempt(now, word);
     }
 
     pub(super) fn bury(&mut self, now: Micros, process: Option<Process>, cause: Cause) {
@@ -285,7 +369,13 @@
             |p: Past| PastAttempt { worker: p.host, sent: p.at, outcome: p.end.unwrap_or(Outcome::Reset) };
         let past = past.into_iter().map(ended).collect();
         let new = pending.new.clone();
-        let ticket = self.run_engine(|engine, out| engine.request_again(now, new, past, out));
+        self.passed_over(now, ticket(seq));
+        let (turn, advice) = self.take_turn(ticket(seq));
+        let ticket = self.run_engine(|engine, out| {
+            engine.advise(now, advice, out);
+            engine.request_again(now, new, past, out)
+        });
+        self.carry_turn(ticket, turn, Vec::new());
         (pending.by, pending.answer) = (Version::Old, None);
         self.admit(ticket, pending);
     }
--- a/node/src/node/turns.rs
+++ b/node/src/node/turns.rs
@@ -14,6 +14,7 @@
 use crate::config::turns::{By, Setup};
 use crate::fellows::parcel::Kind;
 use crate::hosts::lines;
+use crate::lane::more::Place as Named;
 
 /// Calls that are held back at once for sites' budget of computing anew; others go at once.
 const MOST_HELD: usize = 256;
@@ -43,6 +44,8 @@
 /// A call with a turn.
 struct Carried {
     turn: Turn,
+    /// Where it is best served, for a call that another process decides and that may come back.
+    advice: Vec<Spot>,
     /// What the host found that answered last.
     found: Option<u32>,
 }
@@ -82,8 +85,10 @@
     Site(hasher.finish() as u32)
 }
 
+/// Tickets of passed calls are told by their highest bit, which stays: the engine counts its own from 1 as well.
 fn token(attempt: AttemptId) -> Token {
-    Token(attempt.ticket.0 << 8 | u64::from(attempt.number & 0xff))
+    let passed = attempt.ticket.0 & 1 << 63;
+    Token(passed | attempt.ticket.0 << 8 | u64::from(attempt.number & 0xff))
 }
 
 impl Turning {
@@ -187,12 +192,18 @@
     }
 
     /// Copies that stand at the advised sites, as far as the engine was not told of them lately.
-    fn residents(&mut self, now: Micros, advice: &Advice, function: &FunctionId, lanes: u32) -> Vec<Loaded> {
+    fn residents(
+        &mut self,
+        now: Micros,
+        sites: impl Iterator<Item = Site>,
+        function: &FunctionId,
+        lanes: u32,
+    ) -> Vec<Loaded> {
         let mut loaded = Vec::new();
         if !self.setup.resident {
             return loaded;
         }
-        for site in advice.choices.iter().map(|c| c.site) {
+        for site in sites {
             let key = (site, function.clone());
             if self.resident.get(&key).is_some_and(|at| now - at < RESIDENT.1) {
                 continue;
@@ -389,7 +400,8 @@
         }
         incoming.advice = t.spots(&advice);
         let function: FunctionId = incoming.function.as_str().into();
-        let loaded = t.residents(now, &advice, &function, incoming.lanes);
+        let sites = advice.choices.iter().map(|c| c.site);
+        let loaded = t.residents(now, sites, &function, incoming.lanes);
         if !loaded.is_empty() {
             let legacy = Legacy { loaded, ..Legacy::default() };
             self.run_engine(|engine, out| engine.inherit(now, legacy, out));
@@ -411,9 +423,37 @@
     }
 
     /// The call goes by this ticket.
-    pub(super) fn carry_turn(&mut self, ticket: Ticket, turn: Option<Turn>) {
+    pub(super) fn carry_turn(&mut self, ticket: Ticket, turn: Option<Turn>, advice: Vec<Spot>) {
+        // A call without its blocks leaves nothing behind that could be found.
+        if !self.carries(ticket) {
+            return;
+        }
         if let (Some(t), Some(turn)) = (&mut self.turning, turn) {
-            t.calls.insert(ticket, Carried { turn, found: None });
+            t.calls.insert(ticket, Carried { turn, advice, found: None });
+        }
+    }
+
+    /// The turn of a call that goes by another ticket from now on, and where it was to be served.
+    pub(super) fn take_turn(&mut self, ticket: Ticket) -> (Option<Turn>, Vec<Spot>) {
+        let carried = self.turning.as_mut().and_then(|t| t.calls.remove(&ticket));
+        carried.map_or((None, Vec::new()), |c| (Some(c.turn), c.advice))
+    }
+
+    /// Tells the engine of copies that stand at these places, which the holder of a rollout advises for a call of this
+    /// function. Nothing where this file knows of no copies that stand, or tells sites apart by something else.
+    pub(super) fn stand_at(&mut self, now: Micros, places: &[Named], function: &FunctionId, lanes: u32) {
+        let Some(t) = &mut self.turning else { return };
+        let by = t.setup.site;
+        let site = |place: &Named| match (place, by) {
+            (Named::Cell(cell), By::Cell) => Some(number(&cell.to_string())),
+            (Named::Zone(name), By::Zone) => Some(number(name)),
+            (Named::Host(name), By::Cell | By::Host) => Some(number(name)),
+            _ => None,
+        };
+        let loaded = t.residents(now, places.iter().filter_map(site), function, lanes);
+        if !loaded.is_empty() {
+            let legacy = Legacy { loaded, ..Legacy::default() };
+            self.run_engine(|engine, out| engine.inherit(now, legacy, out));
         }
     }
 
@@ -497,3 +537,17 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// The engine's tickets and the numbers of passed calls both count from 1.
+    #[test]
+    fn attempts_of_passed_calls_have_tokens_of_their_own() {
+        let of = |ticket: u64, number: u32| token(AttemptId { ticket: Ticket(ticket), number });
+        let tokens =
+            [of(7, 0), of(7, 1), of(8, 0), of(1 << 63 | 7, 0), of(1 << 63 | 7, 1), of(1 << 63 | 8, 0)];
+        assert_eq!(tokens.iter().map(|t| t.0).collect::<HashSet<_>>().len(), tokens.len());
+    }
+}
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -220,11 +220,16 @@
         advice: Vec<Spot>,
         out: &mut Vec<Command>,
     ) -> Ticket {
+        self.advise(now, advice, out);
+        self.request(now, new, out)
+    }
+
+    /// The request that is taken next is best served at these spots; see [`Event::Advised`]. No spot changes nothing.
+    pub fn advise(&mut self, now: Micros, advice: Vec<Spot>, out: &mut Vec<Command>) {
         if !advice.is_empty() {
             self.advance(now);
             self.tell(Event::Advised(advice), out);
         }
-        self.request(now, new, out)
     }
 
     /// Takes a request that had attempts in a process that is gone, all of which have ended. They count as this
