--- a/tests/common/fleet.rs
+++ b/tests/common/fleet.rs
@@ -80,19 +80,23 @@
     pub pairs: BTreeSet<(usize, WorkerId)>,
     /// Sends to hosts that were silent then.
     pub into_silence: usize,
+    /// First tries, and those served within their aim, by class and tenant.
+    pub shares: BTreeMap<(usize, Option<usize>), (usize, usize)>,
 }
 
 /// One call's life, for the rules.
 struct Open {
     class: usize,
-    /// No attempt of it may have run.
-    harmless: bool,
+    tenant: Option<usize>,
+    repeat: bool,
+    /// Attempts that may have run: where, and when they were sent.
+    ran: Vec<(WorkerId, Micros)>,
     since: Micros,
     due: Micros,
     function: FunctionId,
     /// Attempts so far, the last of which is out at this host.
     tries: u32,
-    out: Option<WorkerId>,
+    out: Option<(WorkerId, Micros)>,
     answers: u32,
     left: bool,
 }
@@ -115,6 +119,8 @@
     pub cores: u32,
     /// Answers tell what their host holds.
     pub reports: bool,
+    /// The classes of calls, one after another.
+    pub classes: Vec<usize>,
     settings: Settings,
     functions: usize,
     queue: BTreeMap<(Micros, u64), Due>,
@@ -130,6 +136,8 @@
     drains: BTreeMap<(usize, String), Micros>,
     /// The last start of each host that each router was told of.
     starts: BTreeMap<(usize, String), Micros>,
+    /// When each router hears the last news of each host: news of one host keep their order.
+    news: BTreeMap<(usize, String), Micros>,
 }
 
 const CORES: u32 = 4;
@@ -165,6 +173,7 @@
             load: 400 * MS,
             cores: CORES,
             reports: false,
+            classes: vec![UNSAFE, SAFE, SAFE, SAFE, SAFE],
             settings,
             functions,
             queue: BTreeMap::new(),
@@ -176,6 +185,7 @@
             listed: BTreeMap::new(),
             drains: BTreeMap::new(),
             starts: BTreeMap::new(),
+            news: BTreeMap::new(),
         };
         let list: Vec<_> = fleet.hosts.keys().map(|n| Self::entry(n, Condition::Up, 0)).collect();
         for r in 0..routers {
@@ -241,13 +251,28 @@
         let ready_at = self.hosts.get(n).map_or(0, |h| h.started);
         self.listed.insert(n.into(), condition);
         for router in 0..self.routers.len() {
-            let at = self.now + self.rng.i64(0..=within);
+            let last = self.news.entry((router, n.into())).or_default();
+            let at = (self.now + self.rng.i64(0..=within)).max(*last + 1);
+            *last = at;
             self.at(at, Due::List { router, entry: Self::entry(n, condition, ready_at) });
         }
     }
 
-    /// A new process, empty and cold.
+    /// A new process, empty and cold. What one of this name had in hand ends with it, and its last answers arrive late.
     pub fn start_host(&mut self, n: &str) {
+        let here = |due: &&Due| matches!(due, Due::Answer { host, .. } if host == n);
+        let open: Vec<_> = self.queue.iter().filter(|(_, due)| here(due)).map(|(key, _)| *key).collect();
+        for key in open {
+            let Some(Due::Answer { router, host, mut event }) = self.queue.remove(&key) else { continue };
+            let mut at = self.now + self.rng.i64(0..20 * MS);
+            match &mut event {
+                Event::Answer { outcome: Outcome::Done, .. } if self.rng.u8(..3) == 0 => at += 300 * MS,
+                Event::Answer { outcome, finished, .. } => (*outcome, *finished) = (Outcome::Reset, false),
+                Event::LoadEnded { outcome, copies, .. } => (*outcome, *copies) = (Outcome::Reset, 0),
+                _ => {}
+            }
+            self.at(at, Due::Answer { router, host, event });
+        }
         self.hosts.insert(n.into(), FleetHost { started: self.now, ..FleetHost::default() });
     }
 
@@ -259,12 +284,14 @@
     fn call(&mut self, at: Micros, router: usize, function: FunctionId, repeat: bool) -> RequestId {
         self.next += 1;
         let request: RequestId = format!("q{}", self.next).as_str().into();
+        let class = self.classes[self.next as usize % self.classes.len()];
+        let tenants = self.settings.tenants.len();
         let event = Event::Arrival {
             request: request.clone(),
-            class: if self.next.is_multiple_of(5) { UNSAFE } else { SAFE },
-            tenant: None,
+            class,
+            tenant: if tenants > 0 { Some(self.rng.usize(..tenants)) } else { None },
             function,
-            due: at + 2 * S,
+            due: at + self.settings.classes[class].give_up,
             lanes: 4,
             repeat,
             hint: self.work,
@@ -305,13 +332,24 @@
             self.now = self.now.max(entry.key().0);
             match entry.remove() {
                 Due::Call { router, event } => {
-                    if let Event::Arrival { request, function, due, class, .. } = &event {
-                        let (since, due, function, class) = (self.now, *due, function.clone(), *class);
-                        let (tries, answers, harmless, left) = (0, 0, true, false);
-                        let open =
-                            Open { class, harmless, since, due, function, tries, out: None, answers, left };
+                    if let Event::Arrival { request, function, due, class, tenant, repeat, .. } = &event {
+                        let open = Open {
+                            class: *class,
+                            tenant: *tenant,
+                            repeat: *repeat,
+                            ran: Vec::new(),
+                            since: self.now,
+                            due: *due,
+                            function: function.clone(),
+                            tries: 0,
+                            out: None,
+                            answers: 0,
+                            left: false,
+                        };
                         self.open.insert((router, request.clone()), open);
                         self.seen.calls += 1;
+                        let share = self.seen.shares.entry((*class, *tenant)).or_default();
+                        share.0 += usize::from(!repeat);
                         self.taken[router].push(self.now);
                     }
                     self.tell(router, event);
@@ -341,15 +379,17 @@
         if open.out.is_none() || open.tries != attempt + 1 {
             return;
         }
-        open.out = None;
-        open.harmless &= outcome.never_ran();
+        open.ran.extend(open.out.take().filter(|_| !outcome.never_ran()));
         if let Some(h) = self.hosts.get_mut(host).filter(|_| *outcome != Outcome::Miss) {
             h.held = h.held.saturating_sub(1);
         }
         if *outcome == Outcome::Done && !open.left {
             open.answers += 1;
             self.seen.served += 1;
-            self.seen.late += usize::from(self.now - open.since > 500 * MS);
+            let late = self.now - open.since > self.settings.classes[open.class].aim;
+            self.seen.late += usize::from(late);
+            let share = self.seen.shares.entry((open.class, open.tenant)).or_default();
+            share.1 += usize::from(!late && !open.repeat);
         }
         self.seen.misses += usize::from(*outcome == Outcome::Miss);
         self.tell(router, event);
@@ -374,11 +414,26 @@
                     open.out.is_none() && open.answers == 0,
                     "one attempt out at most, none after the answer"
                 );
-                assert!(
-                    open.class != UNSAFE || open.harmless,
-                    "an unsafe call that may have run goes nowhere else"
-                );
-                (open.out, open.tries) = (Some(worker.clone()), open.tries + 1);
+                let place = |n: &WorkerId| Self::entry(&n.0, Condition::Up, 0);
+                let (there, all) = (place(&worker), &open.ran);
+                match self.settings.classes[open.class].effect {
+                    Effect::Safe => {}
+                    Effect::Unsafe => {
+                        assert!(all.is_empty(), "an unsafe call that may have run goes nowhere else")
+                    }
+                    Effect::Keyed { scope, window } => all.iter().for_each(|(first, sent)| {
+                        let same = match scope {
+                            Scope::All => true,
+                            Scope::Zone => place(first).zone == there.zone,
+                            Scope::Cell => place(first).cell == there.cell,
+                        };
+                        assert!(
+                            same && now - sent <= window,
+                            "a keyed call that may have run stays in its window"
+                        );
+                    }),
+                }
+                (open.out, open.tries) = (Some((worker.clone(), now)), open.tries + 1);
                 let (number, due, function) = (open.tries - 1, open.due, open.function.clone());
                 let h = self.hosts.get_mut(&host).expect("a host");
                 h.sent.push(now);
@@ -413,7 +468,7 @@
             }
             Action::Cancel { request, attempt } => {
                 let open = self.open.get(&(router, request.clone())).and_then(|o| o.out.clone());
-                if let Some(worker) = open {
+                if let Some((worker, _)) = open {
                     let host = worker.0.to_string();
                     let event = Self::end(request, (attempt, worker), Outcome::Cancelled, 0);
                     self.at(now, Due::Answer { router, host, event });
@@ -498,7 +553,11 @@
         let open = self.open.get_mut(&(router, request.clone())).expect("a call that is known");
         open.answers += 1;
         assert_eq!(open.answers, 1, "one final answer a call");
-        assert!(!refused || open.class != UNSAFE || open.harmless, "a refusal says that nothing ran");
+        let harmless = match self.settings.classes[open.class].effect {
+            Effect::Safe | Effect::Keyed { scope: Scope::All, .. } => true,
+            _ => open.ran.is_empty(),
+        };
+        assert!(!refused || harmless, "a refusal says that nothing ran");
         *(if refused { &mut self.seen.refused } else { &mut self.seen.failed }) += 1;
     }
 
@@ -558,6 +617,22 @@
         (fallen, most)
     }
 
+    /// Copies that a router believes loaded at a process that it was told of, and that never loaded them.
+    pub fn believed_wrongly(&self) -> Vec<String> {
+        let mut wrong = Vec::new();
+        for (r, router) in self.routers.iter().enumerate() {
+            for l in router.legacy().loaded {
+                let name = l.worker.0.to_string();
+                let Some(host) = self.hosts.get(&name) else { continue };
+                let told = self.starts.get(&(r, name.clone())) == Some(&host.started);
+                if told && host.started > 0 && !host.copies.contains_key(&l.function) {
+                    wrong.push(format!("router {r}: {} at {name}", l.function.0));
+                }
+            }
+        }
+        wrong
+    }
+
     /// Lets all end: then each call has had its one answer.
     pub fn settle(&mut self) {
         self.pass(5 * S, 0.0);
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -2,6 +2,8 @@
 
 mod common;
 
+use std::collections::BTreeSet;
+
 use common::fleet::*;
 use common::*;
 use wheellink::*;
@@ -363,3 +365,63 @@
         assert_eq!(!loads(&bed.pass(10 * S)).is_empty(), renewed, "{routers} routers");
     }
 }
+
+/// What the list says of a host from one time to the next, as a fleet's own days have it: changes that come in pairs, each
+/// told to each router at a moment of its own while calls and orders are on their way there.
+#[derive(Clone, Copy, Debug)]
+enum Twice {
+    /// It drains and is gone.
+    DrainsGoes,
+    /// It drains, and that is taken back.
+    DrainsStays,
+    /// It is gone, and a new process has its name, later.
+    GoesStarts,
+    /// It drains, and a new process has its name before it was said to be gone.
+    DrainsStarts,
+}
+
+/// Nothing new goes to a host that drains after the grace, calls keep their rules (both asserted at each action by the
+/// helper), and nothing is believed of a process that did not load it: routers are told of nothing here but by the list and
+/// by what hosts answer, of which some comes from the earlier process after the list has told of the next.
+#[test]
+fn lists_that_change_twice_while_calls_are_on_their_way() {
+    for (seed, tell) in [(1, 0), (2, 0), (3, 256)] {
+        let mut fleet = Fleet::new(30, 20, 60, tell);
+        fleet.classes = vec![UNSAFE, SAFE, KEYED];
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let (mut gone, mut changed) = (BTreeSet::new(), BTreeSet::new());
+        fleet.pass(2 * S, 500.0);
+        for _ in 0..60 {
+            let n = format!("h{}", rng.usize(..20));
+            if gone.contains(&n) || gone.len() > 5 {
+                let back: Vec<String> = std::mem::take(&mut gone).into_iter().collect();
+                back.iter().for_each(|n| fleet.start_host(n));
+                back.iter().for_each(|n| fleet.list(n, Condition::Up, 200 * MS));
+            }
+            let twice = [Twice::DrainsGoes, Twice::DrainsStays, Twice::GoesStarts, Twice::DrainsStarts]
+                [rng.usize(..4)];
+            // The second follows at once, or after the first was heard of by some or by all.
+            let between = [0, 60 * MS, 400 * MS][rng.usize(..3)];
+            let (first, second) = match twice {
+                Twice::DrainsGoes => (Condition::Draining, Condition::Gone),
+                Twice::DrainsStays | Twice::DrainsStarts => (Condition::Draining, Condition::Up),
+                Twice::GoesStarts => (Condition::Gone, Condition::Up),
+            };
+            fleet.list(&n, first, 200 * MS);
+            fleet.pass(between, 500.0);
+            if matches!(twice, Twice::GoesStarts | Twice::DrainsStarts) {
+                fleet.start_host(&n);
+                changed.insert(n.clone());
+            }
+            fleet.list(&n, second, 200 * MS);
+            gone.extend(matches!(twice, Twice::DrainsGoes).then_some(n));
+            fleet.pass(250 * MS, 500.0);
+            if tell == 0 {
+                assert_eq!(fleet.believed_wrongly(), Vec::<String>::new(), "seed {seed}: after {twice:?}");
+            }
+        }
+        fleet.settle();
+        let seen = &fleet.seen;
+        assert!(changed.len() > 5 && seen.served * 100 > seen.calls * 80, "seed {seed}: {seen:?}");
+    }
+}
