A call that waits for its connection meets a list that changes twice, on real sockets

The test of a draining host had one change of the list. Now also: drains and is gone, drains which is taken back, gone and back. The mail runs once, at the other host, and nothing is said to the first one once its connection stands.

--- a/node/tests/platform.rs
+++ b/node/tests/platform.rs
@@ -225,9 +225,13 @@
 }
 
 /// Attempts that are still connecting when their host drains never ran: they go elsewhere, and nothing is
-/// sent once the connection stands.
-#[test]
-fn what_waits_for_a_draining_host_is_withdrawn() {
+/// sent once the connection stands, whatever the list says of that host next.
+#[rstest]
+#[case::drains(&[1])]
+#[case::drains_and_is_gone(&[1, 2])]
+#[case::drains_which_is_taken_back(&[1, 0])]
+#[case::is_gone_and_back(&[2, 0])]
+fn what_waits_for_a_draining_host_is_withdrawn(#[case] states: &[u8]) {
     let (host, stuck) = (Host::warm(), Stuck::start());
     let mut p = platform(&[]);
     p.feed.write_all(&event(2, false, &[(7, stuck.address, 0)])).unwrap();
@@ -235,7 +239,10 @@
     let mut client = p.program.connect();
     client.write_all(&call_frame(1, "send-mail", 4000, b"")).unwrap();
     sleep(ms(50));
-    p.feed.write_all(&event(3, false, &[(7, stuck.address, 1), (8, host.address, 0)])).unwrap();
+    p.feed.write_all(&event(3, false, &[(8, host.address, 0), (7, stuck.address, states[0])])).unwrap();
+    for (number, state) in (4..).zip(&states[1..]) {
+        p.feed.write_all(&event(number, false, &[(7, stuck.address, *state)])).unwrap();
+    }
     assert_eq!(read_frame(&mut client).unwrap().code, SERVED);
     assert_eq!(host.calls(), 1);
     assert_eq!(stuck.heard(), 0);
