Datagrams between activators carry a sum; one flipped bit could end an agreement

The lab's relays can spoil datagrams now. With half of the accord's spoilt, a bit flipped in the digest of a record that was told as chosen became: all four took version 1 to be one that nobody has, fell to the floor within 2 s, and were there still 12 s after the last spoilt datagram, with every change answered 503. Nothing but new files would have ended it. Counts of drafts have no sum either.

Each datagram of the members' socket, the members' own among them, carries a sum of 8 bytes over its kind and its bytes (siphash, no key: it guards against chance, not against forgers); one whose sum is wrong is dropped and counted. Programs of before drop what they do not know, so each is first spoken to as before, with a word every 100 ms that carries a sum and is answered; from one that carries sums nothing else is taken, until it said nothing with a sum for a second, as it may have been rolled back.

Ruled out: sums in each part's own format (three formats, and a mixed fleet could not agree at all while it is upgraded).

--- a/crates/lab/src/relay.rs
+++ b/crates/lab/src/relay.rs
@@ -15,7 +15,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::ms;
-use crate::tamper::{change_numbers, spoil, Due, Kept, Kind, Lie, Tamper, Tampered};
+use crate::tamper::{body, change_numbers, spoil, Due, Kept, Kind, Lie, Tamper, Tampered};
 
 /// Datagrams that wait on one way at the most; further ones are lost, as in any network with queues of an end.
 const MOST_WAITING: usize = 4_096;
@@ -231,8 +231,7 @@
 /// Whether a datagram has a part of a document in it.
 fn is_chunk(bytes: &[u8]) -> bool {
     use wheellink_accord::parts::{decode, Message};
-    let head = bytes.len().min(5);
-    Kind::of(bytes) == Kind::Accord && matches!(decode(&bytes[head..]), Some(Message::Chunk { .. }))
+    Kind::of(bytes) == Kind::Accord && matches!(decode(body(bytes)), Some(Message::Chunk { .. }))
 }
 
 /// The ways between all members, for datagrams.
--- a/crates/lab/src/tamper.rs
+++ b/crates/lab/src/tamper.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
+use siphasher::sip::SipHasher13;
 
 /// Datagrams of a kind that a way remembers of a life, the newest.
 const KEPT: usize = 128;
@@ -16,6 +17,10 @@
 const MOST_OWED: f64 = 0.1;
 /// Bytes that a datagram of a part begins with; then comes one that tells whose it is. Any other is the members' own.
 const MARK: [u8; 4] = [0xff, 0x57, 0x4c, 0x01];
+/// The same where a sum stands between that and the part's own bytes; the members' own are of kind 0 then.
+const SEALED: [u8; 4] = [0xff, 0x57, 0x4c, 0x02];
+/// Bytes of a sum.
+const SUM: usize = 8;
 /// The longest that is made, in bytes: what is longer is read by nobody.
 const LONGEST: usize = 1_400;
 
@@ -39,20 +44,39 @@
 
     /// Whose words these are.
     pub fn of(bytes: &[u8]) -> Self {
-        match bytes.strip_prefix(&MARK).and_then(|rest| rest.first()) {
+        let kind =
+            bytes.strip_prefix(&MARK).or_else(|| bytes.strip_prefix(&SEALED)).and_then(|rest| rest.first());
+        match kind {
             Some(1) => Self::Accord,
             Some(2) => Self::Drafts,
             Some(3) => Self::Turns,
             _ => Self::Members,
         }
     }
+}
 
-    /// The bytes before the part's own.
-    fn head(self) -> usize {
-        match self {
-            Self::Members => 0,
-            _ => MARK.len() + 1,
-        }
+/// The bytes of a datagram before the sum, if it has one, and before the part's own.
+fn heads(bytes: &[u8]) -> (usize, usize) {
+    let (kind, sum) = (MARK.len() + 1, MARK.len() + 1 + SUM);
+    match Kind::of(bytes) {
+        _ if bytes.starts_with(&SEALED) && bytes.len() >= sum => (kind, sum),
+        Kind::Members => (0, 0),
+        _ => (kind, kind),
+    }
+}
+
+/// The part's own bytes of a datagram.
+pub fn body(bytes: &[u8]) -> &[u8] {
+    &bytes[heads(bytes).1..]
+}
+
+/// Makes the sum right, where there is one: a liar knows how.
+fn seal(bytes: &mut [u8]) {
+    let (kind, own) = heads(bytes);
+    if own > kind {
+        let data = &bytes[own..];
+        let sum = SipHasher13::new_with_keys(u64::from(bytes[kind - 1]), data.len() as u64).hash(data);
+        bytes[kind..own].copy_from_slice(&sum.to_le_bytes());
     }
 }
 
@@ -151,7 +175,7 @@
 
 /// Spoils a datagram: some bits, or its length, or all of it. What tells whose it is stays, so that its part reads it.
 pub fn spoil(rng: &mut fastrand::Rng, bytes: &[u8]) -> Vec<u8> {
-    let head = Kind::of(bytes).head().min(bytes.len());
+    let head = heads(bytes).0;
     let (mut made, body) = (bytes.to_vec(), bytes.len() - head);
     match rng.u8(..4) {
         0 if body > 0 => {
@@ -171,7 +195,7 @@
 
 /// Changes numbers: the highest bit of a byte, by which numbers of several bytes hang together, stays as it is.
 pub fn change_numbers(rng: &mut fastrand::Rng, bytes: &[u8]) -> Vec<u8> {
-    let head = Kind::of(bytes).head().min(bytes.len());
+    let head = heads(bytes).1;
     let mut made = bytes.to_vec();
     if made.len() > head {
         for _ in 0..rng.usize(1..=3) {
@@ -179,6 +203,7 @@
             made[at] = made[at] & 0x80 | rng.u8(..0x80);
         }
     }
+    seal(&mut made);
     made
 }
 
@@ -218,6 +243,13 @@
     fn kinds_are_told_by_their_first_bytes() {
         let kinds = [1, 2, 3, 9].map(|k| Kind::of(&parcel(k, b"x")));
         assert_eq!(kinds, [Kind::Accord, Kind::Drafts, Kind::Turns, Kind::Members]);
+        let sealed = |kind: u8| [&SEALED[..], &[kind], &[0; SUM], b"x"].concat();
+        assert_eq!([0, 1, 3].map(|k| Kind::of(&sealed(k))), [Kind::Members, Kind::Accord, Kind::Turns]);
+        assert_eq!(
+            (body(&sealed(0)), body(&sealed(2)), body(&parcel(2, b"y"))),
+            (&b"x"[..], &b"x"[..], &b"y"[..])
+        );
+        assert_eq!((body(b"abc"), body(&SEALED), body(&MARK)), (&b"abc"[..], &SEALED[..], &MARK[..]));
         assert_eq!([Kind::of(b""), Kind::of(&MARK), Kind::of(b"abc")], [Kind::Members; 3]);
     }
 
@@ -253,6 +285,16 @@
             changed += usize::from(lie != whole);
         }
         assert!(changed > 95);
+        // With the sum that a program makes: a liar's is right, and nothing else is changed outside of its own bytes.
+        let mut sealed = [&SEALED[..], &[1], &[0; SUM], b"a record that was chosen"].concat();
+        seal(&mut sealed);
+        assert_eq!(sealed[5..13], SipHasher13::new_with_keys(1, 24).hash(&sealed[13..]).to_le_bytes());
+        for _ in 0..50 {
+            let mut lie = change_numbers(&mut rng, &sealed);
+            let told = lie.clone();
+            seal(&mut lie);
+            assert_eq!((&lie, &lie[..5]), (&told, &sealed[..5]));
+        }
     }
 
     #[test]
--- a/node/src/fellows.rs
+++ b/node/src/fellows.rs
@@ -3,7 +3,9 @@
 //! `[members]` in an operator's file.
 
 pub mod parcel;
+mod seal;
 
+use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap};
 use std::io::{self, ErrorKind};
 use std::net::{SocketAddr, UdpSocket};
@@ -19,7 +21,8 @@
 
 use crate::datagrams;
 use crate::wake::{Handle, Wake};
-use parcel::{Kind, Parcel};
+use parcel::{Kind, Opened, Parcel, Read};
+use seal::{As, Seals};
 
 /// Datagrams taken at one go: a flood of them must not keep the loop.
 const AT_ONCE: usize = 64;
@@ -119,6 +122,9 @@
     parcels: Vec<Parcel>,
     /// Parcels that were dropped: of a kind that this program does not know, too long, or too many at one go.
     dropped: u64,
+    /// Who carries sums in what it says, and how many datagrams were dropped for a wrong one or for want of one.
+    seals: RefCell<Seals>,
+    spoilt: u64,
 }
 
 impl Fellows {
@@ -132,8 +138,22 @@
         let (origin, setup) = (Instant::now(), setup.clone());
         let (others, names, left) = (BTreeMap::new(), HashMap::new(), false);
         let (handle, parcels, dropped) = (handle.clone(), Vec::new(), 0);
-        let mut fellows =
-            Self { handle, socket, token, members, origin, setup, others, names, left, parcels, dropped };
+        let (seals, spoilt) = (RefCell::default(), 0);
+        let mut fellows = Self {
+            handle,
+            socket,
+            token,
+            members,
+            origin,
+            setup,
+            others,
+            names,
+            left,
+            parcels,
+            dropped,
+            seals,
+            spoilt,
+        };
         fellows.meet();
         Ok(fellows)
     }
@@ -144,6 +164,7 @@
         self.others = self.setup.other.iter().map(other).collect();
         self.names = self.others.iter().map(|(number, (_, address))| (*address, *number)).collect();
         self.members.set_roster(self.others.keys().copied());
+        self.seals.get_mut().keep(|name| self.others.contains_key(&name));
     }
 
     /// Whether it can go on with this setup, which it then does: others may come and go, the rest asks for a new life.
@@ -178,12 +199,29 @@
             match self.socket.recv_from(&mut buf) {
                 Ok((n, from)) => {
                     let (now, Some(from)) = (self.now(), self.names.get(&from)) else { continue };
-                    match parcel::read(&buf[..n]) {
-                        parcel::Read::Not => self.members.heard(now, *from, &buf[..n], &mut out),
-                        parcel::Read::Unknown => self.dropped += 1,
+                    let read = match parcel::open(&buf[..n]) {
+                        Opened::Sealed(read) => {
+                            self.seals.get_mut().heard(now, *from);
+                            read
+                        }
+                        Opened::Plain(read) if self.seals.get_mut().takes_plain(now, *from) => read,
+                        Opened::Plain(_) | Opened::Spoilt => {
+                            self.spoilt += 1;
+                            continue;
+                        }
+                    };
+                    match read {
+                        Read::Word => {
+                            if self.seals.get_mut().answers(now, *from) {
+                                let _ = self.socket.send_to(&parcel::answer(), self.others[from].1);
+                            }
+                        }
+                        Read::Answer => {}
+                        Read::Own(data) => self.members.heard(now, *from, data, &mut out),
+                        Read::Unknown => self.dropped += 1,
                         // What is left of one go is taken before the next: else nobody takes any.
-                        parcel::Read::Parcel(..) if self.parcels.len() >= AT_ONCE => self.dropped += 1,
-                        parcel::Read::Parcel(kind, data) => {
+                        Read::Parcel(..) if self.parcels.len() >= AT_ONCE => self.dropped += 1,
+                        Read::Parcel(kind, data) => {
                             self.parcels.push(Parcel { from: *from, kind, data: data.to_vec() })
                         }
                     }
@@ -203,7 +241,17 @@
 
     /// Sends another part's bytes, at most [`parcel::LONGEST`], to its like. They may be lost, doubled or late.
     pub fn send(&self, to: Name, kind: Kind, data: &[u8]) {
-        if let (Some((_, address)), Some(datagram)) = (self.others.get(&to), parcel::write(kind, data)) {
+        self.put(to, Some(kind), data);
+    }
+
+    /// Sends something with a sum, or as programs of before read it. What cannot be sent is lost, as any may be.
+    fn put(&self, to: Name, kind: Option<Kind>, data: &[u8]) {
+        let Some((_, address)) = self.others.get(&to) else { return };
+        let how = self.seals.borrow_mut().next(self.now(), to);
+        if how == As::PlainAfterWord {
+            let _ = self.socket.send_to(&parcel::word(), address);
+        }
+        if let Some(datagram) = parcel::write(kind, data, how == As::Sealed) {
             let _ = self.socket.send_to(&datagram, address);
         }
     }
@@ -247,12 +295,7 @@
         let mut lines = Vec::new();
         for o in out {
             match o {
-                Out::Send { to, data } => {
-                    if let Some((_, address)) = self.others.get(&to) {
-                        // One that cannot be sent is lost, as any may be.
-                        let _ = self.socket.send_to(&data, address);
-                    }
-                }
+                Out::Send { to, data } => self.put(to, None, &data),
                 Out::Changed { name, state } => lines.push(self.changed(name, state)),
                 Out::Returned => lines.push("others held this activator for gone; it is back".into()),
             }
@@ -281,12 +324,12 @@
         let ago = |at: Option<Duration>| at.map(|at| now.saturating_sub(at).as_millis() as u64);
         let member = |m: &wheellink_members::Member| {
             let (name, address) = &self.others[&m.name];
-            json!({"name": name, "address": address, "state": word(m.state), "start_ms": m.start,
+            json!({"name": name, "address": address, "state": word(m.state), "sums": self.seals.borrow().knows(m.name), "start_ms": m.start,
                 "incarnation": m.incarnation, "since_ms": ago(m.since), "heard_ms": ago(m.heard)})
         };
         let known = view.members.iter().filter(|m| self.others.contains_key(&m.name));
         json!({"name": self.setup.name, "start_ms": self.members.life().start, "left": self.left,
-            "majority": view.majority, "dropped": self.dropped, "pauses": view.pauses, "stretch": view.stretch,
+            "majority": view.majority, "dropped": self.dropped, "spoilt": self.spoilt, "pauses": view.pauses, "stretch": view.stretch,
             "members": known.map(member).collect::<Vec<_>>()})
     }
 }
--- /dev/null
+++ b/node/src/fellows/seal.rs
@@ -0,0 +1,174 @@
+//! A sum over each datagram, so that one that was spoilt on its way is dropped rather than believed: a flipped bit can make
+//! a record of one that was never chosen, and a fleet that learns of a version that nobody has stays on its floor.
+//!
+//! It guards against chance, not against who can forge an address: the sum has no key. Programs of before do not know it and
+//! drop what carries it. So each is first spoken to as before, with a short word in between that carries a sum and nothing
+//! else and is answered; from whoever carries sums itself nothing without one is taken, until it said nothing with one for a
+//! while, as it may have been replaced by a program of before. The answer matters: one that starts anew may be spoken to by
+//! nobody, and what it says without a sum is dropped by all who heard its word.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use siphasher::sip::SipHasher13;
+use wheellink_members::Name;
+
+/// Between two short words to one that is not known to read them.
+const AGAIN: Duration = Duration::from_millis(100);
+/// Who said nothing with a sum for so long may have been replaced by a program that knows none.
+const SILENCE: Duration = Duration::from_secs(1);
+
+/// The sum of these bytes, of that kind.
+pub fn sum(kind: u8, data: &[u8]) -> [u8; 8] {
+    SipHasher13::new_with_keys(u64::from(kind), data.len() as u64).hash(data).to_le_bytes()
+}
+
+/// How something is to be sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum As {
+    /// With a sum.
+    Sealed,
+    /// Without, and before it a word that carries one.
+    PlainAfterWord,
+    /// Without.
+    Plain,
+}
+
+#[derive(Clone, Copy, Default)]
+struct Peer {
+    /// When it last said something with a sum, if it is held to that.
+    sealed: Option<Duration>,
+    /// When it was last sent a word.
+    word: Option<Duration>,
+    /// When its word was last answered.
+    answered: Option<Duration>,
+}
+
+/// Who carries sums. Times are of a clock that nobody sets.
+#[derive(Default)]
+pub struct Seals {
+    peers: HashMap<Name, Peer>,
+}
+
+impl Seals {
+    /// Forgets all but these.
+    pub fn keep(&mut self, roster: impl Fn(Name) -> bool) {
+        self.peers.retain(|name, _| roster(*name));
+    }
+
+    /// It said something whose sum is right.
+    pub fn heard(&mut self, now: Duration, from: Name) {
+        self.peers.entry(from).or_default().sealed = Some(now);
+    }
+
+    /// Whether its word is answered now: not each of a flood is.
+    pub fn answers(&mut self, now: Duration, from: Name) -> bool {
+        let peer = self.peers.entry(from).or_default();
+        let due = peer.answered.is_none_or(|at| now.saturating_sub(at) >= AGAIN / 2);
+        if due {
+            peer.answered = Some(now);
+        }
+        due
+    }
+
+    /// Whether something without a sum is taken from it.
+    pub fn takes_plain(&mut self, now: Duration, from: Name) -> bool {
+        let Some(peer) = self.peers.get_mut(&from) else { return true };
+        if peer.sealed.is_some_and(|at| now.saturating_sub(at) > SILENCE) {
+            peer.sealed = None;
+        }
+        peer.sealed.is_none()
+    }
+
+    /// How the next datagram goes to it.
+    pub fn next(&mut self, now: Duration, to: Name) -> As {
+        let peer = self.peers.entry(to).or_default();
+        if peer.sealed.is_some() {
+            return As::Sealed;
+        }
+        if peer.word.is_some_and(|at| now.saturating_sub(at) < AGAIN) {
+            return As::Plain;
+        }
+        peer.word = Some(now);
+        As::PlainAfterWord
+    }
+
+    /// Whether it is known to carry sums.
+    pub fn knows(&self, name: Name) -> bool {
+        self.peers.get(&name).is_some_and(|peer| peer.sealed.is_some())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const ONE: Name = Name(1);
+
+    fn ms(n: u64) -> Duration {
+        Duration::from_millis(n)
+    }
+
+    #[test]
+    fn words_are_said_now_and_then_until_one_is_known_to_read_them() {
+        let mut seals = Seals::default();
+        let said = [0, 50, 99, 100, 150, 260].map(|at| seals.next(ms(at), ONE));
+        use As::*;
+        assert_eq!(said, [PlainAfterWord, Plain, Plain, PlainAfterWord, Plain, PlainAfterWord]);
+        assert!(seals.takes_plain(ms(300), ONE) && !seals.knows(ONE));
+        seals.heard(ms(300), ONE);
+        assert_eq!((seals.next(ms(301), ONE), seals.takes_plain(ms(302), ONE)), (Sealed, false));
+        assert!(seals.knows(ONE) && seals.takes_plain(ms(302), Name(2)), "each for itself");
+    }
+
+    #[test]
+    fn two_that_start_with_nothing_find_each_other_though_only_one_speaks() {
+        // The second has nothing to say: what it hears without a sum it drops once it heard the word.
+        let (mut first, mut second) = (Seals::default(), Seals::default());
+        assert_eq!(first.next(ms(0), Name(2)), As::PlainAfterWord);
+        second.heard(ms(1), ONE);
+        assert!(!second.takes_plain(ms(1), ONE) && second.answers(ms(1), ONE));
+        first.heard(ms(2), Name(2));
+        assert_eq!(first.next(ms(3), Name(2)), As::Sealed);
+        // Of a flood of words few are answered; a later one is, as the answer may have been lost.
+        assert_eq!((2..50).filter(|at| second.answers(ms(*at), ONE)).count(), 0);
+        assert!(second.answers(ms(101), ONE));
+    }
+
+    #[test]
+    fn one_that_a_program_of_before_replaced_is_heard_and_spoken_to_again() {
+        let mut seals = Seals::default();
+        seals.heard(ms(0), ONE);
+        assert!(!seals.takes_plain(ms(1_000), ONE));
+        // Nothing said is no reason: large fleets seldom speak to each one.
+        assert_eq!(seals.next(ms(60_000), ONE), As::Sealed);
+        assert!(seals.takes_plain(ms(60_000), ONE));
+        assert_eq!(seals.next(ms(60_001), ONE), As::PlainAfterWord);
+        seals.heard(ms(60_100), ONE);
+        assert!(!seals.takes_plain(ms(60_200), ONE), "and held to sums again once it has them");
+    }
+
+    #[test]
+    fn those_who_left_the_roster_are_forgotten() {
+        let mut seals = Seals::default();
+        for name in 0..100 {
+            seals.heard(ms(0), Name(name));
+        }
+        seals.keep(|name| name.0 < 3);
+        assert_eq!(seals.peers.len(), 3);
+        assert!(!seals.knows(Name(50)) && seals.knows(Name(2)));
+    }
+
+    #[test]
+    fn any_flipped_bit_and_any_other_length_or_kind_has_another_sum() {
+        let data: Vec<u8> = (0..200).collect();
+        let right = sum(1, &data);
+        for bit in 0..data.len() * 8 {
+            let mut spoilt = data.clone();
+            spoilt[bit / 8] ^= 1 << (bit % 8);
+            assert_ne!(sum(1, &spoilt), right);
+        }
+        assert!((0..data.len()).all(|n| sum(1, &data[..n]) != right));
+        assert_ne!(sum(2, &data), right);
+    }
+}
