--- a/crates/lab/src/check/versions.rs
+++ b/crates/lab/src/check/versions.rs
@@ -23,7 +23,7 @@
     let words: Vec<_> = key.split('/').collect();
     match words[..] {
         ["class", _, last] => matches!(last, "effect" | "scope" | "window_ms" | "attempts"),
-        ["tenant", _, "quota_milli"] | ["limit", _] | ["out", ..] => true,
+        ["tenant", _, "quota_milli"] | ["limit", _] | ["out", ..] | ["voter", _] => true,
         _ => false,
     }
 }
@@ -35,17 +35,25 @@
     known: BTreeMap<u64, Document>,
     /// Keys of changes of which it is not known what became of them.
     open: BTreeSet<String>,
+    /// Who votes in each: the first ones, with those that changes added by keys `voter/mN`, without those they dropped.
+    voters: BTreeMap<u64, BTreeSet<usize>>,
+}
+
+/// The activator that a key makes a voter.
+fn voter(key: &str) -> Option<usize> {
+    key.strip_prefix("voter/m")?.parse().ok()
 }
 
 impl Versions {
-    fn of(lines: &[Line]) -> Self {
+    fn of(setup: &Setup, lines: &[Line]) -> Self {
         // What all begin with is not in the history; each version is held as what differs from it.
         let first = lines.iter().find_map(|l| match &l.saw {
             Saw::Acts { obeys, .. } => newest(obeys),
             _ => None,
         });
         let known = [(first.unwrap_or(0), Document::new())].into();
-        let mut versions = Self { known, open: BTreeSet::new() };
+        let voters = [(first.unwrap_or(0), (0..setup.voters).collect())].into();
+        let mut versions = Self { known, open: BTreeSet::new(), voters };
         let changes = lines.iter().filter_map(|l| match &l.saw {
             Saw::Change { base, set, dropped, became, status, said, .. } => {
                 // One that was refused, at once or later, changes nothing.
@@ -65,6 +73,10 @@
                     document.retain(|key, _| !dropped.contains(key));
                     document.extend(set.clone());
                     versions.known.insert(*number, document);
+                    let mut voters = versions.voters.get(base).cloned().unwrap_or_default();
+                    voters.extend(set.keys().filter_map(|key| voter(key)));
+                    voters.retain(|who| !dropped.iter().any(|key| voter(key) == Some(*who)));
+                    versions.voters.insert(*number, voters);
                 }
                 _ if refused => {}
                 _ => versions.open.extend(set.keys().chain(dropped).cloned()),
@@ -73,6 +85,13 @@
         versions
     }
 
+    /// Whose word brings this version into force: a majority of the voters before it, and one of its own.
+    fn deciding(&self, setup: &Setup, number: u64) -> [BTreeSet<usize>; 2] {
+        let before = self.known.range(..number).next_back().map_or(number, |(before, _)| *before);
+        let of = |n| self.voters.get(&n).cloned().unwrap_or_else(|| (0..setup.voters).collect());
+        [of(before), of(number)]
+    }
+
     /// Whether two differ on a key of this kind.
     fn differ(&self, a: u64, b: u64, hard: bool) -> bool {
         if a == b {
@@ -158,7 +177,7 @@
         return;
     }
     let end = lines.last().map_or(0, |l| l.at);
-    let versions = Versions::of(lines);
+    let versions = Versions::of(setup, lines);
     let spans = spans(setup, lines, lives);
     if spans.is_empty() {
         flaws.add(AGREE, end, "nobody said what it obeys".into());
@@ -195,7 +214,7 @@
     hard(setup, &versions, &spans, flaws);
     soft(setup, &versions, &spans, &firsts, flaws, figures);
     for (number, (at, who)) in firsts.iter().filter(|(n, _)| Some(**n) != first_of_all) {
-        if !had_majority(setup, lines, *who, *at) {
+        if !had_majority(setup, lines, &versions.deciding(setup, *number), *who, *at) {
             let said =
                 format!("activator {who} was the first to obey version {number}, cut off from a majority");
             flaws.add(MAJORITY, *at, said);
@@ -288,8 +307,8 @@
     }
 }
 
-/// Whether an activator could reach a majority of the voters, itself or by way of others, at some moment of the last T.
-fn had_majority(setup: &Setup, lines: &[Line], who: usize, at: u64) -> bool {
+/// Whether an activator could reach a majority of each of these lists of voters, itself or by way of others, at some moment of the last T.
+fn had_majority(setup: &Setup, lines: &[Line], lists: &[BTreeSet<usize>], who: usize, at: u64) -> bool {
     let n = setup.activators;
     let (mut cut, mut up) = (vec![vec![false; n]; n], vec![false; n]);
     let since = at.saturating_sub(setup.bound_us + setup.grace_us);
@@ -302,7 +321,8 @@
                 }
             }
         }
-        reached.iter().filter(|v| **v < setup.voters && up[**v]).count() * 2 > setup.voters
+        let of = |list: &BTreeSet<usize>| reached.iter().filter(|v| list.contains(v) && up[**v]).count();
+        lists.iter().all(|list| of(list) * 2 > list.len())
     };
     for line in lines.iter().take_while(|l| l.at <= at) {
         // What stood before this line stood until it.
@@ -383,6 +403,25 @@
         assert_eq!(broken(setup, saw), wanted);
     }
 
+    #[test]
+    fn those_decide_who_vote_in_the_version_before_and_in_the_new_one() {
+        let play = |voter: &str, dropped: &[&str]| {
+            let set = [(voter.to_string(), Value::Bool(true))].into();
+            let (said, dropped) = (String::new(), dropped.iter().map(|key| key.to_string()).collect());
+            let first = Saw::Change { to: 0, base: 0, set, dropped, status: 200, said, became: Some(1) };
+            let all = |saw: fn(usize) -> Saw| (0..3).map(saw).collect::<Vec<_>>();
+            let gone = vec![life(2, Turn::Killed), life(0, Turn::Continued), life(0, Turn::Continued)];
+            let then = vec![change(1, S, 2, Some(2)), one(0, 2), one(1, 2)];
+            let saw = [vec![first], all(|who| both(who, 0, 1)), all(|who| one(who, 1)), gone, then].concat();
+            broken(Setup { bound_us: 1_500_000, ..setup() }, saw).contains(&MAJORITY)
+        };
+        // One of three is gone, or of two, or the only one; or the only one is another.
+        assert!(!play("site/b/weight", &[]));
+        assert!(play("site/b/weight", &["voter/m1"]));
+        assert!(play("voter/m2", &["voter/m0", "voter/m1"]));
+        assert!(!play("voter/m1", &["voter/m0", "voter/m2"]));
+    }
+
     #[test]
     fn the_longest_time_is_told() {
         let saw = vec![change(0, S, 2, Some(1)), one(0, 1), one(1, 1), one(2, 1)];
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -224,19 +224,24 @@
 /// Hands a change to an activator, a long list in parts, one version after another.
 fn propose(controls: &Controls, history: &History, change: &Change, taken_up: &Sender<()>) {
     let set: BTreeMap<String, Value> = change.set.iter().map(|(k, v)| (k.clone(), json!(v))).collect();
+    // A voter is `voter/mN` to the lab and its checkers, and a number to the program.
+    let numbered = |set: &BTreeMap<String, Value>| -> BTreeMap<String, Value> {
+        set.iter().map(|(key, value)| (numbered(key), value.clone())).collect()
+    };
+    let drop: Vec<String> = change.drop.iter().map(|key| self::numbered(key)).collect();
     let Some((list, entries)) = &change.list else {
-        let body = json!({"set": set, "drop": change.drop});
+        let body = json!({"set": numbered(&set), "drop": drop});
         propose_one(controls, history, change, set, body, taken_up);
         return;
     };
     for from in (0..*entries).step_by(MOST_ENTRIES) {
         let part = from..(from + MOST_ENTRIES).min(*entries);
-        let mut whole = set.clone();
+        let mut whole = numbered(&set);
         whole.extend(part.clone().map(|k| (format!("list/{list}/e{k:06}"), json!(true))));
         // One key stands for all of them.
         let mut told = set.clone();
         told.insert(format!("list/{list}/e{from:06}"), json!(part.len()));
-        let body = json!({"set": whole, "drop": change.drop});
+        let body = json!({"set": whole, "drop": drop});
         // Another version may be on its way; then it is tried again.
         let came = |_| {
             let came = propose_one(controls, history, change, told.clone(), body.clone(), taken_up);
@@ -251,6 +256,16 @@
     }
 }
 
+/// The key as the program knows it: a name of a member is a number there.
+fn numbered(key: &str) -> String {
+    match key.strip_prefix("voter/") {
+        Some(name) if name.starts_with('m') => {
+            format!("voter/{}", siphasher::sip::SipHasher13::new().hash(name.as_bytes()) as u32)
+        }
+        _ => key.to_string(),
+    }
+}
+
 /// Hands one change to an activator, based on the version that it knows: whether it came into force.
 fn propose_one(
     controls: &Controls,
@@ -434,6 +449,13 @@
         assert_eq!((other.path(Which::Before), other.path(Which::This)), (&*none, &*own));
     }
 
+    #[test]
+    fn voters_are_numbers_to_the_program() {
+        assert_eq!(numbered("class/m1/attempts"), "class/m1/attempts");
+        let number = numbered("voter/m1").strip_prefix("voter/").unwrap().parse::<u32>();
+        assert!(number.is_ok() && numbered("voter/m1") != numbered("voter/m2"));
+    }
+
     #[test]
     fn beliefs_are_read_whole_or_not_at_all() {
         let view = |load| {
