--- a/tests/common/fleet.rs
+++ b/tests/common/fleet.rs
@@ -123,6 +123,8 @@
     pub counted: Micros,
     /// The classes of calls, one after another.
     pub classes: Vec<usize>,
+    /// This share of the calls goes to these functions alike, in place of those that are called always.
+    pub surge: (f64, Vec<FunctionId>),
     settings: Settings,
     functions: usize,
     queue: BTreeMap<(Micros, u64), Due>,
@@ -177,6 +179,7 @@
             reports: false,
             counted: 0,
             classes: vec![UNSAFE, SAFE, SAFE, SAFE, SAFE],
+            surge: (0.0, Vec::new()),
             settings,
             functions,
             queue: BTreeMap::new(),
@@ -324,7 +327,11 @@
             let at = from + self.rng.i64(0..time);
             let f = (self.rng.f64().powi(2) * self.functions as f64) as usize;
             let router = self.rng.usize(..self.routers.len());
-            let request = self.call(at, router, format!("f{f}").as_str().into(), false);
+            let mut function = format!("f{f}").as_str().into();
+            if !self.surge.1.is_empty() && self.rng.f64() < self.surge.0 {
+                function = self.surge.1[self.rng.usize(..self.surge.1.len())].clone();
+            }
+            let request = self.call(at, router, function, false);
             if self.hasty > 0 && self.next.is_multiple_of(self.hasty) {
                 let leaves = Due::Leaves { router, request, again: self.rng.bool() };
                 let patience = self.rng.i64(50 * MS..800 * MS);
