Node: turns that wait are released or given up as the crate says, within their time

Cause: the node held a turn for a fixed time and then sent it whatever the budget.

Change: calls that wait are kept by the crate's number; they go when it names them, and are answered 503 at once when it gives them up. A call that is placed and not let in gives back what was set aside. A process that stops waits for those that wait, which is bounded by their time. GET /turns shows given_up and each site's budget.

--- a/node/src/node/life.rs
+++ b/node/src/node/life.rs
@@ -335,7 +335,10 @@
             Side::Platform(front, _) => front.is_quiet(),
             Side::Operator { front, .. } => front.is_quiet(),
         };
-        self.stopping.is_some_and(|since| now - since >= STILL_COMING) && self.pending.is_empty() && quiet
+        self.stopping.is_some_and(|since| now - since >= STILL_COMING)
+            && self.pending.is_empty()
+            && self.parked_turns() == 0
+            && quiet
     }
 
     pub fn shut_down(&mut self) {
--- a/node/src/node/requests.rs
+++ b/node/src/node/requests.rs
@@ -136,27 +136,32 @@
     }
 
     pub(super) fn request(&mut self, now: Micros, conn: Option<ConnId>, origin: Origin, incoming: Incoming) {
-        self.request_placed(now, conn, origin, incoming, false);
+        // It may have to wait first for a place for its turn, once.
+        if let Some((origin, incoming)) = self.advise(now, conn, origin, incoming) {
+            self.request_placed(now, conn, origin, incoming);
+        }
     }
 
-    /// ... which may wait first for a place for its turn, once.
+    /// ... which has its place.
     pub(super) fn request_placed(
         &mut self,
         now: Micros,
         conn: Option<ConnId>,
         origin: Origin,
         incoming: Incoming,
-        again: bool,
     ) {
-        let Some((origin, incoming)) = self.advise(now, conn, origin, incoming, again) else { return };
         let size = incoming.body.len();
         if !self.is_within_caps(now, incoming.tenant, &incoming.function) {
+            self.forgo_turn(incoming.placed.as_ref());
             let retry_after = self.config.deployment.settings.max_retry_after;
             return self.reply(now, &origin, Reply::Refused(retry_after));
         }
         let (owner, asking) = match self.let_in(now, conn, (incoming.class, incoming.tenant, size)) {
             Ok(admitted) => admitted,
-            Err(reply) => return self.reply(now, &origin, reply),
+            Err(reply) => {
+                self.forgo_turn(incoming.placed.as_ref());
+                return self.reply(now, &origin, reply);
+            }
         };
         let new = NewRequest {
             class: incoming.class,
--- a/node/src/node/turns.rs
+++ b/node/src/node/turns.rs
@@ -8,7 +8,7 @@
 use siphasher::sip::SipHasher13;
 use wheellink::engine::AttemptEnd;
 use wheellink::{Condition, Loaded};
-use wheellink_turns::{Advice, Name, Out, Site, SiteNow, Token, Turns, USUAL_WEIGHT};
+use wheellink_turns::{Advice, Name, Out, Site, SiteNow, Then, Token, Turns, Waiting, USUAL_WEIGHT};
 
 use super::*;
 use crate::config::turns::{By, Setup};
@@ -16,8 +16,6 @@
 use crate::hosts::lines;
 use crate::lane::more::Place as Named;
 
-/// Calls that are held back at once for sites' budget of computing anew; others go at once.
-const MOST_HELD: usize = 256;
 /// For so long a function that is resident is told to be loaded, and so often it is told again.
 const RESIDENT: (Micros, Micros) = (60_000_000, 20_000_000);
 /// Functions of sites that are remembered to have been told so.
@@ -50,12 +48,13 @@
     found: Option<u32>,
 }
 
-/// A call that waits for a share of what sites may compute anew.
+/// A call that waits for a share of what sites may compute anew; the crate bounds how many do, and for how long.
 pub(super) struct Parked {
     since: Micros,
     conn: Option<ConnId>,
     origin: Origin,
     incoming: Incoming,
+    turn: Turn,
 }
 
 /// See the module's page.
@@ -74,8 +73,7 @@
     weights: BTreeMap<String, u16>,
     calls: HashMap<Ticket, Carried>,
     attempts: HashMap<AttemptId, (WorkerId, Micros)>,
-    parked: BTreeMap<(Micros, u64), Parked>,
-    next: u64,
+    parked: BTreeMap<Waiting, Parked>,
 }
 
 /// What stands for a site's name at every activator.
@@ -111,7 +109,6 @@
             calls: HashMap::new(),
             attempts: HashMap::new(),
             parked: BTreeMap::new(),
-            next: 0,
         })
     }
 
@@ -228,6 +225,10 @@
         loaded
     }
 
+    fn sites(&self) -> Vec<SiteNow> {
+        self.sums.values().map(|s| s.now).collect()
+    }
+
     fn spots(&self, advice: &Advice) -> Vec<Spot> {
         advice.choices.iter().filter_map(|c| Some(self.labels.get(&c.site)?.1.clone())).collect()
     }
@@ -280,7 +281,8 @@
             .filter_map(|s| {
                 let name = known.get(&s.site)?;
                 Some(json!({"site": name, "there": s.there, "weight": s.weight, "keeps_blocks": s.horizon as u64,
-                    "load": (s.load * 1000.0).round() / 1000.0, "turns": s.turns, "lost": s.lost}))
+                    "load": (s.load * 1000.0).round() / 1000.0, "turns": s.turns, "lost": s.lost,
+                    "anew": {"blocks": s.anew.0 as i64, "a_second": s.anew.1 as u64}}))
             })
             .collect();
         let [placed, held, common, load, anew] = view.placed;
@@ -289,7 +291,7 @@
         json!({"sites": sites, "activators": view.activators, "conversations": view.known.0,
             "common_prefixes": view.known.1, "made_room": view.pushed, "bytes": view.bytes,
             "placed": {"all": placed, "held": held, "common": common, "load": load, "anew": anew},
-            "held_back": {"so_far": view.held_back, "now": self.parked.len()},
+            "held_back": {"so_far": view.held_back, "now": self.parked.len(), "given_up": view.given_up},
             "blocks": {"asked": asked, "expected": expected, "found": found}, "misses": view.misses,
             "emptied": view.emptied, "doubted_tenants": view.doubted, "open": view.open,
             "told": {"bytes": told, "heard": heard, "unread": unread}})
@@ -300,7 +302,7 @@
     /// Takes `[turns]` up as the configuration has it.
     pub(super) fn attend_turns(&mut self, now: Micros) {
         let Some(setup) = self.config.turns.clone() else {
-            self.release_parked(true);
+            self.release_all_parked();
             self.turning = None;
             return self.hear_turns(false);
         };
@@ -312,7 +314,7 @@
                 turning.turns.retune(setup.settings()).map_err(|e| e.to_string())
             }
             None => {
-                self.release_parked(true);
+                self.release_all_parked();
                 let me = self.fellows.as_ref().map_or(Name(0), |f| Name(f.roster().0 .0));
                 let zone = self.config.deployment.settings.zone;
                 Turning::new(&setup, me, zone, self.config.seed).map(|mut turning| {
@@ -364,14 +366,14 @@
         }
     }
 
-    /// Where a call is best served, by its turn. None where it is to wait first: it is parked then.
+    /// Where a call is best served, by its turn. None where it is to wait first, and is parked then, or where it was given
+    /// up, and is answered.
     pub(super) fn advise(
         &mut self,
         now: Micros,
         conn: Option<ConnId>,
         origin: Origin,
         mut incoming: Incoming,
-        again: bool,
     ) -> Option<(Origin, Incoming)> {
         let Some(t) = &mut self.turning else { return Some((origin, incoming)) };
         let Some((conversation, new, prefix)) = incoming.turn.take() else { return Some((origin, incoming)) };
@@ -387,18 +389,28 @@
                 class.map_or(incoming.timeout, |c| c.aim.min(incoming.timeout)).max(0) as u64,
             ),
         };
-        let sites: Vec<SiteNow> = t.sums.values().map(|s| s.now).collect();
-        let again = again || t.parked.len() >= MOST_HELD || self.stopping.is_some();
+        let sites = t.sites();
         let at = t.now();
-        let advice = t.turns.place(at, &turn, &sites, again);
-        if !advice.hold.is_zero() {
-            incoming.turn = Some((turn.conversation, turn.new, turn.prefix));
-            t.next += 1;
-            let key = (now + advice.hold.as_micros() as Micros, t.next);
-            t.parked.insert(key, Parked { since: now, conn, origin, incoming });
-            return None;
-        }
-        incoming.advice = t.spots(&advice);
+        let advice = t.turns.place(at, &turn, &sites);
+        match advice.then {
+            Then::Go => Some((origin, self.advised(now, incoming, turn, &advice))),
+            Then::Wait(waiting, _) => {
+                t.parked.insert(waiting, Parked { since: now, conn, origin, incoming, turn });
+                // It may have pushed out another, which is answered now.
+                self.release_parked();
+                None
+            }
+            Then::GiveUp => {
+                self.refuse_turn(now, &origin);
+                None
+            }
+        }
+    }
+
+    /// The call with the advice for its turn.
+    fn advised(&mut self, now: Micros, mut incoming: Incoming, turn: Turn, advice: &Advice) -> Incoming {
+        let Some(t) = &mut self.turning else { return incoming };
+        incoming.advice = t.spots(advice);
         let function: FunctionId = incoming.function.as_str().into();
         let sites = advice.choices.iter().map(|c| c.site);
         let loaded = t.residents(now, sites, &function, incoming.lanes);
@@ -407,21 +419,62 @@
             self.run_engine(|engine, out| engine.inherit(now, legacy, out));
         }
         incoming.placed = Some(turn);
-        Some((origin, incoming))
+        incoming
+    }
+
+    /// What a turn lacks can't be computed anew within its time.
+    fn refuse_turn(&mut self, now: Micros, origin: &Origin) {
+        let retry_after = self.config.deployment.settings.max_retry_after;
+        self.reply(now, origin, Reply::Refused(retry_after));
+    }
+
+    /// The call was placed and is not let in: what was set aside for its turn is for others.
+    pub(super) fn forgo_turn(&mut self, turn: Option<&Turn>) {
+        if let (Some(t), Some(turn)) = (&mut self.turning, turn) {
+            t.turns.forgo(turn);
+        }
     }
 
-    /// Lets calls go on that have waited for long enough, or all.
-    pub(super) fn release_parked(&mut self, all: bool) {
+    /// Lets calls go on that wait no longer, or answers them.
+    fn release_parked(&mut self) {
         let now = self.clock.now();
-        let all = all || self.stopping.is_some();
         while let Some(t) = &mut self.turning {
-            let Some(entry) = t.parked.first_entry().filter(|e| all || e.key().0 <= now) else { break };
-            let Parked { since, conn, origin, mut incoming } = entry.remove();
+            if t.parked.is_empty() {
+                break;
+            }
+            let (sites, at) = (t.sites(), t.now());
+            let Some((waiting, advice)) = t.turns.release(at, &sites) else { break };
+            let Some(Parked { since, conn, origin, mut incoming, turn }) = t.parked.remove(&waiting) else {
+                continue;
+            };
+            if advice.then == Then::GiveUp {
+                self.refuse_turn(now, &origin);
+                continue;
+            }
             incoming.timeout -= now - since;
-            self.request_placed(now, conn, origin, incoming, true);
+            let incoming = self.advised(now, incoming, turn, &advice);
+            self.request_placed(now, conn, origin, incoming);
         }
     }
 
+    /// Turns are routed no more, or anew: what waits goes as any call does.
+    fn release_all_parked(&mut self) {
+        let now = self.clock.now();
+        let parked = self.turning.as_mut().map(|t| std::mem::take(&mut t.parked)).unwrap_or_default();
+        for (waiting, Parked { since, conn, origin, mut incoming, .. }) in parked {
+            if let Some(t) = &mut self.turning {
+                t.turns.withdraw(waiting);
+            }
+            incoming.timeout -= now - since;
+            self.request_placed(now, conn, origin, incoming);
+        }
+    }
+
+    /// Calls that wait for a place of their turn.
+    pub(super) fn parked_turns(&self) -> usize {
+        self.turning.as_ref().map_or(0, |t| t.parked.len())
+    }
+
     /// The call goes by this ticket.
     pub(super) fn carry_turn(&mut self, ticket: Ticket, turn: Option<Turn>, advice: Vec<Spot>) {
         // A call without its blocks leaves nothing behind that could be found.
@@ -499,7 +552,7 @@
 
     /// What is due of turns.
     pub(super) fn tend_turns(&mut self) {
-        self.release_parked(false);
+        self.release_parked();
         let mut out = Vec::new();
         if let Some(t) = &mut self.turning {
             let now = t.now();
@@ -518,9 +571,8 @@
     /// When something of turns is due.
     pub(super) fn next_turn(&self, now: Micros) -> Micros {
         let Some(t) = &self.turning else { return Micros::MAX };
-        let tell = t.turns.wake_at().map(|at| at.saturating_sub(t.now()).as_micros() as Micros);
-        let tell = tell.map_or(Micros::MAX, |wait| now.saturating_add(wait));
-        t.parked.first_key_value().map_or(Micros::MAX, |((at, _), _)| *at).min(tell)
+        let wake = t.turns.wake_at().map(|at| at.saturating_sub(t.now()).as_micros() as Micros);
+        wake.map_or(Micros::MAX, |wait| now.saturating_add(wait))
     }
 
     /// A site is due another weight, as agreed: 0 to 1,000, 100 for the usual.
