Turns lean away from a site by the bound that is set

Cause: with bound 2.0 and twelve conversations a third of them was moved: leaning began at 1.1 whatever the bound. It begins at four tenths of the way to it now.

--- a/crates/turns/src/place.rs
+++ b/crates/turns/src/place.rs
@@ -39,8 +39,9 @@
 /// The least bound of calls of the last 10 s over what a site is due: closer, and at full load so many prefixes are moved that
 /// lanes have no time for it.
 const CALLS: f64 = 1.24;
-/// From this multiple of what a site is due of calls on, turns lean away from it, and at the bound by so many blocks.
-const LEANS_FROM: f64 = 1.1;
+/// From this part of the way between what a site is due of calls and the bound on, turns lean away from it, and at the
+/// bound by so many blocks.
+const LEANS_FROM: f64 = 0.4;
 const LEANS_BY: f64 = 8.0;
 /// With fewer conversations a site than this, calls are not bounded: so few can't be split evenly, and moving one
 /// costs its prefix.
@@ -347,6 +348,7 @@
         // New conversations of one preamble turn to the same sites; one that is known keeps its own order.
         let key = turn.prefix.first().copied().filter(|_| known.common > 0 && known.own.is_none());
         let key = key.unwrap_or_else(|| root(turn.conversation));
+        let bound = self.settings.bound.max(CALLS);
         // As in bounded-load hashing: no site has more than so many times its due, for whatever it holds.
         let mut ranked: Vec<(Room, f64, Choice)> = places
             .iter()
@@ -375,11 +377,12 @@
                 let fits = here + turn_work - expected
                     <= (self.settings.bound * (due + turn_work * part)).max(idle).max(SLACK);
                 let share = (self.settings.bound * (out + 1.0) * part).ceil().max(QUEUE * s.capacity);
-                let calls = (self.settings.bound.max(CALLS) * (count + 1.0) * part).ceil();
+                let calls = (bound * (count + 1.0) * part).ceil();
                 // Turns that are cheap to move lean away first, so that few dear ones have to at the bound.
                 let calls_due = ((count + 1.0) * part).max(1.0);
-                let above = ((self.sites.count(*place) + 1.0) / calls_due - LEANS_FROM).max(0.0);
-                let lean = above / (CALLS - LEANS_FROM) * LEANS_BY * block;
+                let leans_from = 1.0 + LEANS_FROM * (bound - 1.0);
+                let above = ((self.sites.count(*place) + 1.0) / calls_due - leans_from).max(0.0);
+                let lean = above / (bound - leans_from) * LEANS_BY * block;
                 let cost = cost + if counted { lean } else { 0.0 };
                 let many = counted && self.sites.count(*place) + 1.0 > calls;
                 let over = many || !(fits || here <= due) || s.in_flight + 1.0 > share.max(1.0);
