Turns: a site lost at full load in a partition, seen from the hosts

Cause: the budget was proven in the crate's own histories alone. The test runs two processes that can't hear each other, three sites and calls that keep every lane busy, loses a site, and counts at the hosts what is computed anew for its conversations: within one budget, refusals are given up by the crate, the site that is back has at most half of the calls of 180 new conversations, each call one answer and one run.

Change besides: where the module takes another site than the one advised, both sites' budgets pay. Were the first one given its own back, turn after turn could be set aside on it and sent to the other.

--- a/crates/turns/src/anew.rs
+++ b/crates/turns/src/anew.rs
@@ -272,8 +272,8 @@
         }
     }
 
-    /// An attempt is sent that misses so much at this site: if it is computed anew, the site's budget pays, and
-    /// another site that it was set aside at gets its own back. Whether it is.
+    /// An attempt is sent that misses so much at this site: if it is computed anew, the site's budget pays, unless it
+    /// has paid when the turn was let go. Whether it is.
     pub(crate) fn pay(&mut self, turn: &Turn, displaced: bool, site: u16, missing: f64) -> bool {
         let key = self.tail(turn);
         let Some(grant) = self.anew.grants.get_mut(&key) else {
@@ -288,12 +288,10 @@
         if self.flaw == Some(crate::flaws::Flaw::SecondSiteIsFree) {
             return true;
         }
-        if before.used {
-            self.sites.spend(site, missing);
-        } else {
-            self.sites.spend(before.site, -before.blocks);
-            self.sites.spend(site, missing);
-        }
+        // The module may choose another site than the one advised. Then both pay: were the first one given its own back, it
+        // could be set aside again and again for turns that all go to the other.
+        let paid = if !before.used && before.site == site { before.blocks } else { 0.0 };
+        self.sites.spend(site, missing - paid);
         true
     }
 }
--- a/node/tests/turns.rs
+++ b/node/tests/turns.rs
@@ -8,7 +8,8 @@
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
 use std::sync::{Arc, Mutex};
-use std::thread::{sleep, spawn};
+use std::thread::{scope, sleep, spawn};
+use std::time::Instant;
 
 use common::*;
 use rstest::rstest;
@@ -21,6 +22,8 @@
     blocks: HashMap<String, u64>,
     runs: BTreeMap<String, u32>,
     lines: Vec<String>,
+    /// Of which conversation a turn came when, and the blocks that were computed for want of them.
+    missed: Vec<(u64, Instant, usize)>,
 }
 
 impl Cache {
@@ -31,6 +34,10 @@
         let told = fields.filter_map(|f| f.strip_prefix("blocks=")).next()?;
         let blocks: Vec<&str> = told.split(';').filter(|b| !b.is_empty()).collect();
         let found = blocks.iter().take_while(|b| self.blocks.contains_key(**b)).count();
+        if let Some(first) = blocks.first() {
+            let talk = u64::from_str_radix(first, 16).unwrap() >> 32;
+            self.missed.push((talk, Instant::now(), blocks.len() - found));
+        }
         // The last word of a body stands for the blocks that the turn adds.
         for block in blocks.into_iter().chain(body.rsplit(' ').next().unwrap().split(',')) {
             self.used += 1;
@@ -54,7 +61,14 @@
     fn start(most: usize) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
-        let cache = Cache { most, used: 0, blocks: HashMap::new(), runs: BTreeMap::new(), lines: Vec::new() };
+        let cache = Cache {
+            most,
+            used: 0,
+            blocks: HashMap::new(),
+            runs: BTreeMap::new(),
+            lines: Vec::new(),
+            missed: Vec::new(),
+        };
         let site = Self { address, cache: Arc::new(Mutex::new(cache)) };
         let shared = site.cache.clone();
         spawn(move || {
@@ -87,7 +101,8 @@
                 let body = String::from_utf8(body).unwrap();
                 let found = cache.lock().unwrap().serve(line.trim_end(), &body);
                 let found = found.map_or(String::new(), |n| format!(",found={n}"));
-                sleep(ms(1));
+                // A call that keeps a lane busy says so.
+                sleep(ms(if body.starts_with("busy") { 120 } else { 1 }));
                 format!("{} 200 tell=warm{found} {}\r\n{body}\r\n", words[1], body.len())
             }
             "SPAWN" => format!("{} 200 copies=1 0\r\n\r\n", words[1]),
@@ -121,6 +136,10 @@
 
 impl Fleet {
     fn start(n: usize, sites: usize, most: usize) -> Self {
+        Self::start_with(n, sites, most, TURNS)
+    }
+
+    fn start_with(n: usize, sites: usize, most: usize, turns: &str) -> Self {
         let sites: Vec<Site> = (0..sites).map(|_| Site::start(most)).collect();
         let resolver = Resolver::start(&[]);
         let held: Vec<_> = (0..n).map(|_| UdpSocket::bind("127.0.0.1:0").unwrap()).collect();
@@ -159,7 +178,7 @@
                 .collect();
             let members =
                 format!("[members]\nname = \"m{i}\"\nlisten = \"{}\"\nperiod_ms = 100\n{others}", at[i]);
-            format!("{}\n{members}{TURNS}", operator_file(resolver.address))
+            format!("{}\n{members}{turns}", operator_file(resolver.address))
         };
         let files: Vec<String> = (0..n).map(file).collect();
         let mut fleet = Self { each: Vec::new(), links, sites, resolver, files };
@@ -246,19 +265,27 @@
 
     /// A turn of two blocks: those of its prefix, and those that were found.
     fn turn(&mut self, at: &Program) -> (usize, usize) {
+        self.try_turn(at).expect("it is served")
+    }
+
+    /// ... none where it is refused.
+    fn try_turn(&mut self, at: &Program) -> Option<(usize, usize)> {
         let n = self.answered.len();
         let new: Vec<String> =
             (0..2).map(|i| format!("{:x}", self.number << 32 | (2 * n + i + 1) as u64)).collect();
         let body = format!("talk {} turn {n} {}", self.number, new.join(","));
         let header = format!("Wheellink-Turn: {:x};2;{}", self.number, self.prefix.join(","));
         let reply = at.http(&call("chat", "check-score", &[&header], &body));
+        if reply.status == 503 {
+            return None;
+        }
         assert_eq!((reply.status, String::from_utf8(reply.body.clone()).unwrap()), (200, body.clone()));
         let found: usize = reply.header("wheellink-found").expect("a count").parse().unwrap();
         let asked = self.prefix.len();
         assert!(found <= asked);
         self.prefix.extend(new);
         self.answered.push(body);
-        (asked, found)
+        Some((asked, found))
     }
 }
 
@@ -370,6 +397,133 @@
     fleet.ran_once(&talks);
 }
 
+/// Lanes of each host, blocks a second of a lane, the share for computing anew, and the longest prefix of the test below.
+const LANES: f64 = 4.0;
+const BLOCKS: f64 = 10.0;
+const ANEW: f64 = 0.5;
+const PREFIX: u64 = 20;
+
+/// A site is lost at full load while its two activators cannot hear each other. What the others compute anew for its
+/// conversations, as hosts count it, is within one budget and not two; who is beyond is answered 503 within its
+/// time and has not run. When the site is back, empty, it is not flooded. Each call has one answer and ran once.
+#[test]
+fn a_site_lost_at_full_load_in_a_partition_costs_the_others_one_budget() {
+    let table = format!(
+        "[turns]\nsite = \"cell\"\nblock_us = {}\nlanes = {LANES}\nresident = true\nperiod_ms = 50\nanew = {ANEW}\n",
+        1e6 / BLOCKS
+    );
+    let fleet = Fleet::start_with(2, 3, 100_000, &table);
+    let mut talks = Talk::some(120);
+    for talk in &mut talks {
+        talk.prefix = (0..PREFIX).map(|i| format!("{:x}", talk.number << 32 | (1_000 + i))).collect();
+    }
+    let busy = Mutex::new(Vec::new());
+    let (lost, lay, refused) = scope(|s| {
+        // Calls without a turn keep every lane busy, until this is dropped.
+        let over = Arc::new(AtomicBool::new(false));
+        let _end = End(over.clone());
+        for i in 0..12 {
+            let (over, busy, fleet) = (over.clone(), &busy, &fleet);
+            s.spawn(move || {
+                for n in 0.. {
+                    if over.load(Relaxed) {
+                        return;
+                    }
+                    let body = format!("busy {i} {n} 0");
+                    let reply = fleet.one(i % 2).http(&call("chat", "check-score", &[], &body));
+                    assert!([200, 503].contains(&reply.status), "{}", reply.head);
+                    if reply.status == 200 {
+                        busy.lock().unwrap().push(body);
+                    }
+                }
+            });
+        }
+        // What lanes leave unused is learnt from the first turn on.
+        wait_for("busy lanes", || busy.lock().unwrap().len() >= 24);
+        // Unknown prefixes are no displaced ones: nobody is refused.
+        assert_eq!((round(&mut talks, &fleet), round(&mut talks, &fleet)), (0, 0));
+        // Where each came last: some were moved for load.
+        let mut last: BTreeMap<u64, (Instant, usize)> = BTreeMap::new();
+        for (i, site) in fleet.sites.iter().enumerate() {
+            for (talk, at, _) in &site.cache.lock().unwrap().missed {
+                let last = last.entry(*talk).or_insert((*at, i));
+                *last = (*last).max((*at, i));
+            }
+        }
+        let lay: Vec<u64> = last.into_iter().filter(|(_, (_, i))| *i == 1).map(|(talk, _)| talk).collect();
+        fleet.cut(true);
+        let lost = Instant::now();
+        fleet.list(1, false);
+        (0..2).for_each(|i| fleet.sees(i, 2));
+        // Those that lay there come first.
+        talks.sort_by_key(|t| !lay.contains(&t.number));
+        let displaced = talks.iter().filter(|t| lay.contains(&t.number)).count();
+        assert!(displaced > 20, "{displaced} lay there");
+        let refused = round(&mut talks[..displaced], &fleet) + round(&mut talks[..displaced], &fleet);
+        (lost, lay, refused)
+    });
+    // Of the sites that are left the module may take the one where there is room: together they keep their budgets.
+    let mut anew = Vec::new();
+    for site in [0, 2] {
+        let cache = fleet.sites[site].cache.lock().unwrap();
+        anew.extend(cache.missed.iter().filter(|(talk, at, _)| *at >= lost && lay.contains(talk)).copied());
+    }
+    anew.sort_by_key(|(_, at, _)| *at);
+    let mut sum = 0;
+    for (_, at, blocks) in anew {
+        sum += blocks;
+        // A stall of the machine lets budgets grow, so that this holds on a slow one too.
+        let since = (at - lost).as_secs_f64();
+        let most = 2.0 * (ANEW * LANES * BLOCKS * (since + 1.0) + 2.0 * (PREFIX + 8) as f64);
+        assert!(sum as f64 <= most, "{sum} blocks anew within {since} s, {most} at most");
+    }
+    assert!(sum > 0, "nothing was computed anew");
+    assert!(refused > 0, "the budget was never short");
+    let given_up = |i: usize| fleet.view(i)["held_back"]["given_up"].as_u64().unwrap();
+    assert!(given_up(0) + given_up(1) > 0, "refused for something else");
+    // It comes back empty, and they hear each other again.
+    fleet.sites[1].cache.lock().unwrap().blocks.clear();
+    let before = fleet.sites[1].calls();
+    fleet.cut(false);
+    fleet.list(1, true);
+    (0..2).for_each(|i| fleet.sees(i, 3));
+    let mut fresh = Talk::some(300).split_off(120);
+    round(&mut fresh, &fleet);
+    round(&mut fresh, &fleet);
+    let came = fleet.sites[1].calls() - before;
+    assert!((1..=180).contains(&came), "{came} of 360 at the site that is back");
+    let mut busy_ones = Talk::some(1).remove(0);
+    busy_ones.answered = busy.into_inner().unwrap();
+    talks.extend(fresh);
+    talks.push(busy_ones);
+    fleet.ran_once(&talks);
+}
+
+/// Says that it is over when it is dropped, whatever happened before.
+struct End(Arc<AtomicBool>);
+
+impl Drop for End {
+    fn drop(&mut self) {
+        self.0.store(true, Relaxed);
+    }
+}
+
+/// Each conversation takes a turn at its own one of two activators, several at once; how many were refused.
+fn round(talks: &mut [Talk], fleet: &Fleet) -> usize {
+    scope(|s| {
+        let parts: Vec<_> = talks
+            .chunks_mut(4)
+            .map(|part| {
+                s.spawn(move || {
+                    let refused = |t: &mut Talk| t.try_turn(fleet.one((t.number % 2) as usize)).is_none();
+                    part.iter_mut().map(refused).filter(|refused| *refused).count()
+                })
+            })
+            .collect();
+        parts.into_iter().map(|part| part.join().expect("no turn went wrong")).sum()
+    })
+}
+
 #[rstest]
 #[case::parts("12;3")]
 #[case::more("12;3;aa;bb")]
