--- a/node/tests/passing.rs
+++ b/node/tests/passing.rs
@@ -6,7 +6,8 @@
 use std::collections::{BTreeMap, HashSet};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::os::unix::net::UnixStream;
+use std::os::fd::AsFd;
+use std::os::unix::net::{UnixListener, UnixStream};
 use std::process::Command;
 use std::sync::{Arc, Mutex};
 use std::thread::{scope, sleep, spawn};
@@ -15,6 +16,7 @@
 use common::rollout::plan;
 use common::*;
 use rstest::rstest;
+use rustix::net::{sendmsg, SendAncillaryBuffer, SendAncillaryMessage, SendFlags};
 use serde::{Deserialize, Serialize};
 use serde_json::{json, Value};
 use wheellink::Effect;
@@ -231,6 +233,13 @@
         self.sites.iter().map(|s| s.seen.lock().unwrap().runs.get(body).copied().unwrap_or(0)).sum()
     }
 
+    /// Each was served, and ran once.
+    fn each_once(&self, took: &[Took]) {
+        for t in took {
+            assert_eq!((t.status, self.runs(&t.body)), (200, 1), "{}", t.body);
+        }
+    }
+
     fn calls(&self) -> usize {
         self.sites.iter().map(Site::calls).sum()
     }
@@ -278,7 +287,7 @@
     }
     let passed = duo.count("passed");
     assert!((20..=76).contains(&passed), "{passed} of 96");
-    assert!(took.iter().all(|t| t.status == 200 && duo.runs(&t.body) == 1));
+    duo.each_once(&took);
     duo.learnt(&took);
     duo.new_learnt_nothing();
     for site in &duo.sites {
@@ -353,7 +362,7 @@
     let before = duo.calls();
     took.extend(scope(|s| {
         let (duo, talks) = (&duo, &mut talks);
-        let calls = s.spawn(move || all_at_once(talks, &duo.old, |_| CLASS));
+        let calls = s.spawn(move || all_at_once(talks, &duo.old, |_| MAIL));
         wait_for("the calls", || duo.calls() == before + 9);
         assert_eq!(duo.old.operate("POST", "/rollout/back", ""), 200);
         calls.join().unwrap()
@@ -365,7 +374,7 @@
     let (asked, found) = after.iter().fold((0, 0), |a, t| (a.0 + t.asked, a.1 + t.found.unwrap()));
     assert!(found * 10 > asked * 8, "{found} of {asked}");
     took.extend(after);
-    assert!(took.iter().all(|t| t.status == 200 && duo.runs(&t.body) == 1));
+    duo.each_once(&took);
     assert_eq!(duo.count("passed"), 18);
     duo.learnt(&took);
     duo.new_learnt_nothing();
@@ -379,7 +388,7 @@
     duo.work(ms(600));
     let took = scope(|s| {
         let (duo, talks) = (&duo, &mut talks);
-        let calls = s.spawn(move || all_at_once(talks, &duo.old, |_| CLASS));
+        let calls = s.spawn(move || all_at_once(talks, &duo.old, |_| MAIL));
         wait_for("the calls", || duo.calls() == 6);
         assert_eq!(duo.old.operate("POST", "/rollout/complete", ""), 200);
         calls.join().unwrap()
@@ -392,7 +401,8 @@
     assert!(own.iter().all(|t| t.status == 200 && t.found.is_some()));
     assert_eq!(rounds(duo.candidate()), ROUNDS * own.len() as u64);
     duo.learnt(&took);
-    assert!(took.iter().chain(&own).all(|t| duo.runs(&t.body) == 1));
+    duo.each_once(&took);
+    duo.each_once(&own);
 }
 
 // ------------------------------------------------------------------------------------ other versions
@@ -557,3 +567,111 @@
     let _ = odd.kill();
     let _ = odd.wait();
 }
+
+/// A holder of this protocol beside which this program starts: the candidate, and the connection to it.
+fn stand_in_holder(protocol: u32, text: &str) -> (Program, UnixStream) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let place = UnixListener::bind(meeting_place(address)).unwrap();
+    let met = spawn(move || {
+        let (stream, _) = place.accept().unwrap();
+        let mut hello = String::new();
+        BufReader::new(&stream).read_line(&mut hello).unwrap();
+        assert!(hello.contains("\"protocols\":[1,2]"), "{hello}");
+        let terms = |name: &str| ClassTerms { name: name.into(), terms: Terms::new(Effect::Safe, 2) };
+        let classes = [CLASS, MAIL].map(terms);
+        let rollout = json!({"protocols": [protocol], "version": "odd", "classes": classes});
+        let state = format!("{}\n", json!({"say": "state", "rollout": rollout}));
+        let sockets = [listener.as_fd()];
+        let mut space = [std::mem::MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
+        let mut with = SendAncillaryBuffer::new(&mut space);
+        assert!(with.push(SendAncillaryMessage::ScmRights(&sockets)));
+        let bytes = [std::io::IoSlice::new(state.as_bytes())];
+        assert_eq!(sendmsg(&stream, &bytes, &mut with, SendFlags::NOSIGNAL).unwrap(), state.len());
+        stream
+    });
+    let text = text.replace("listen = \"127.0.0.1:0\"", &format!("listen = \"{address}\""));
+    let new = Program::start(&text, true);
+    (new, met.join().unwrap())
+}
+
+/// The answer to a call that is passed with these fields.
+fn passed(
+    stream: &mut UnixStream,
+    seq: u64,
+    more: Option<&[(&str, &str)]>,
+) -> (Vec<u8>, Vec<(String, String)>) {
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap();
+    let call = Call {
+        seq,
+        id: format!("{seq:016x}"),
+        class: CLASS.into(),
+        tenant: None,
+        function: "chat".into(),
+        due: now.as_micros() as i64 + 8_000_000,
+        lanes: 1,
+        repeat: false,
+        key: None,
+        body: format!("call {seq} a,b").into_bytes(),
+    };
+    let told = |fields: &[(&str, &str)]| fields.iter().map(|(n, t)| (n.to_string(), t.to_string())).collect();
+    say(
+        stream,
+        &more.map_or_else(|| Before::Call(clone(&call)), |more| Before::CallWith(clone(&call), told(more))),
+    );
+    loop {
+        match hear(stream).expect("an answer") {
+            Before::Answer { seq: of, reply: Reply::Served, body } if of == seq => return (body, Vec::new()),
+            Before::AnswerWith { seq: of, reply: Reply::Served, body, more } if of == seq => {
+                return (body, more)
+            }
+            Before::Answer { reply, .. } | Before::AnswerWith { reply, .. } => panic!("{reply:?}"),
+            Before::Return { seq } => panic!("call {seq} was given back"),
+            _ => {}
+        }
+    }
+}
+
+fn clone(call: &Call) -> Call {
+    postcard::from_bytes(&postcard::to_stdvec(call).unwrap()).unwrap()
+}
+
+/// What a candidate makes of the fields of a call, and what it says of a host that answered.
+#[test]
+fn a_candidate_does_as_the_fields_of_a_call_say() {
+    let site = Site::start();
+    let resolver = Resolver::start(&[]);
+    let instance = ("h0".to_string(), site.address.port(), vec!["cell=0".to_string()]);
+    resolver.zone.lock().unwrap().instances = vec![instance];
+    let text = format!("{}\n{SETUP}", operator_file(resolver.address));
+    let line = || site.seen.lock().unwrap().lines.last().unwrap().clone();
+    let (new, mut stream) = stand_in_holder(2, &text);
+    wait_for("the site", || new.ask("GET", "/turns", "").1["sites"].as_array().is_some_and(|s| s.len() == 1));
+    let fields =
+        [("turn", "7;2;1,00ff"), ("draft", "1:4"), ("cell", "0"), ("host", "nobody"), ("colour", "blue")];
+    let (body, more) = passed(&mut stream, 1, Some(&fields));
+    assert!(line().contains(",draft=1:4,blocks=1;ff "), "{}", line());
+    let said = [("found", "0"), ("accepted", "40;30;30;30;30;160;400000"), ("held", "3.000")];
+    let said: Vec<(String, String)> = said.iter().map(|(n, t)| (n.to_string(), t.to_string())).collect();
+    assert_eq!((body, more), (b"call 1 a,b".to_vec(), said));
+    // Each is refused by itself, and no other call is touched.
+    let (body, more) = passed(&mut stream, 2, Some(&[("turn", "7;2;xyz"), ("draft", "1:3"), ("cell", "x")]));
+    assert!(line().contains(",draft=1:3 ") && !line().contains("blocks="), "{}", line());
+    assert_eq!((body, more.len()), (b"call 2 a,b".to_vec(), 2));
+    let long = "1".repeat(3_000);
+    passed(&mut stream, 3, Some(&[("turn", "7;2;1"), ("draft", &long)]));
+    assert!(!line().contains("draft=") && !line().contains("blocks="), "{}", line());
+    passed(&mut stream, 4, Some(&[("turn", "7;3;1,ff,a,b")]));
+    assert!(line().contains(",blocks=1;ff;a;b ") && !line().contains("draft="), "{}", line());
+    for (id, why) in [(2, "turn: a hash is"), (2, "cell: no number"), (3, "2 fields of 3014 bytes")] {
+        assert_eq!(new.logged(&format!("a field of call {id:016x} is refused: {why}")), 1, "{why}");
+    }
+    let turns = new.ask("GET", "/turns", "").1;
+    assert_eq!((&turns["placed"]["all"], &turns["blocks"]["asked"]), (&json!(0), &json!(0)), "{turns}");
+    // The version before says nothing of turns and drafts, and hears of none.
+    let (new, mut stream) = stand_in_holder(1, &text);
+    wait_for("the site", || new.ask("GET", "/turns", "").1["sites"].as_array().is_some_and(|s| s.len() == 1));
+    assert_eq!(passed(&mut stream, 1, None), (b"call 1 a,b".to_vec(), vec![]));
+    assert!(!line().contains("draft=") && !line().contains("blocks="), "{}", line());
+    drop(new);
+}
