--- a/Makefile
+++ b/Makefile
@@ -25,10 +25,11 @@
 run-invoke: build
 	exec target/release/wheellink-node deploy/invoke.toml
 
-# One measurement, WHAT=rollout: `name value unit`, one a line. Takes minutes; not part of CI.
+# One measurement, WHAT=rollout: `name value unit`, one a line: of the part's crate, and of the program. Takes minutes; not part
+# of CI.
 measure:
-	@{ test -f crates/$(WHAT)/tests/measure.rs && package=wheellink-$(WHAT) || package=wheellink-node; \
-		cargo test --locked --release -p $$package --test measure -- --ignored --exact $(WHAT) --nocapture; } \
+	@for package in $(WHAT) node; do test ! -f crates/$(WHAT)/tests/measure.rs -a $$package != node || \
+		cargo test --locked --release -p wheellink-$$package --test measure -- --ignored --exact $(WHAT) --nocapture; done \
 		| sed -n 's/^.*measure \([a-z]*\.\)/\1/p'
 
 # All scenarios of several processes with faults between them, a line each, and how many passed; what was seen goes into
--- a/node/tests/measure.rs
+++ b/node/tests/measure.rs
@@ -559,3 +559,123 @@
         tell(&format!("handoff.{way}_change_with_500_calls"), quantile(&mut took, 0.5), "ms");
     }
 }
+
+// ---------------------------------------------------------------------- drafts and turns, a whole call of the program
+
+/// A host that answers at once, and says of drafts and blocks what it is asked about.
+fn answering() -> std::net::SocketAddr {
+    use std::io::{BufRead, BufReader, Read, Write};
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            std::thread::spawn(move || {
+                let (mut lines, mut out) = (BufReader::new(stream.try_clone().unwrap()), stream);
+                let (mut line, mut body) = (String::new(), Vec::new());
+                while lines.read_line(&mut line).is_ok_and(|n| n > 0) {
+                    let words: Vec<&str> = line.trim_end().split(' ').collect();
+                    let answer = match words[0] {
+                        "FN" => {
+                            body.resize(words[3].parse::<usize>().unwrap() + 2, 0);
+                            lines.read_exact(&mut body).unwrap();
+                            let has = |field: &str| words[2].contains(field);
+                            // Off is what runs without a table; 20 rounds of it.
+                            let accepted = if has("draft=0:0") { ",accepted=20;20;400000" } else { "" };
+                            let found = if has("blocks=") { ",found=8" } else { "" };
+                            format!("{} 200 tell=warm{accepted}{found} 0\r\n\r\n", words[1])
+                        }
+                        "SPAWN" => format!("{} 200 copies=1 0\r\n\r\n", words[1]),
+                        "HELO" => format!("{} alive - 0\r\n\r\n", words[1]),
+                        _ => String::new(),
+                    };
+                    line.clear();
+                    if out.write_all(answer.as_bytes()).is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    address
+}
+
+/// Calls on eight connections at once, each with a turn of one of 512 conversations where that is wanted; microseconds of
+/// the program's processor time a call.
+fn cost(program: &Program, calls: usize, turn: bool) -> f64 {
+    use std::io::Write;
+    const AT_ONCE: usize = 8;
+    let before = program.used();
+    std::thread::scope(|s| {
+        for lane in 0..AT_ONCE {
+            s.spawn(move || {
+                let mut stream = program.connect();
+                for n in 0..calls / AT_ONCE {
+                    // Its prefix grows by a block with each of eight turns, from eight blocks on.
+                    let (talk, depth) = (lane * 64 + n / 8 % 64, 8 + n % 8);
+                    let hashes: Vec<String> =
+                        (1..=depth).map(|d| format!("{:016x}", talk << 32 | d)).collect();
+                    let header = format!("Wheellink-Turn: {talk:x};1;{}", hashes.join(","));
+                    let headers: &[&str] = if turn { &[&header] } else { &[] };
+                    stream.write_all(call("f", "check-score", headers, "x").as_bytes()).unwrap();
+                    assert_eq!(read_reply(&mut stream).unwrap().status, 200);
+                }
+            });
+        }
+    });
+    (program.used() - before) as f64 * 10_000.0 / calls as f64
+}
+
+/// Processor time of a call of the program with a table of its file and without, both in one run: in turn, the first one
+/// changing from round to round, by the median. Both get the same calls from the same hosts.
+fn on_and_off(name: &str, table: &str, turn: bool) {
+    let resolver = Resolver::start(&[]);
+    let instances = (0..12).map(|i| (format!("h{i}"), answering().port(), vec![format!("cell={i}")]));
+    resolver.zone.lock().unwrap().instances = instances.collect();
+    let off = operator_file(resolver.address);
+    let programs = [off.clone(), format!("{off}\n{table}")].map(|text| Program::start(&text, true));
+    for p in &programs {
+        wait_for("hosts", || p.http(&request("GET", "/healthz", &[], "")).status == 200);
+        // Neither the first beliefs nor the first connections are measured.
+        cost(p, 2_000, turn);
+    }
+    let (mut times, mut ratios) = ([Vec::new(), Vec::new()], Vec::new());
+    for round in 0..9 {
+        let mut took = [0.0; 2];
+        for k in 0..2 {
+            let which = (round + k) % 2;
+            took[which] = cost(&programs[which], 8_000, turn);
+            times[which].push(took[which]);
+        }
+        ratios.push(took[1] / took[0]);
+    }
+    for (which, times) in ["off", "on"].iter().zip(&mut times) {
+        tell(&format!("{name}.cpu_a_call_{which}"), quantile(times, 0.5), "us");
+    }
+    tell(
+        &format!("{name}.cpu_a_call_on_over_off"),
+        (quantile(&mut ratios, 0.5) * 1e3).round() / 1e3,
+        "median of 9",
+    );
+    tell(
+        &format!("{name}.cpu_a_call_on_over_off_least"),
+        (quantile(&mut ratios, 0.0) * 1e3).round() / 1e3,
+        "of 9",
+    );
+    tell(
+        &format!("{name}.cpu_a_call_on_over_off_most"),
+        (quantile(&mut ratios, 1.0) * 1e3).round() / 1e3,
+        "of 9",
+    );
+}
+
+#[test]
+#[ignore = "a measurement"]
+fn drafts() {
+    on_and_off("drafts", "[drafts]\n", false);
+}
+
+#[test]
+#[ignore = "a measurement"]
+fn turns() {
+    on_and_off("turns", "[turns]\nsite = \"cell\"\nblock_us = 1000\nresident = true\n", true);
+}
