Drafts: deferred calls that a death cuts off are in no sum, of either life

Need: sums that never count twice were tested with calls that are waited for; a deferred call outlives its client's connection, and its host goes on when the activator is dead. Change: a test with two processes: calls served, two more out when the first is killed, a new life under the same name. The other one holds 400 rounds of the first life and 400 of the second, the host served 22 calls. Nothing had to be mended.

--- a/node/tests/drafts.rs
+++ b/node/tests/drafts.rs
@@ -349,6 +349,50 @@
     );
 }
 
+/// Deferred calls are out when their activator dies: nobody has their answers, so that they are in no sum, neither of the life
+/// that ended nor of the one after it, whatever others told of the first.
+#[test]
+fn deferred_calls_that_a_death_cuts_off_are_in_no_sum() {
+    let mut fleet = Fleet::met(2, GOOD);
+    fleet.more = QUICK.replace("epoch_ms = 1000", "epoch_ms = 20000");
+    (0..2).for_each(|i| fleet.start(i));
+    let healthy = |fleet: &Fleet| {
+        let asked = request("GET", "/healthz", &[], "");
+        wait_for("hosts", || fleet.process(0).http(&asked).status == 200);
+    };
+    let defer = |fleet: &Fleet, calls: u32| -> Vec<String> {
+        let one = |_| fleet.process(0).http(&call("f", CLASS, &["Prefer: respond-async"], "x"));
+        let replies: Vec<Reply> = (0..calls).map(one).collect();
+        assert!(replies.iter().all(|r| r.status == 202));
+        replies.iter().map(|r| r.header("location").unwrap().to_string()).collect()
+    };
+    let ten_are_served = |fleet: &Fleet| {
+        let results = defer(fleet, 10);
+        assert!(results.iter().all(|at| fleet.process(0).collect(at).status == 200));
+    };
+    healthy(&fleet);
+    ten_are_served(&fleet);
+    wait_for("their counts", || fleet.rounds(1, 0).0 == 400);
+    // The host says nothing while this is held.
+    let seen = fleet.model.seen.clone();
+    let held = seen.lock().unwrap();
+    let lost = defer(&fleet, 2);
+    wait_for("the calls", || fleet.view(0)["out"] == 2);
+    fleet.each[0].as_mut().unwrap().kill();
+    fleet.each[0] = None;
+    drop(held);
+    wait_for("the end of their work", || seen.lock().unwrap().values().sum::<u32>() == 12);
+    fleet.start(0);
+    healthy(&fleet);
+    let asked = request("GET", &lost[0], &[], "");
+    assert_eq!(fleet.process(0).http(&asked).status, 404, "results end with their process");
+    ten_are_served(&fleet);
+    wait_for("the counts of both lives", || fleet.rounds(1, 0).0 == 800);
+    // Several periods on, with word going both ways.
+    sleep(ms(400));
+    assert_eq!((fleet.rounds(1, 0).0, seen.lock().unwrap().values().sum::<u32>()), (800, 22));
+}
+
 #[test]
 fn acceptance_that_collapses_during_a_partition_is_learnt_by_those_who_hear_each_other() {
     let mut fleet = Fleet::met(3, GOOD);
