Accord: the model of a change of voters has a voter that forgets

The bound of a lease needs three ticks to be seen, and a voter that forgets was only in the flawed model.

--- a/crates/accord/tests/voters.rs
+++ b/crates/accord/tests/voters.rs
@@ -222,7 +222,9 @@
             }
             if self.forgets == Some(name) && fleet.voters[at].standing() != Standing::Voting {
                 does.push(Does::Wake(at));
-                does.extend((0..fleet.voters.len()).map(|from| Does::Recall { voter: at, from }));
+                if !self.flaws.added_unlearnt {
+                    does.extend((0..fleet.voters.len()).map(|from| Does::Recall { voter: at, from }));
+                }
             }
         }
         if fleet.adopted < place {
@@ -366,7 +368,12 @@
 
 #[test]
 fn three_voters_down_to_one_with_leases_of_old_and_new() {
-    explored(down_to_one()).assert_properties();
+    explored(Change { ticks: 3, ..down_to_one() }).assert_properties();
+}
+
+#[test]
+fn three_voters_down_to_one_while_one_forgets() {
+    explored(Change { forgets: Some(2), ..down_to_one() }).assert_properties();
 }
 
 /// The trace to a state that breaks the property. Nothing more is looked at once there is one.
