--- a/crates/accord/src/accord.rs
+++ b/crates/accord/src/accord.rs
@@ -3,23 +3,25 @@
 mod leases;
 mod rounds;
 mod starts;
+mod steps;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::change::{tightens, Change};
+use crate::change::Change;
 use crate::document::{Digest, Document, Key, Value};
-use crate::fetch::{Fetch, Fetched, Store, WINDOW};
+use crate::fetch::{Fetch, Store, Wanted, WINDOW};
 use crate::lease::Holder;
 use crate::quorum::{key_of, named, Lists, Quorum, Voters};
 use crate::round::{Round, Step};
-use crate::schema::{stricter_of, uncovered};
+use crate::schema::stricter_of;
 use crate::settings::{Name, Settings, SettingsError};
 use crate::table::{Mark, Phase, ProposalId, Record, Version};
 use crate::view::{Acting, Out, Refusal, Rejected, Role, View};
 use crate::voter::{Accept, Ballot, Limits, Request, Standing, Voter};
 use crate::wire::{decode, encode, Message};
+use crate::work::{Grave, Whole};
 
 /// What another voter said of itself last.
 #[derive(Debug)]
@@ -38,6 +40,8 @@
     id: ProposalId,
     base: Version,
     new: Version,
+    /// Whether it tightens the floor, and the list of voters to come if it is another, once that and the rest was looked at.
+    judged: Option<(bool, Option<Voters>)>,
     heard: Duration,
 }
 
@@ -70,9 +74,13 @@
     /// What `adopted` says, and the fallback.
     obeyed: Acting,
     floor: Arc<Document>,
+    /// The floor of this one's own file.
+    file: Arc<Document>,
     /// Whether `obeyed` or the floor was told last.
     leased: bool,
     store: Store,
+    /// Work on whole documents that is under way.
+    steps: steps::Steps,
     fetch: Option<Fetch>,
     fetch_from: Name,
     fetch_again: Duration,
@@ -126,8 +134,10 @@
         let record = Record { mark, phase: Phase::Pure(version), least: mark, by, lists };
         let first = Arc::new(first);
         let floor = Arc::new(stricter_of(&settings.floor, &first.floor()));
+        let mut file = settings.floor.clone();
+        file.seal();
         let mut store = Store::default();
-        store.put(version.digest, first.clone(), &[]);
+        store.put(version.digest, Whole::at_once(first.clone()), &[], &mut Grave::default());
         let may = settings.may_vote();
         let voter = may
             .contains(&me)
@@ -142,8 +152,10 @@
             adopted: record,
             obeyed: Acting::One(version, first),
             floor,
+            file: Arc::new(file),
             leased: false,
             store,
+            steps: steps::Steps::default(),
             fetch: None,
             fetch_from: me,
             fetch_again: now,
@@ -190,7 +202,8 @@
     /// Proposes a change of the version in force. What becomes of it is told by [`Out::Settled`].
     ///
     /// # Errors
-    /// At once: a base that is not in force here, another change on its way, a change that makes no document.
+    /// At once: a base that is not in force here, another change on its way, and for all but changes that touch more
+    /// than [`crate::STEP`] entries one that makes no document. Of a larger one that is told by [`Out::Settled`] too.
     pub fn propose(
         &mut self,
         now: Duration,
@@ -198,7 +211,7 @@
         out: &mut Vec<Out>,
     ) -> Result<ProposalId, Rejected> {
         self.check_lease(now, out);
-        if self.mine.is_some() {
+        if self.mine.is_some() || self.steps.is_making() {
             return Err(Rejected::NotNow("a change of this one is under way"));
         }
         if !self.holder.holds(now, self.adopted.mark) {
@@ -211,18 +224,19 @@
         if base.number != change.base {
             return Err(Rejected::Stale(base));
         }
-        let Some(document) = self.store.get(base.digest) else {
+        let Some(document) = self.store.whole(base.digest).cloned() else {
             return Err(Rejected::NotNow("the version in force is still on its way here"));
         };
-        let change = self.with_voters(change, document)?;
-        let made = change.apply(document).map_err(Rejected::Change)?;
-        self.next_list(document, &made).map_err(Rejected::Voters)?;
-        let new = Version { number: base.number + 1, digest: made.digest() };
-        self.keep(new.digest, Arc::new(made));
+        let change = self.with_voters(change, &document.document)?;
         self.count += 1;
         let id = ProposalId { name: self.me, life: self.life, count: self.count };
-        self.mine = Some(Mine { id, base, new, until: now + self.settings.patience * 2, tries: 0 });
-        self.push_mine(now, out);
+        // An operator's word is rare: it has a step of its own, so that most are answered at once.
+        self.steps.refill();
+        if let Some(made) = self.make(id, base, change, document.clone()) {
+            let made = made.map_err(Rejected::Change)?;
+            self.next_list(&document.document, &made.document).map_err(Rejected::Voters)?;
+            self.made(now, id, base, made, out);
+        }
         self.finish(now, out);
         Ok(id)
     }
@@ -254,7 +268,7 @@
         if awaited {
             self.handed_out = None;
             self.said(version, result, out);
-            self.advance(now, out);
+            self.advance();
             self.ask_leases(now, true, out);
         }
         self.finish(now, out);
@@ -284,11 +298,12 @@
     pub fn wake(&mut self, now: Duration, out: &mut Vec<Out>) {
         self.check_lease(now, out);
         if now >= self.tick {
+            self.steps.refill();
             self.tick = now + self.settings.period;
             self.spent = 0;
             self.wake_voter(now, out);
             self.ask_leases(now, false, out);
-            self.advance(now, out);
+            self.advance();
             self.pull(now, false, out);
             self.push_mine(now, out);
             self.drive(now, out);
@@ -352,10 +367,15 @@
         self.settings.may_vote().contains(&name) || self.known.lists.contains(name)
     }
 
-    /// What this one said to itself.
+    /// What this one said to itself, and as much work on documents as is left of this step.
     fn finish(&mut self, now: Duration, out: &mut Vec<Out>) {
-        while let Some(message) = self.loopback.pop_front() {
-            self.handle(now, self.me, message, out);
+        loop {
+            while let Some(message) = self.loopback.pop_front() {
+                self.handle(now, self.me, message, out);
+            }
+            if !self.step(now, out) {
+                return;
+            }
         }
     }
 
@@ -427,39 +447,13 @@
                     self.drive(now, out);
                 }
             }
-            Message::Want { digest, base, first, mask } => self.wanted(from, digest, base, first, mask, out),
+            Message::Want { digest, base, first, mask } => {
+                self.wanted(Wanted { to: from, digest, base, first, mask }, out);
+            }
             Message::Chunk { digest, base, total, at, bytes } => {
                 let Some(fetch) = &mut self.fetch else { return };
-                match fetch.chunk(digest, base, total, at, bytes) {
-                    Fetched::Nothing => {}
-                    Fetched::Part => self.moved(now),
-                    Fetched::Window => {
-                        self.moved(now);
-                        self.pull(now, true, out);
-                    }
-                    Fetched::Whole(document) => {
-                        self.fetch = None;
-                        self.keep(digest, document);
-                        self.advance(now, out);
-                        self.drive(now, out);
-                    }
-                    Fetched::Unknown(why) => {
-                        self.fetch = None;
-                        if let Some(version) = self.known.versions().find(|version| version.digest == digest)
-                        {
-                            self.said(version, Err(Refusal::Unknown(why)), out);
-                            self.ask_leases(now, true, out);
-                        } else {
-                            self.wish = None;
-                        }
-                    }
-                    Fetched::Wrong(why) => {
-                        out.push(Out::Note(format!(
-                            "document {digest} from {from}: {why}; asked of another"
-                        )));
-                        self.fetch_from = self.any_other();
-                        self.pull(now, true, out);
-                    }
+                if fetch.chunk(digest, base, total, at, bytes, &mut self.steps.grave) {
+                    self.moved(now);
                 }
             }
         }
@@ -487,17 +481,17 @@
         self.wish = self.wish.take().filter(|wish| wish.id != record.by);
         out.push(Out::Note(said_of(record)));
         self.settle(now, &before, out);
-        self.advance(now, out);
+        self.advance();
         self.ask_leases(now, true, out);
         self.pull(now, false, out);
         self.drive(now, out);
     }
 
-    fn keep(&mut self, digest: Digest, document: Arc<Document>) {
+    fn keep(&mut self, digest: Digest, document: Whole) {
         let mut needed: Vec<Digest> =
             self.known.versions().chain(self.adopted.versions()).map(|v| v.digest).collect();
         needed.extend(self.mine.as_ref().map(|mine| mine.new.digest));
-        self.store.put(digest, document, &needed);
+        self.store.put(digest, document, &needed, &mut self.steps.grave);
     }
 
     fn said(&mut self, version: Version, result: Result<(), Refusal>, out: &mut Vec<Out>) {
@@ -508,7 +502,7 @@
     }
 
     /// Prepares what is not prepared, and obeys the newest record it can.
-    fn advance(&mut self, now: Duration, out: &mut Vec<Out>) {
+    fn advance(&mut self) {
         let needed: BTreeSet<Digest> =
             self.known.versions().chain(self.adopted.versions()).map(|version| version.digest).collect();
         self.prepared.retain(|digest, _| needed.contains(digest));
@@ -518,58 +512,14 @@
         };
         let open = self.known.versions().filter(open).last();
         if let Some(version) = open.filter(|version| self.handed_out != Some(version.digest)) {
-            if let Some(document) = self.store.get(version.digest).cloned() {
-                match self.below_floor(&document) {
-                    Some(key) => self.said(version, Err(Refusal::Floor(key.to_string())), out),
-                    None => {
-                        self.handed_out = Some(version.digest);
-                        out.push(Out::Prepare { version, document });
-                    }
-                }
-            }
+            self.check_floor(version);
         }
         if self.known.mark > self.adopted.mark {
-            self.adopt(now, out);
+            self.adopt();
         }
         self.tell_voter();
     }
 
-    /// The key on which this one's own fallback is looser than the document, or than the document's floor.
-    fn below_floor(&self, document: &Document) -> Option<Key> {
-        let file = &self.settings.floor;
-        uncovered(document, file).or_else(|| uncovered(&document.floor(), file))
-    }
-
-    fn adopt(&mut self, now: Duration, out: &mut Vec<Out>) {
-        let record = self.known;
-        let newest = record.obeyed();
-        if self.prepared.get(&newest.digest) != Some(&Ok(())) {
-            return;
-        }
-        let Some(new) = self.store.get(newest.digest).cloned() else { return };
-        let (obeyed, floors) = match record.phase {
-            Phase::Pure(version) | Phase::Prepare { old: version, .. } => {
-                (Acting::One(version, new.clone()), new.floor())
-            }
-            Phase::Joint { old, new: version } => {
-                let Some(before) = self.store.get(old.digest) else { return };
-                let terms = Arc::new(stricter_of(before, &new));
-                (Acting::Both { old, new: version, terms }, stricter_of(&before.floor(), &new.floor()))
-            }
-        };
-        let same = self.obeyed == obeyed;
-        self.adopted = record;
-        self.holder.keep(record.mark, record.quorum(), |name| record.lists.contains(name));
-        self.obeyed = obeyed;
-        self.floor = Arc::new(stricter_of(&self.settings.floor, &floors));
-        let leased = self.holder.holds(now, record.mark);
-        if leased && self.leased && !same {
-            out.push(Out::Act(self.obeyed.clone()));
-        }
-        self.check_lease(now, out);
-        self.ask_leases(now, true, out);
-    }
-
     /// What the voter of this member goes by: the document on its way, and what the one in force says.
     fn tell_voter(&mut self) {
         let Some(voter) = &mut self.voter else { return };
@@ -611,16 +561,19 @@
     /// Asks for the next parts of what is missing.
     fn pull(&mut self, now: Duration, at_once: bool, out: &mut Vec<Out>) {
         let Some(digest) = self.missing() else {
-            self.fetch = None;
-            return;
+            return self.end_fetch();
         };
         if self.fetch.as_ref().is_none_or(|fetch| fetch.digest != digest) {
             let base = [self.known.obeyed(), self.adopted.obeyed()].into_iter().map(|version| version.digest);
             let base = base.filter_map(|base| Some((base, self.store.get(base)?.clone()))).next();
+            self.end_fetch();
             self.fetch = Some(Fetch::new(digest, base));
             let of_wish =
                 self.wish.as_ref().filter(|wish| wish.new.digest == digest).map(|wish| wish.id.name);
             self.fetch_from = of_wish.unwrap_or(self.teller);
+        } else if !self.fetch.as_ref().is_some_and(Fetch::has_room) {
+            // What is here is to be parsed first; the end of that asks for more.
+            return;
         } else if !at_once {
             if now < self.fetch_again {
                 return;
@@ -644,23 +597,19 @@
         self.settings.roster[at]
     }
 
-    fn wanted(
-        &mut self,
-        to: Name,
-        digest: Digest,
-        base: Option<Digest>,
-        first: u32,
-        mask: u32,
-        out: &mut Vec<Out>,
-    ) {
-        for at in (0..WINDOW).filter(|at| mask >> at & 1 == 1) {
-            if to == self.me || self.spent >= self.settings.pace {
+    fn wanted(&mut self, wanted: Wanted, out: &mut Vec<Out>) {
+        if wanted.to == self.me || !self.store.is_ready(&wanted) {
+            return;
+        }
+        for at in (0..WINDOW).filter(|at| wanted.mask >> at & 1 == 1) {
+            if self.spent >= self.settings.pace {
                 return;
             }
-            let Some(at) = first.checked_add(at) else { return };
-            let Some((base, total, bytes)) = self.store.chunk(digest, base, at) else { return };
+            let Some(at) = wanted.first.checked_add(at) else { return };
+            let digest = wanted.digest;
+            let Some((base, total, bytes)) = self.store.chunk(digest, wanted.base, at) else { return };
             self.spent += bytes.len();
-            self.send(to, &Message::Chunk { digest, base, total, at, bytes }, out);
+            self.send(wanted.to, &Message::Chunk { digest, base, total, at, bytes }, out);
         }
     }
 }
--- a/crates/accord/src/accord/rounds.rs
+++ b/crates/accord/src/accord/rounds.rs
@@ -57,7 +57,8 @@
         if self.voter.is_none() || id.name != from {
             return;
         }
-        if self.known.phase != Phase::Pure(base) {
+        // The second: it was taken, and withdrawn since; asked for late, it would be taken again.
+        if self.known.phase != Phase::Pure(base) || self.known.by == id {
             self.send(from, &Message::Known(self.known), out);
             return;
         }
@@ -71,33 +72,22 @@
                 return;
             }
         }
-        self.wish = Some(Wish { id, base, new, heard: now });
+        self.wish = Some(Wish { id, base, new, judged: None, heard: now });
         self.pull(now, false, out);
         self.drive(now, out);
     }
 
-    /// Whether the wish is of the version in force, its document here, and a change that may be made.
-    pub(super) fn checked_wish(&mut self, in_force: Version, out: &mut Vec<Out>) -> Option<Record> {
-        let wish = self.wish.as_mut().filter(|wish| wish.base == in_force)?;
-        let (old, new) = (self.store.get(wish.base.digest)?, self.store.get(wish.new.digest)?);
-        // Checked by the proposer as well, which may be an older program, or wrong.
-        if let Err(why) = Change::between(in_force.number, old, new).apply(old) {
-            out.push(Out::Note(format!("change of {} refused: {why}", wish.id.name)));
-            self.wish = None;
+    /// The record that the wish asks for, if it is of the version in force, its document here, and a change that may be
+    /// made. Checked by the proposer as well, which may be an older program, or wrong.
+    fn checked_wish(&mut self, in_force: Version) -> Option<Record> {
+        let wish = self.wish.as_ref().filter(|wish| wish.base == in_force)?;
+        let Some((tightens, next)) = wish.judged else {
+            self.judge();
             return None;
-        }
-        let (tightens, new, by) = (tightens(old, new).is_some(), wish.new, wish.id);
-        let next = match self.next_list(&old.clone(), &self.store.get(new.digest)?.clone()) {
-            Ok(next) => next,
-            Err(why) => {
-                out.push(Out::Note(format!("change of {} refused: {why}", by.name)));
-                self.wish = None;
-                return None;
-            }
         };
-        let phase = Phase::Prepare { old: in_force, new, tightens };
+        let phase = Phase::Prepare { old: in_force, new: wish.new, tightens };
         let lists = Lists { now: self.known.lists.now, next };
-        Some(Record { mark: self.known.mark.next(), phase, least: self.known.least, by, lists })
+        Some(Record { mark: self.known.mark.next(), phase, least: self.known.least, by: wish.id, lists })
     }
 
     /// The list of voters to come, if it is another than the one in force; or why there may be no such list.
@@ -158,7 +148,7 @@
         let Record { least, by, lists, .. } = self.known;
         let (before, after) = (Lists::only(lists.now), Lists::only(self.known.last_list()));
         let wish = match self.known.phase {
-            Phase::Pure(version) => self.checked_wish(version, out),
+            Phase::Pure(version) => self.checked_wish(version),
             _ if !turn => None,
             Phase::Prepare { old, new, .. } => {
                 let lost = self.store.get(new.digest).is_none()
--- a/crates/accord/src/change.rs
+++ b/crates/accord/src/change.rs
@@ -2,11 +2,14 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
+use std::sync::Arc;
+use std::task::Poll;
 
 use serde::{Deserialize, Serialize};
 
-use crate::document::{Document, Key, Value, MOST_BYTES, MOST_ENTRIES};
+use crate::document::{Arriving, Document, Key, Value, MOST_BYTES, MOST_ENTRIES};
 use crate::schema;
+use crate::work::{Budget, Covers, Flooring, Grave, Whole};
 
 /// A change of the document in force.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -67,31 +70,13 @@
     /// # Errors
     /// See [`ChangeError`]; nothing is taken over then.
     pub fn apply(&self, base: &Document) -> Result<Document, ChangeError> {
-        if let Some(key) = self.drop.iter().find(|key| self.set.contains_key(*key)) {
-            return Err(ChangeError::Both(key.clone()));
-        }
-        let mut made = base.clone();
-        for key in &self.drop {
-            made.remove(key);
-        }
-        for (key, value) in &self.set {
-            schema::check(key, value).map_err(ChangeError::Schema)?;
-            made.set(key.clone(), value.clone());
-        }
-        if !made.fits() {
-            return Err(ChangeError::Large { entries: made.len(), bytes: made.bytes() });
-        }
-        made.seal();
-        if made == *base {
-            return Err(ChangeError::Nothing);
-        }
-        // Both floors, as one that was cut off before this version is still on the old one.
-        for floor in [base.floor(), made.floor()] {
-            if let Some(key) = schema::uncovered(&made, &floor) {
-                return Err(ChangeError::Undercuts(key));
+        let base = Whole::at_once(Arc::new(base.clone()));
+        let mut making = Making::new(self.clone(), base);
+        loop {
+            if let Poll::Ready(made) = making.step(&mut Budget::endless()) {
+                return made.map(|made| Document::clone(&made.document));
             }
         }
-        Ok(made)
     }
 
     /// The change that makes `newer` of `base`: for going back to an older content by a new version.
@@ -107,8 +92,163 @@
     }
 }
 
-/// The first hard key on which the floor of `newer` is stricter than that of `base`: such a version is only begun once
-/// every member of the roster has said that its own file's floor is as strict.
-pub(crate) fn tightens(base: &Document, newer: &Document) -> Option<Key> {
-    schema::uncovered(&newer.floor(), &base.floor())
+/// How far a [`Making`] is.
+#[derive(Debug)]
+enum Stage {
+    /// Keys are taken out and set: of the change what is left.
+    Taking(Change, Arriving),
+    /// What is set is hashed.
+    Sealing(Arriving),
+    /// Its floor is taken out of it.
+    Flooring(Flooring),
+    /// It is looked at beside the floor before it and its own.
+    Covering(Whole, Covers),
+    /// It was made, or refused.
+    Done,
+}
+
+/// A change on its way to be a document, by steps.
+#[derive(Debug)]
+pub(crate) struct Making {
+    base: Whole,
+    stage: Stage,
+}
+
+impl Making {
+    pub fn new(change: Change, base: Whole) -> Making {
+        let made = Arriving::onto(&base.document);
+        Making { base, stage: Stage::Taking(change, made) }
+    }
+
+    /// Goes on for as long as the budget lasts. To be asked no more once it is ready.
+    pub fn step(&mut self, budget: &mut Budget) -> Poll<Result<Whole, ChangeError>> {
+        loop {
+            match &mut self.stage {
+                Stage::Taking(change, made) => {
+                    while !budget.is_spent() {
+                        if let Some(key) = change.drop.pop_first() {
+                            if change.set.contains_key(&key) {
+                                return Poll::Ready(Err(ChangeError::Both(key)));
+                            }
+                            made.remove(&key, budget);
+                        } else if let Some((key, value)) = change.set.pop_first() {
+                            if let Err(error) = schema::check(&key, &value) {
+                                return Poll::Ready(Err(ChangeError::Schema(error)));
+                            }
+                            made.set(key, value, budget);
+                        } else {
+                            break;
+                        }
+                    }
+                    if !change.drop.is_empty() || !change.set.is_empty() {
+                        return Poll::Pending;
+                    }
+                    if !made.fits() {
+                        let (entries, bytes) = made.size();
+                        return Poll::Ready(Err(ChangeError::Large { entries, bytes }));
+                    }
+                    self.stage = Stage::Sealing(std::mem::take(made));
+                }
+                Stage::Sealing(made) => {
+                    let Some(made) = made.seal(budget) else { return Poll::Pending };
+                    let same = made == *self.base.document;
+                    self.stage = Stage::Flooring(Flooring::new(Arc::new(made)));
+                    if same {
+                        return Poll::Ready(Err(ChangeError::Nothing));
+                    }
+                }
+                Stage::Flooring(flooring) => {
+                    let Poll::Ready(made) = flooring.step(budget) else { return Poll::Pending };
+                    let covers = covers(&self.base, &made);
+                    self.stage = Stage::Covering(made, covers);
+                }
+                Stage::Covering(made, covers) => {
+                    let Poll::Ready(open) = covers.step(budget) else { return Poll::Pending };
+                    if let Some(key) = open {
+                        return Poll::Ready(Err(ChangeError::Undercuts(key)));
+                    }
+                    let made = made.clone();
+                    self.stage = Stage::Done;
+                    return Poll::Ready(Ok(made));
+                }
+                Stage::Done => return Poll::Pending,
+            }
+        }
+    }
+
+    /// What is left of it is freed by steps.
+    pub fn leave(self, grave: &mut Grave) {
+        grave.document(self.base.document);
+        grave.document(self.base.floor);
+        match self.stage {
+            Stage::Taking(change, made) => {
+                grave.change(change);
+                grave.remains(made);
+            }
+            Stage::Sealing(made) => grave.remains(made),
+            Stage::Flooring(flooring) => flooring.leave(grave),
+            Stage::Covering(made, covers) => {
+                grave.document(made.document);
+                grave.document(made.floor);
+                covers.leave(grave);
+            }
+            Stage::Done => {}
+        }
+    }
+}
+
+/// Both floors, as one that was cut off before this version is still on the old one.
+fn covers(base: &Whole, made: &Whole) -> Covers {
+    Covers::new([(&made.document, &base.floor), (&made.document, &made.floor)])
+}
+
+/// Whether a version that another made may follow on one that is in force, by steps. What the document says was checked
+/// as it came in, or was made.
+#[derive(Debug)]
+pub(crate) enum Judging {
+    /// Whether it undercuts a floor.
+    Terms(Whole, Whole, Covers),
+    /// Whether its floor is stricter than the one before on a hard key: such a version is only begun once every member
+    /// of the roster has said that its own file's floor is as strict.
+    Floor(Covers),
+}
+
+impl Judging {
+    pub fn new(base: Whole, newer: Whole) -> Judging {
+        let covers = covers(&base, &newer);
+        Judging::Terms(base, newer, covers)
+    }
+
+    /// Whether it tightens the floor, or why it may not be.
+    pub fn step(&mut self, budget: &mut Budget) -> Poll<Result<bool, ChangeError>> {
+        loop {
+            match self {
+                Judging::Terms(base, newer, covers) => {
+                    if base.document == newer.document {
+                        return Poll::Ready(Err(ChangeError::Nothing));
+                    }
+                    let Poll::Ready(open) = covers.step(budget) else { return Poll::Pending };
+                    if let Some(key) = open {
+                        return Poll::Ready(Err(ChangeError::Undercuts(key)));
+                    }
+                    *self = Judging::Floor(Covers::new([(&newer.floor, &base.floor)]));
+                }
+                Judging::Floor(covers) => return covers.step(budget).map(|open| Ok(open.is_some())),
+            }
+        }
+    }
+
+    /// What is left of it is freed by steps.
+    pub fn leave(self, grave: &mut Grave) {
+        match self {
+            Judging::Terms(base, newer, covers) => {
+                for whole in [base, newer] {
+                    grave.document(whole.document);
+                    grave.document(whole.floor);
+                }
+                covers.leave(grave);
+            }
+            Judging::Floor(covers) => covers.leave(grave),
+        }
+    }
 }
--- a/crates/accord/src/document.rs
+++ b/crates/accord/src/document.rs
@@ -5,10 +5,12 @@
 
 use std::collections::BTreeMap;
 use std::fmt;
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 
 use serde::{Deserialize, Serialize};
 
+use crate::work::Budget;
+
 /// Most entries of a document. A list of 100,000 fits twice; beyond that a whole transfer takes minutes at the usual pace.
 pub const MOST_ENTRIES: usize = 200_000;
 /// Most bytes of a document's keys and values together: what each activator may have to hold a few times over.
@@ -161,15 +163,28 @@
     }
 }
 
-#[derive(Clone, Default, PartialEq)]
-struct Bucket {
-    entries: BTreeMap<Key, Value>,
+#[derive(Clone, Debug, Default, PartialEq)]
+pub(crate) struct Bucket {
+    pub entries: BTreeMap<Key, Value>,
     /// None while entries changed since it was last hashed.
     digest: Option<Digest>,
     /// Known only while hashed: it holds entries of lists and nothing else.
     lists: bool,
 }
 
+impl Bucket {
+    /// It holds entries of lists and nothing else: those are soft and no floor.
+    pub fn is_lists(&self) -> bool {
+        self.digest.is_some() && self.lists
+    }
+
+    /// Hashes it.
+    fn seal(&mut self) {
+        self.digest = Some(hash_bucket(&self.entries));
+        self.lists = self.entries.keys().all(|key| key.as_str().starts_with("list/"));
+    }
+}
+
 /// A map of keys to values, cheap to clone. Two with the same entries have the same digest, however they came about.
 #[derive(Clone)]
 pub struct Document {
@@ -182,8 +197,18 @@
 
 impl Default for Document {
     fn default() -> Document {
-        let empty = Arc::new(Bucket::default());
-        Document { buckets: vec![empty; BUCKETS], entries: 0, bytes: 0, root: None }
+        // One for all, hashed once: documents of nothing are made all the time, as floors.
+        static EMPTY: OnceLock<Document> = OnceLock::new();
+        let make = || {
+            let mut empty = Bucket::default();
+            empty.seal();
+            let empty = Arc::new(empty);
+            let buckets = vec![empty; BUCKETS];
+            let mut empty = Document { buckets, entries: 0, bytes: 0, root: None };
+            empty.root = Some(empty.digest());
+            empty
+        };
+        EMPTY.get_or_init(make).clone()
     }
 }
 
@@ -215,7 +240,7 @@
 
     /// All entries, or all but those of buckets that hold entries of lists alone: those are soft and no floor.
     pub(crate) fn beside_lists(&self) -> impl Iterator<Item = (&Key, &Value)> {
-        let other = |bucket: &&Arc<Bucket>| bucket.digest.is_none() || !bucket.lists;
+        let other = |bucket: &&Arc<Bucket>| !bucket.is_lists();
         self.buckets.iter().filter(other).flat_map(|bucket| &bucket.entries)
     }
 
@@ -260,12 +285,10 @@
     /// Hashes the buckets that changed, and the root, so that
     /// [`Document::digest`] of this and of its clones costs nothing.
     pub fn seal(&mut self) {
-        for bucket in self.buckets.iter_mut().filter(|bucket| bucket.digest.is_none()) {
-            let digest = hash_bucket(&bucket.entries);
-            let bucket = Arc::make_mut(bucket);
-            bucket.digest = Some(digest);
-            bucket.lists = bucket.entries.keys().all(|key| key.as_str().starts_with("list/"));
-        }
+        self.buckets
+            .iter_mut()
+            .filter(|bucket| bucket.digest.is_none())
+            .for_each(|bucket| Arc::make_mut(bucket).seal());
         self.root = Some(self.digest());
     }
 
@@ -285,18 +308,24 @@
     /// What must be set and what taken out to make `newer` of this: the buckets they share are passed over.
     pub fn delta(&self, newer: &Document) -> Vec<(Key, Option<Value>)> {
         let mut delta = Vec::new();
-        for (old, new) in self.buckets.iter().zip(&newer.buckets) {
-            if Arc::ptr_eq(old, new) {
-                continue;
-            }
-            let gone = old.entries.keys().filter(|key| !new.entries.contains_key(*key));
-            delta.extend(gone.map(|key| (key.clone(), None)));
-            let put = new.entries.iter().filter(|(key, value)| old.entries.get(*key) != Some(value));
-            delta.extend(put.map(|(key, value)| (key.clone(), Some(value.clone()))));
+        let owned = |(key, value): (&Key, Option<&Value>)| (key.clone(), value.cloned());
+        for (old, new) in self.buckets.iter().zip(&newer.buckets).filter(|(old, new)| !Arc::ptr_eq(old, new))
+        {
+            delta.extend(differs(old, new).map(owned));
         }
         delta
     }
 
+    /// The bucket of this place, from 0; none behind the last. For work by steps, which goes over them one by one.
+    pub(crate) fn bucket(&self, at: usize) -> Option<&Arc<Bucket>> {
+        self.buckets.get(at)
+    }
+
+    /// Its buckets, to be let go one by one.
+    pub(crate) fn into_buckets(self) -> Vec<Arc<Bucket>> {
+        self.buckets
+    }
+
     /// What the keys below `floor/` say, without that word: the document's floor.
     pub fn floor(&self) -> Document {
         self.beside_lists().filter_map(|(key, value)| Some((key.floored()?, value.clone()))).collect()
@@ -314,6 +343,9 @@
 
 impl PartialEq for Document {
     fn eq(&self, other: &Document) -> bool {
+        if let (Some(one), Some(other)) = (self.root, other.root) {
+            return one == other;
+        }
         self.entries == other.entries
             && self
                 .buckets
@@ -334,6 +366,81 @@
     }
 }
 
+/// What must be set and what taken out to make one bucket of another.
+pub(crate) fn differs<'a>(
+    old: &'a Bucket,
+    new: &'a Bucket,
+) -> impl Iterator<Item = (&'a Key, Option<&'a Value>)> {
+    let gone = old.entries.keys().filter(|key| !new.entries.contains_key(*key));
+    let put = new.entries.iter().filter(|(key, value)| old.entries.get(*key) != Some(value));
+    gone.map(|key| (key, None)).chain(put.map(|(key, value)| (key, Some(value))))
+}
+
+/// A document that is being made. It has no digest and is no [`Document`], so nothing can be obeyed, sent or hashed
+/// that is half of one; [`Arriving::seal`] alone makes a document of it, and only once all of it is hashed.
+#[derive(Debug, Default)]
+pub(crate) struct Arriving {
+    made: Document,
+    /// Buckets before this one are hashed.
+    sealed: usize,
+}
+
+impl Arriving {
+    /// One that begins as `base`.
+    pub fn onto(base: &Document) -> Arriving {
+        Arriving { made: base.clone(), sealed: 0 }
+    }
+
+    /// Sets a key. What is copied, as other versions share it, is spent too.
+    pub fn set(&mut self, key: Key, value: Value, budget: &mut Budget) {
+        self.touch(&key, budget);
+        self.made.set(key, value);
+    }
+
+    /// Takes a key out, if it is there.
+    pub fn remove(&mut self, key: &Key, budget: &mut Budget) {
+        self.touch(key, budget);
+        drop(self.made.remove(key));
+    }
+
+    fn touch(&mut self, key: &Key, budget: &mut Budget) {
+        self.sealed = 0;
+        let bucket = &self.made.buckets[key.bucket()];
+        budget.spend(if Arc::strong_count(bucket) > 1 { 1 + bucket.entries.len() } else { 1 });
+    }
+
+    /// See [`Document::fits`].
+    pub fn fits(&self) -> bool {
+        self.made.fits()
+    }
+
+    /// Entries and bytes so far.
+    pub fn size(&self) -> (usize, usize) {
+        (self.made.len(), self.made.bytes())
+    }
+
+    /// Hashes what is not hashed, as far as the budget goes. The document, once; what is left here is of nothing.
+    pub fn seal(&mut self, budget: &mut Budget) -> Option<Document> {
+        while let Some(bucket) = self.made.buckets.get_mut(self.sealed) {
+            if bucket.digest.is_none() {
+                if budget.is_spent() {
+                    return None;
+                }
+                budget.spend(bucket.entries.len().max(1));
+                Arc::make_mut(bucket).seal();
+            }
+            self.sealed += 1;
+        }
+        self.made.root = Some(self.made.digest());
+        Some(std::mem::take(self).made)
+    }
+
+    /// What is there of it, to be freed by steps and for nothing else.
+    pub fn into_remains(self) -> Vec<Arc<Bucket>> {
+        self.made.buckets
+    }
+}
+
 fn weight(key: &Key, value: &Value) -> usize {
     let says = match value {
         Value::Flag(_) => 1,
--- a/crates/accord/src/fetch.rs
+++ b/crates/accord/src/fetch.rs
@@ -1,11 +1,14 @@
 //! Documents on their way: told as a delta where a base is held at both ends, in chunks that any holder can send.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
+use std::task::Poll;
 
-use crate::document::{Digest, Document, Key, Value, MOST_BYTES};
+use crate::document::{differs, Arriving, Digest, Document, Key, Value, MOST_BYTES};
 use crate::schema;
+use crate::settings::Name;
 use crate::wire::CHUNK;
+use crate::work::{Budget, Flooring, Grave, Whole};
 
 /// Documents kept: the one in force, the one before, the one on its way, a proposal, and two of grace.
 const KEPT: usize = 6;
@@ -15,91 +18,190 @@
 pub(crate) const WINDOW: u32 = 32;
 /// Most bytes of a stream: the document's bound and what each entry adds.
 const MOST_STREAM: usize = MOST_BYTES * 2;
+/// Bytes that came in order and are not parsed, at most: what was asked for, and as much again while that is parsed.
+const MOST_REST: usize = WINDOW as usize * CHUNK * 2;
+/// Members that wait for a stream that is being written, at most. Who is not among them asks again after a period.
+const MOST_WAITING: usize = 32;
 
 type Streamed = (Digest, Option<Digest>);
 
+/// What is asked of a member: the chunks of a document that a mask names, from the first on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Wanted {
+    pub to: Name,
+    pub digest: Digest,
+    pub base: Option<Digest>,
+    pub first: u32,
+    pub mask: u32,
+}
+
+/// A chunk to be sent: against which base, of how many bytes in all, and its own.
+pub(crate) type Chunk = (Option<Digest>, u32, Vec<u8>);
+
 /// The documents this one holds.
 #[derive(Debug, Default)]
 pub(crate) struct Store {
-    held: Vec<(Digest, Arc<Document>)>,
+    held: Vec<(Digest, Whole)>,
     streams: Vec<(Streamed, Arc<Vec<u8>>)>,
+    writing: Option<Writing>,
+    /// Who waits for streams, by name one.
+    waiting: VecDeque<Wanted>,
+}
+
+/// A stream that is being written: none of it is sent before all of it is there, as each chunk says how long it is.
+#[derive(Debug)]
+struct Writing {
+    of: Streamed,
+    from: Arc<Document>,
+    to: Arc<Document>,
+    at: usize,
+    stream: Vec<u8>,
 }
 
 impl Store {
     pub fn get(&self, digest: Digest) -> Option<&Arc<Document>> {
-        self.held.iter().find(|(held, _)| *held == digest).map(|(_, document)| document)
+        self.whole(digest).map(|whole| &whole.document)
+    }
+
+    /// A document with its floor.
+    pub fn whole(&self, digest: Digest) -> Option<&Whole> {
+        self.held.iter().find(|(held, _)| *held == digest).map(|(_, whole)| whole)
     }
 
     /// Keeps a document; of more than [`KEPT`] the oldest that `needed` does not name goes.
-    pub fn put(&mut self, digest: Digest, document: Arc<Document>, needed: &[Digest]) {
+    pub fn put(&mut self, digest: Digest, whole: Whole, needed: &[Digest], grave: &mut Grave) {
         if self.get(digest).is_some() {
+            grave.document(whole.document);
+            grave.document(whole.floor);
             return;
         }
-        self.held.push((digest, document));
+        self.held.push((digest, whole));
         while self.held.len() > KEPT {
             match self.held.iter().position(|(held, _)| !needed.contains(held) && *held != digest) {
-                Some(at) => drop(self.held.remove(at)),
+                Some(at) => {
+                    let (_, gone) = self.held.remove(at);
+                    grave.document(gone.document);
+                    grave.document(gone.floor);
+                }
                 None => break,
             }
         }
     }
 
-    /// The chunk, with the total of the stream. A base that is not held here is passed over: the stream is then whole.
-    pub fn chunk(
-        &mut self,
-        digest: Digest,
-        base: Option<Digest>,
-        at: u32,
-    ) -> Option<(Option<Digest>, u32, Vec<u8>)> {
-        let document = self.get(digest)?.clone();
-        let against = base.and_then(|base| Some((base, self.get(base)?.clone())));
-        let key = (digest, against.as_ref().map(|(base, _)| *base));
-        let stream = match self.streams.iter().find(|(of, _)| *of == key) {
-            Some((_, stream)) => stream.clone(),
-            None => {
-                let from = against.map_or_else(|| Arc::new(Document::default()), |(_, document)| document);
-                let stream = Arc::new(write(&from.delta(&document)));
+    /// The chunk, with the total of the stream; none if that is not written yet, or the document not held. A base that is
+    /// not held here is passed over: the stream is then whole.
+    pub fn chunk(&self, digest: Digest, base: Option<Digest>, at: u32) -> Option<Chunk> {
+        let key = self.streamed(digest, base)?;
+        let (_, stream) = self.streams.iter().find(|(of, _)| *of == key)?;
+        let begin = at as usize * CHUNK;
+        let part = stream.get(begin..stream.len().min(begin + CHUNK))?;
+        Some((key.1, stream.len() as u32, part.to_vec()))
+    }
+
+    fn streamed(&self, digest: Digest, base: Option<Digest>) -> Option<Streamed> {
+        self.get(digest)?;
+        Some((digest, base.filter(|base| self.get(*base).is_some())))
+    }
+
+    /// Whether chunks of this can be sent at once. If not, and the document is held, its stream is written by
+    /// [`Store::write`], which then tells this one again.
+    pub fn is_ready(&mut self, wanted: &Wanted) -> bool {
+        let Some(key) = self.streamed(wanted.digest, wanted.base) else { return false };
+        if self.streams.iter().any(|(of, _)| *of == key) {
+            return true;
+        }
+        self.waiting.retain(|other| other.to != wanted.to);
+        if self.waiting.len() < MOST_WAITING {
+            self.waiting.push_back(*wanted);
+        }
+        false
+    }
+
+    /// Whether a stream is to be written.
+    pub fn has_work(&self) -> bool {
+        self.writing.is_some() || !self.waiting.is_empty()
+    }
+
+    /// Goes on with a stream; once it is written, who waited for it.
+    pub fn write(&mut self, budget: &mut Budget, grave: &mut Grave) -> Vec<Wanted> {
+        while !budget.is_spent() {
+            if self.writing.is_none() {
+                let Some(next) = self.waiting.front() else { return Vec::new() };
+                // Not held any more, or written for another: who asked is told so by silence, or served.
+                let key = self.streamed(next.digest, next.base);
+                match key.filter(|key| !self.streams.iter().any(|(of, _)| of == key)) {
+                    None => return self.waiting.pop_front().into_iter().collect(),
+                    Some(of) => {
+                        let to = self.get(of.0).cloned().unwrap_or_default();
+                        let from = of.1.and_then(|base| self.get(base).cloned()).unwrap_or_default();
+                        self.writing = Some(Writing { of, from, to, at: 0, stream: Vec::new() });
+                    }
+                }
+            }
+            let Some(writing) = &mut self.writing else { return Vec::new() };
+            if writing.step(budget).is_pending() {
+                return Vec::new();
+            }
+            if let Some(done) = self.writing.take() {
                 if self.streams.len() >= STREAMS {
                     self.streams.remove(0);
                 }
-                self.streams.push((key, stream.clone()));
-                stream
+                self.streams.push((done.of, Arc::new(done.stream)));
+                grave.document(done.from);
+                grave.document(done.to);
+                let mut ready = Vec::new();
+                for wanted in std::mem::take(&mut self.waiting) {
+                    if self.streamed(wanted.digest, wanted.base) == Some(done.of) {
+                        ready.push(wanted);
+                    } else {
+                        self.waiting.push_back(wanted);
+                    }
+                }
+                return ready;
             }
-        };
-        let begin = at as usize * CHUNK;
-        let part = stream.get(begin..stream.len().min(begin + CHUNK))?;
-        Some((key.1, stream.len() as u32, part.to_vec()))
+        }
+        Vec::new()
     }
 }
 
-/// Items, each after two bytes of its length.
-fn write(delta: &[(Key, Option<Value>)]) -> Vec<u8> {
-    let mut stream = Vec::with_capacity(delta.len() * 40);
-    for item in delta {
-        let start = stream.len();
-        stream.extend_from_slice(&[0, 0]);
-        match postcard::to_extend(item, std::mem::take(&mut stream)) {
-            Ok(made) => stream = made,
-            Err(error) => unreachable!("an entry in memory is always written: {error}"),
+impl Writing {
+    /// Items, each after two bytes of its length.
+    fn step(&mut self, budget: &mut Budget) -> Poll<()> {
+        while let (Some(old), Some(new)) = (self.from.bucket(self.at), self.to.bucket(self.at)) {
+            if !Arc::ptr_eq(old, new) {
+                if budget.is_spent() {
+                    return Poll::Pending;
+                }
+                budget.spend((old.entries.len() + new.entries.len()).max(1));
+                for item in differs(old, new) {
+                    append(&mut self.stream, &item);
+                }
+            }
+            self.at += 1;
         }
-        // A key has at most 259 bytes and a word 256.
-        let length = (stream.len() - start - 2) as u16;
-        stream[start..start + 2].copy_from_slice(&length.to_le_bytes());
+        Poll::Ready(())
     }
-    stream
 }
 
-/// What a chunk brought.
-#[derive(Debug, PartialEq)]
+fn append(stream: &mut Vec<u8>, item: &(&Key, Option<&Value>)) {
+    let start = stream.len();
+    stream.extend_from_slice(&[0, 0]);
+    match postcard::to_extend(item, std::mem::take(stream)) {
+        Ok(made) => *stream = made,
+        Err(error) => unreachable!("an entry in memory is always written: {error}"),
+    }
+    // A key has at most 259 bytes and a word 256.
+    let length = (stream.len() - start - 2) as u16;
+    stream[start..start + 2].copy_from_slice(&length.to_le_bytes());
+}
+
+/// What became of a fetch by a step.
+#[derive(Debug)]
 pub(crate) enum Fetched {
-    /// Not for this fetch, or had already.
-    Nothing,
-    /// One more part.
-    Part,
     /// The window is full: ask for the next at once.
     Window,
     /// All of it, and the digest is right.
-    Whole(Arc<Document>),
+    Whole(Whole),
     /// It is whole and says what this program does not know.
     Unknown(String),
     /// It is wrong: why. It begins anew, to be asked of another member.
@@ -111,15 +213,22 @@
 pub(crate) struct Fetch {
     pub digest: Digest,
     base: Option<(Digest, Arc<Document>)>,
-    made: Document,
-    /// Bytes not yet parsed: less than an item.
+    made: Arriving,
+    /// Once it is hashed and the digest is right.
+    flooring: Option<Flooring>,
+    /// Bytes that came in order, of which those before `read` are parsed.
     rest: Vec<u8>,
+    read: usize,
     next: u32,
     /// The chunk after the last asked for.
     asked: u32,
     early: BTreeMap<u32, Vec<u8>>,
     total: Option<u32>,
     unknown: Option<String>,
+    /// There is something to parse, to hash or to tell.
+    busy: bool,
+    /// What was asked for is here, or lost.
+    hungry: bool,
 }
 
 impl Fetch {
@@ -127,25 +236,48 @@
         let mut fetch = Fetch {
             digest,
             base,
-            made: Document::default(),
+            made: Arriving::default(),
+            flooring: None,
             rest: Vec::new(),
+            read: 0,
             next: 0,
             asked: 0,
             early: BTreeMap::new(),
             total: None,
             unknown: None,
+            busy: false,
+            hungry: false,
         };
-        fetch.restart();
+        fetch.restart(&mut Grave::default());
         fetch
     }
 
-    fn restart(&mut self) {
-        self.made = self.base.as_ref().map_or_else(Document::default, |(_, document)| (**document).clone());
+    fn restart(&mut self, grave: &mut Grave) {
+        let begun = self.base.as_ref().map_or_else(Arriving::default, |(_, base)| Arriving::onto(base));
+        grave.remains(std::mem::replace(&mut self.made, begun));
+        self.flooring.take().into_iter().for_each(|flooring| flooring.leave(grave));
         self.rest.clear();
         self.early.clear();
-        self.next = 0;
-        self.total = None;
         self.unknown = None;
+        self.total = None;
+        (self.read, self.next, self.busy, self.hungry) = (0, 0, false, false);
+    }
+
+    /// What is left of it is freed by steps.
+    pub fn leave(mut self, grave: &mut Grave) {
+        self.base.take().into_iter().for_each(|(_, base)| grave.document(base));
+        self.restart(grave);
+    }
+
+    /// Whether more is to be asked for: not while what is here waits to be parsed, or all of it is here.
+    pub fn has_room(&self) -> bool {
+        self.rest.len() - self.read < MOST_REST / 2
+            && self.total.is_none_or(|total| self.next < chunks(total))
+    }
+
+    /// Whether [`Fetch::step`] has something to do.
+    pub fn has_work(&self) -> bool {
+        self.busy
     }
 
     /// Base, first chunk and mask to ask for.
@@ -168,6 +300,7 @@
         ((self.next as usize + self.early.len()) * CHUNK, self.total.unwrap_or_default() as usize)
     }
 
+    /// Takes a chunk, to be parsed by [`Fetch::step`]. Whether it was one that is missing.
     pub fn chunk(
         &mut self,
         digest: Digest,
@@ -175,81 +308,118 @@
         total: u32,
         at: u32,
         bytes: Vec<u8>,
-    ) -> Fetched {
+        grave: &mut Grave,
+    ) -> bool {
         if digest != self.digest || total as usize > MOST_STREAM {
-            return Fetched::Nothing;
+            return false;
         }
         if base != self.base.as_ref().map(|(digest, _)| *digest) {
             // The sender does not hold our base: it tells the whole.
             if base.is_some() || self.base.is_none() {
-                return Fetched::Nothing;
+                return false;
             }
-            self.base = None;
-            self.restart();
+            self.base.take().into_iter().for_each(|(_, base)| grave.document(base));
+            self.restart(grave);
         }
         let all = *self.total.get_or_insert(total);
         let due = (all as usize).saturating_sub(at as usize * CHUNK).min(CHUNK);
-        let window = (self.next..self.next + WINDOW).contains(&at);
-        if all != total || bytes.len() != due || !window || self.early.contains_key(&at) {
-            return Fetched::Nothing;
+        let window = (self.next..self.next + WINDOW).contains(&at) && at < chunks(all);
+        let room = self.rest.len() - self.read < MOST_REST;
+        if all != total || bytes.len() != due || !window || !room || self.early.contains_key(&at) {
+            return false;
         }
         self.early.insert(at, bytes);
         while let Some(bytes) = self.early.remove(&self.next) {
             self.next += 1;
             self.rest.extend_from_slice(&bytes);
-            if let Err(why) = self.parse() {
-                return self.wrong(why);
-            }
         }
-        if self.next < chunks(all) {
-            // The last asked for is here: what is missing before it is lost, most likely. No need to wait for a period.
-            let tail = at + 1 == self.asked;
-            return if tail || self.next >= self.asked.min(chunks(all)) {
-                Fetched::Window
-            } else {
-                Fetched::Part
-            };
+        // The last asked for is here: what is missing before it is lost, most likely. No need to wait for a period.
+        self.hungry |= at + 1 == self.asked || self.next >= self.asked.min(chunks(all));
+        self.busy = true;
+        true
+    }
+
+    /// Parses, and hashes once all is here, for as long as the budget lasts. None: there is nothing to be done about it yet.
+    pub fn step(&mut self, budget: &mut Budget, grave: &mut Grave) -> Option<Fetched> {
+        if !self.busy {
+            return None;
+        }
+        if let Some(flooring) = &mut self.flooring {
+            let Poll::Ready(whole) = flooring.step(budget) else { return None };
+            (self.flooring, self.busy) = (None, false);
+            return Some(Fetched::Whole(whole));
+        }
+        if let Err(why) = self.parse(budget) {
+            return Some(self.wrong(why, grave));
+        }
+        if self.has_item() {
+            return None;
         }
-        self.made.seal();
-        if !self.rest.is_empty() || self.made.digest() != self.digest {
-            return self.wrong("the digest is another".into());
+        if self.total.is_none_or(|total| self.next < chunks(total)) {
+            self.busy = false;
+            return std::mem::take(&mut self.hungry).then_some(Fetched::Window);
+        }
+        if self.read < self.rest.len() {
+            return Some(self.wrong("it ends within an entry".into(), grave));
+        }
+        let made = self.made.seal(budget)?;
+        let (digest, made) = (made.digest(), Arc::new(made));
+        if digest != self.digest {
+            grave.document(made);
+            return Some(self.wrong("the digest is another".into(), grave));
         }
         // Only now: a spoilt part may read like something unknown.
         if let Some(why) = self.unknown.take() {
-            return Fetched::Unknown(why);
+            grave.document(made);
+            self.busy = false;
+            return Some(Fetched::Unknown(why));
         }
-        Fetched::Whole(Arc::new(std::mem::take(&mut self.made)))
+        self.flooring = Some(Flooring::new(made));
+        self.step(budget, grave)
     }
 
-    fn wrong(&mut self, why: String) -> Fetched {
+    fn wrong(&mut self, why: String, grave: &mut Grave) -> Fetched {
         // Whatever was wrong: the next try is without a base, from another member.
-        self.base = None;
-        self.restart();
+        self.base.take().into_iter().for_each(|(_, base)| grave.document(base));
+        self.restart(grave);
         Fetched::Wrong(why)
     }
 
-    fn parse(&mut self) -> Result<(), String> {
-        let mut at = 0;
-        while let Some(head) = self.rest.get(at..at + 2) {
-            let length = u16::from_le_bytes([head[0], head[1]]) as usize;
-            let Some(item) = self.rest.get(at + 2..at + 2 + length) else { break };
-            let (key, value): (Key, Option<Value>) =
-                postcard::from_bytes(item).map_err(|error| format!("an entry is unreadable: {error}"))?;
-            at += 2 + length;
+    /// The next item that is here whole: where it begins and ends.
+    fn item(&self) -> Option<(usize, usize)> {
+        let head = self.rest.get(self.read..self.read + 2)?;
+        let length = u16::from_le_bytes([head[0], head[1]]) as usize;
+        let begin = self.read + 2;
+        (begin + length <= self.rest.len()).then_some((begin, begin + length))
+    }
+
+    fn has_item(&self) -> bool {
+        self.item().is_some()
+    }
+
+    fn parse(&mut self, budget: &mut Budget) -> Result<(), String> {
+        while let Some((begin, end)) = self.item().filter(|_| !budget.is_spent()) {
+            let (key, value): (Key, Option<Value>) = postcard::from_bytes(&self.rest[begin..end])
+                .map_err(|error| format!("an entry is unreadable: {error}"))?;
+            self.read = end;
             match value {
                 Some(value) => {
                     if let Err(error) = schema::check(&key, &value) {
                         self.unknown.get_or_insert(error.to_string());
                     }
-                    self.made.set(key, value);
+                    self.made.set(key, value, budget);
                     if !self.made.fits() {
                         return Err("it is above the bounds of a document".into());
                     }
                 }
-                None => drop(self.made.remove(&key)),
+                None => self.made.remove(&key, budget),
             }
         }
-        self.rest.drain(..at);
+        // What is parsed goes by the window, not by the entry: each time what is left moves.
+        if self.read >= MOST_REST / 2 || self.read == self.rest.len() {
+            self.rest.drain(..self.read);
+            self.read = 0;
+        }
         Ok(())
     }
 }
@@ -268,53 +438,152 @@
         Arc::new(entries.collect())
     }
 
+    fn put(store: &mut Store, document: &Arc<Document>, needed: &[Digest], grave: &mut Grave) {
+        store.put(document.digest(), Whole::at_once(document.clone()), needed, grave);
+    }
+
+    fn wanted(to: u32, digest: Digest, base: Option<Digest>) -> Wanted {
+        Wanted { to: Name(to), digest, base, first: 0, mask: 1 }
+    }
+
+    /// Writes all that is waited for, by so many entries a step; who is told.
+    fn written(store: &mut Store, entries: usize, grave: &mut Grave) -> Vec<Name> {
+        let mut told = Vec::new();
+        while store.has_work() {
+            told.extend(store.write(&mut Budget::of(entries), grave).into_iter().map(|wanted| wanted.to));
+        }
+        told
+    }
+
     #[test]
     fn a_store_is_bounded_and_keeps_what_is_needed() {
-        let mut store = Store::default();
+        let (mut store, mut grave) = (Store::default(), Grave::default());
         let first = list(0, 1);
-        store.put(first.digest(), first.clone(), &[]);
+        put(&mut store, &first, &[], &mut grave);
         for at in 1..50 {
             let other = list(at, at + 1);
-            store.put(other.digest(), other.clone(), &[first.digest()]);
+            put(&mut store, &other, &[first.digest()], &mut grave);
             assert!(store.get(other.digest()).is_some() && store.get(first.digest()).is_some());
-            store.chunk(other.digest(), Some(first.digest()), 0).unwrap();
+            for base in [Some(first.digest()), None] {
+                assert!(!store.is_ready(&wanted(at, other.digest(), base)));
+                assert!(store.chunk(other.digest(), base, 0).is_none(), "half of it is not sent");
+                assert_eq!(written(&mut store, 1, &mut grave), [Name(at)]);
+                store.chunk(other.digest(), base, 0).unwrap();
+            }
         }
         assert_eq!((store.held.len(), store.streams.len()), (KEPT, STREAMS));
+        assert!(!store.is_ready(&wanted(1, Digest::default(), None)) && !store.has_work(), "it is not held");
+        for at in 0..1_000 {
+            assert!(!store.is_ready(&wanted(at, first.digest(), None)));
+        }
+        assert_eq!(store.waiting.len(), MOST_WAITING);
+        assert_eq!(written(&mut store, 1, &mut grave).len(), MOST_WAITING, "one stream for all of them");
+    }
+
+    /// What is done to the parts of a document on its way.
+    #[derive(Clone, Copy, PartialEq)]
+    enum Fault {
+        Nothing,
+        Lost,
+        Doubled,
+        Spoilt,
+        Base,
     }
 
     #[test]
-    fn parts_in_any_order_make_it_and_wrong_ones_begin_it_anew() {
+    fn by_steps_of_any_size_the_same_comes_of_it_whatever_becomes_of_its_parts() {
         let (old, new) = (list(0, 4_000), list(100, 4_100));
-        let mut store = Store::default();
-        store.put(old.digest(), old.clone(), &[]);
-        store.put(new.digest(), new.clone(), &[]);
-        let mut dice = fastrand::Rng::with_seed(1);
-        for (base, spoilt) in [(None, false), (Some((old.digest(), old.clone())), false), (None, true)] {
-            let mut fetch = Fetch::new(new.digest(), base);
-            let (mut result, mut wrong, mut asked) = (None, 0, 0);
-            while result.is_none() && asked < 1_000 {
-                let (base, first, mask) = fetch.wants();
-                asked += 1;
-                let mut parts: Vec<u32> =
-                    (0..WINDOW).filter(|at| mask >> at & 1 == 1).map(|at| first + at).collect();
-                dice.shuffle(&mut parts);
-                for at in parts {
-                    let Some((base, total, mut bytes)) = store.chunk(new.digest(), base, at) else {
-                        continue;
-                    };
-                    if spoilt && wrong == 0 && at == 2 {
-                        bytes[9] ^= 1;
-                    }
-                    assert!(fetch.early.len() <= WINDOW as usize);
-                    match fetch.chunk(new.digest(), base, total, at, bytes) {
-                        Fetched::Whole(document) => result = Some(document),
-                        Fetched::Wrong(_) => wrong += 1,
+        let faults = [Fault::Nothing, Fault::Lost, Fault::Doubled, Fault::Spoilt, Fault::Base];
+        for (seed, fault) in faults.into_iter().enumerate() {
+            for entries in [1, 7, 100, 1_000, usize::MAX] {
+                for base in [None, Some((old.digest(), old.clone()))] {
+                    fetched(seed as u64, fault, entries, base, &old, &new);
+                }
+            }
+        }
+    }
+
+    fn fetched(
+        seed: u64,
+        fault: Fault,
+        entries: usize,
+        base: Option<(Digest, Arc<Document>)>,
+        old: &Arc<Document>,
+        new: &Arc<Document>,
+    ) {
+        let (mut store, mut grave) = (Store::default(), Grave::default());
+        put(&mut store, new, &[], &mut grave);
+        if fault != Fault::Base {
+            put(&mut store, old, &[], &mut grave);
+        }
+        let mut dice = fastrand::Rng::with_seed(seed);
+        let mut fetch = Fetch::new(new.digest(), base.clone());
+        let (mut result, mut wrong, mut asked) = (None, 0, 0);
+        while result.is_none() {
+            asked += 1;
+            assert!(asked < 10_000, "it does not end");
+            let (base, first, mask) = fetch.wants();
+            if !store.is_ready(&wanted(1, new.digest(), base)) {
+                written(&mut store, entries, &mut grave);
+            }
+            let mut parts: Vec<u32> =
+                (0..WINDOW).filter(|at| mask >> at & 1 == 1).map(|at| first + at).collect();
+            if fault == Fault::Doubled {
+                parts.extend(parts.clone());
+            }
+            dice.shuffle(&mut parts);
+            for at in parts {
+                let Some((base, total, mut bytes)) = store.chunk(new.digest(), base, at) else { continue };
+                if fault == Fault::Lost && dice.u32(0..3) == 0 {
+                    continue;
+                }
+                if fault == Fault::Spoilt && wrong == 0 && at == 2 {
+                    bytes[9] ^= 1;
+                }
+                fetch.chunk(new.digest(), base, total, at, bytes, &mut grave);
+                assert!(fetch.early.len() <= WINDOW as usize);
+                assert!(fetch.rest.len() <= MOST_REST * 2 + CHUNK);
+                // Sometimes the next part comes before this one is parsed.
+                for _ in 0..dice.u32(0..3) {
+                    let mut budget = Budget::of(entries);
+                    let step = fetch.step(&mut budget, &mut grave);
+                    let most = (entries as u64).saturating_add(64);
+                    assert!(budget.touched() <= most, "{} of {entries}", budget.touched());
+                    match step {
+                        Some(Fetched::Whole(whole)) => result = Some(whole),
+                        Some(Fetched::Wrong(_)) => wrong += 1,
                         _ => {}
                     }
                 }
             }
-            assert_eq!(result.as_deref(), Some(&*new), "spoilt: {spoilt}");
-            assert_eq!(wrong > 0, spoilt);
+            while fetch.has_work() && result.is_none() {
+                match fetch.step(&mut Budget::of(entries), &mut grave) {
+                    Some(Fetched::Whole(whole)) => result = Some(whole),
+                    Some(Fetched::Wrong(_)) => wrong += 1,
+                    _ => {}
+                }
+            }
+        }
+        let whole = result.unwrap();
+        assert_eq!(whole.document.digest(), new.digest());
+        assert!(whole.document.iter().eq(new.iter()) && whole.document.len() == new.len());
+        assert_eq!(wrong > 0, fault == Fault::Spoilt);
+    }
+
+    #[test]
+    fn more_than_is_parsed_is_not_taken_in() {
+        let new = list(0, 20_000);
+        let (mut store, mut grave) = (Store::default(), Grave::default());
+        put(&mut store, &new, &[], &mut grave);
+        assert!(!store.is_ready(&wanted(1, new.digest(), None)));
+        written(&mut store, 100, &mut grave);
+        let mut fetch = Fetch::new(new.digest(), None);
+        let (mut at, mut taken) = (0, 0);
+        while let Some((base, total, bytes)) = store.chunk(new.digest(), None, at) {
+            taken += u32::from(fetch.chunk(new.digest(), base, total, at, bytes, &mut grave));
+            at += 1;
         }
+        assert!(at > 200 && taken <= MOST_REST as u32 / CHUNK as u32 + 1, "{taken} of {at}");
+        assert!(!fetch.has_room());
     }
 }
--- a/crates/accord/src/lib.rs
+++ b/crates/accord/src/lib.rs
@@ -22,6 +22,7 @@
 mod view;
 mod voter;
 mod wire;
+mod work;
 
 pub use accord::Accord;
 pub use change::{Change, ChangeError};
@@ -31,6 +32,7 @@
 pub use settings::{Name, Settings, SettingsError};
 pub use table::{legal, Mark, Move, Phase, ProposalId, Record, Version};
 pub use view::{Acting, Out, Refusal, Rejected, Role, View};
+pub use work::STEP;
 
 /// The protocol's parts, for models and tests of this crate. Not part of the API.
 #[doc(hidden)]
--- a/crates/accord/src/schema.rs
+++ b/crates/accord/src/schema.rs
@@ -1,8 +1,10 @@
 //! What each key may say, which keys are hard, and which of two values is the stricter.
 
 use std::fmt;
+use std::task::Poll;
 
 use crate::document::{Document, Key, Value, MOST_WORD};
+use crate::work::{Budget, Covering, Stricter};
 
 /// Why a key or value is refused: names the key.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -144,34 +146,23 @@
 
 /// What obeys two documents at once: on hard keys the stricter of each, on soft keys what `new` says.
 pub fn stricter_of(old: &Document, new: &Document) -> Document {
-    let mut terms = new.clone();
-    for (key, value) in old.beside_lists().filter(|(key, _)| hard(key)) {
-        match new.get(key) {
-            // Absent is what the operator's file says, so the one that speaks is kept beside it.
-            None => terms.set(key.clone(), value.clone()),
-            Some(other) => {
-                let kept = stricter(key, value, other);
-                if kept != other {
-                    terms.set(key.clone(), kept.clone());
-                }
-            }
+    let mut made = Stricter::new(new);
+    loop {
+        if let Poll::Ready(terms) = made.step(old, new, &mut Budget::endless()) {
+            return terms;
         }
     }
-    terms.seal();
-    terms
 }
 
 /// The first hard key on which `floor` is looser than `terms`, or silent: one that acts on the floor would contradict one
 /// that acts on the terms. None if the floor covers them.
 pub fn uncovered(terms: &Document, floor: &Document) -> Option<Key> {
-    // Nobody votes by the floor, so it says nothing of voters: their lists are in the records.
-    let floored = |key: &Key| hard(key) && key.floored().is_none() && !key.as_str().starts_with("voter/");
-    let hard = terms.beside_lists().filter(|(key, _)| floored(key));
-    let open = |key: &Key, value: &Value| match floor.get(key) {
-        None => true,
-        Some(low) => stricter(key, value, low) != low,
-    };
-    hard.filter(|(key, value)| open(key, value)).map(|(key, _)| key).min().cloned()
+    let mut covering = Covering::default();
+    loop {
+        if let Poll::Ready(open) = covering.step(terms, floor, &mut Budget::endless()) {
+            return open;
+        }
+    }
 }
 
 /// The first hard key on which those who obey `a` break what those who obey `b` keep: the checkers' word of contradiction
--- a/crates/accord/tests/faults.rs
+++ b/crates/accord/tests/faults.rs
@@ -528,3 +528,109 @@
     let after: u64 = net.members.iter().map(|member| member.sent).sum();
     assert!(after - before < 200_000, "{} bytes for a change of one entry", after - before);
 }
+
+/// One bucket of a document of 200,000 entries, with room for those that keys fill unevenly.
+const A_BUCKET: u64 = 600;
+
+fn list(net: &mut Net, entries: u64, value: bool) {
+    net.propose(Name(4), |change| {
+        change.set =
+            (0..entries).map(|at| (key(&format!("list/blocked/host-{at}")), Value::Flag(value))).collect();
+    })
+    .unwrap();
+}
+
+#[test]
+fn no_call_goes_over_more_than_a_step_of_a_large_document_and_all_of_it_is_freed_in_the_end() {
+    const ENTRIES: u64 = 60_000;
+    let mut net = Net::new(4, 3, 10);
+    net.settings.pace = 600_000;
+    net.check = false;
+    (1..=4).for_each(|name| net.restart(Name(name)));
+    net.start();
+    net.touched = (0, 0);
+    list(&mut net, ENTRIES, true);
+    in_force(&mut net, 2);
+    list(&mut net, ENTRIES, false);
+    in_force(&mut net, 3);
+    net.propose(Name(4), |change| {
+        change.drop = (0..ENTRIES).map(|at| key(&format!("list/blocked/host-{at}"))).collect();
+    })
+    .unwrap();
+    in_force(&mut net, 4);
+    // Until no version that is kept has the lists.
+    for number in 5..=12 {
+        net.propose(Name(4), |change| {
+            drop(change.set.insert(key(&format!("list/few/{number}")), Value::Flag(true)))
+        })
+        .unwrap();
+        in_force(&mut net, number);
+    }
+    net.run(5_000);
+    let most = STEP as u64 + A_BUCKET;
+    assert!(net.touched.0 <= most && net.touched.1 <= most, "{:?} of {most}", net.touched);
+    assert!(
+        net.touched.0 >= STEP as u64 && net.touched.1 >= STEP as u64,
+        "there was work: {:?}",
+        net.touched
+    );
+    for member in &net.members {
+        let (worked, freed) = member.accord.touched();
+        assert!(worked > 4 * ENTRIES && freed > 2 * ENTRIES, "{worked} {freed}");
+        assert!(!member.accord.has_work());
+    }
+}
+
+#[test]
+fn a_large_document_that_is_given_up_half_way_leaves_nothing_of_it_behind() {
+    let mut given_up = 0;
+    for seed in 0..4 {
+        let mut net = Net::new(5, 3, seed);
+        net.settings.pace = 200_000;
+        net.check = false;
+        (1..=5).for_each(|name| net.restart(Name(name)));
+        net.start();
+        (net.loss, net.double) = (0.05, 0.1);
+        net.pause(Name(3), seed % 2 == 1);
+        list(&mut net, 20_000, true);
+        let coming = |net: &Net| net.view(Name(1)).pending.is_some();
+        assert!(net.wait(60_000, coming), "seed {seed}: {:#?}", net.notes);
+        // Somewhere within the chunks, the hashing or the checking of the others.
+        net.run(seed * 130);
+        net.withdraw(Name(1));
+        net.pause(Name(3), false);
+        let still = |net: &Net| (1..=5).all(|name| net.view(Name(name)).pending.is_none());
+        let settled = net.wait(90_000, |net| net.settled.len() == 1 && still(net) && net.agreed().is_some());
+        assert!(settled, "seed {seed}: {:#?}", net.notes);
+        given_up += u32::from(net.settled[0].2 == Err(Rejected::Withdrawn));
+        let before = net.view(Name(1)).known.number;
+        list(&mut net, 20_000, false);
+        in_force(&mut net, before + 1);
+        for name in 1..=5 {
+            let Acting::One(_, terms) = net.acting(Name(name)) else { panic!("seed {seed}: {name}") };
+            let entries = terms.under("list/");
+            let off = entries.iter().filter(|(_, value)| **value == Value::Flag(false)).count();
+            assert_eq!((entries.len(), off), (20_000, 20_000), "seed {seed}: {name}: {:#?}", net.notes);
+        }
+    }
+    assert!(given_up >= 2, "{given_up} of 4 were withdrawn before anybody acted on them");
+}
+
+#[test]
+fn a_large_change_that_makes_no_document_is_refused_later_by_the_same_word() {
+    let mut net = Net::new(4, 3, 11);
+    net.start();
+    let undercuts = |change: &mut Change, entries: u64| {
+        change.set = (0..entries).map(|at| (key(&format!("list/l/{at}")), Value::Flag(true))).collect();
+        change.set.insert(key("limit/y"), Value::Int(3));
+    };
+    let word = Rejected::Change(ChangeError::Undercuts(key("limit/y")));
+    assert_eq!(net.propose(Name(4), |change| undercuts(change, 10)), Err(word.clone()));
+    let id = net.propose(Name(4), |change| undercuts(change, 20_000)).unwrap();
+    let busy = net.propose(Name(4), attempts(2));
+    assert!(matches!(busy, Err(Rejected::NotNow(_))), "one at a time: {busy:?}");
+    assert!(net.wait(30_000, |net| net.settled.len() == 1));
+    assert_eq!(net.settled[0], (Name(4), id, Err(word)));
+    net.propose(Name(4), attempts(2)).unwrap();
+    in_force(&mut net, 2);
+}
--- a/crates/accord/tests/net/mod.rs
+++ b/crates/accord/tests/net/mod.rs
@@ -50,6 +50,7 @@
     Datagram { from: Name, to: Name, data: Vec<u8> },
     Prepared { to: Name, life: u64, version: Version, result: Result<(), Refusal> },
     Look { to: Name, life: u64 },
+    Work { to: Name, life: u64 },
 }
 
 pub struct Member {
@@ -64,6 +65,8 @@
     pub unknown: Option<Key>,
     pub sent: u64,
     look: u64,
+    /// A step of its work is to come.
+    working: bool,
 }
 
 /// What members act on, in a form that compares.
@@ -118,6 +121,8 @@
     pub longest: u64,
     /// By kind of call, the most processor time that one took, in microseconds, what it freed included.
     pub pauses: BTreeMap<&'static str, u64>,
+    /// The most entries that one call worked on, and that one freed.
+    pub touched: (u64, u64),
 }
 
 /// Processor time of this thread, in microseconds: other work on the machine does not count.
@@ -154,6 +159,7 @@
             hard: Vec::new(),
             longest: 0,
             pauses: BTreeMap::new(),
+            touched: (0, 0),
             settings,
         };
         let most = i64::from(net.settings.drift_ppm);
@@ -170,6 +176,7 @@
                 unknown: None,
                 sent: 0,
                 look: 0,
+                working: false,
             });
             net.look(name);
         }
@@ -201,6 +208,11 @@
 
     fn look(&mut self, name: Name) {
         let at = self.at(name);
+        if self.members[at].accord.has_work() && !self.members[at].working {
+            self.members[at].working = true;
+            let life = self.members[at].life;
+            self.push(self.now + 200, Event::Work { to: name, life });
+        }
         let local = self.clock(name);
         let Some(wake) = self.members[at].accord.wake_at() else { return };
         let due = self.now + wake.saturating_sub(local).as_micros() as u64 + 1_000;
@@ -281,7 +293,9 @@
     fn play(&mut self, event: Event) {
         let (to, life) = match &event {
             Event::Datagram { to, .. } => (*to, None),
-            Event::Prepared { to, life, .. } | Event::Look { to, life } => (*to, Some(*life)),
+            Event::Prepared { to, life, .. } | Event::Look { to, life } | Event::Work { to, life } => {
+                (*to, Some(*life))
+            }
         };
         let (at, now) = (self.at(to), self.clock(to));
         let member = &mut self.members[at];
@@ -295,7 +309,7 @@
             return;
         }
         let mut out = Vec::new();
-        let begun = busy();
+        let (begun, touched) = (busy(), member.accord.touched());
         let kind = match event {
             Event::Datagram { from, data, .. } => {
                 member.accord.heard(now, from, &data, &mut out);
@@ -309,12 +323,20 @@
                 member.accord.wake(now, &mut out);
                 "wake"
             }
+            Event::Work { .. } => {
+                member.working = false;
+                member.accord.work(now, &mut out);
+                "work"
+            }
         };
-        self.paused(kind, begun);
+        self.paused(kind, at, begun, touched);
         self.carry(to, out);
     }
 
-    fn paused(&mut self, kind: &'static str, begun: u64) {
+    fn paused(&mut self, kind: &'static str, at: usize, begun: u64, before: (u64, u64)) {
+        let now = self.members[at].accord.touched();
+        let most = &mut self.touched;
+        *most = (most.0.max(now.0 - before.0), most.1.max(now.1 - before.1));
         let took = busy() - begun;
         let longest = self.pauses.entry(kind).or_default();
         *longest = took.max(*longest);
@@ -384,9 +406,9 @@
         let mut wanted = Change { base: self.members[at].accord.view(now).known.number, ..Change::default() };
         change(&mut wanted);
         let mut out = Vec::new();
-        let begun = busy();
+        let (begun, touched) = (busy(), self.members[at].accord.touched());
         let id = self.members[at].accord.propose(now, wanted, &mut out);
-        self.paused("propose", begun);
+        self.paused("propose", at, begun, touched);
         self.carry(name, out);
         id
     }
@@ -410,6 +432,7 @@
         self.members[at].accord = self.born(name, life);
         let member = &mut self.members[at];
         (member.life, member.up, member.paused, member.born, member.look) = (life, true, false, self.now, 0);
+        member.working = false;
         self.look(name);
     }
 
