The hub does a step of the accord's work each turn of the loop, and frees large documents beside it

One step a turn, so that what is ready is looked at before the next. When the accord is ended or begun anew by another file its documents are freed by a thread, and readings of before go to the thread that reads. A test with three processes: one that knows a smaller document fetches the others' of 100,000 entries while calls run at all, is stopped over its lease and let go, and the list is changed then: no call is lost, and all obey the list.

--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -380,6 +380,8 @@
         if self.mind_accord() {
             self.settle();
         }
+        // One step a turn: what is ready is looked at before the next.
+        let more = self.go_on_with_accord();
         let now = self.clock.now();
         if self.has_more() {
             match &mut self.side {
@@ -438,7 +440,7 @@
             }
             self.settle();
         }
-        if self.has_more() {
+        if more || self.has_more() {
             return Duration::ZERO;
         }
         let now = self.clock.now();
--- a/node/src/node/accord.rs
+++ b/node/src/node/accord.rs
@@ -104,6 +104,16 @@
         })
     }
 
+    /// Ends it: the hosts that were out by it. Freeing large documents would be a pause, so a thread does that.
+    fn close(self) -> BTreeSet<WorkerId> {
+        let Self { accord, office, acting, in_force, read, out, .. } = self;
+        drop(office);
+        let large = (accord, acting, in_force, read);
+        // Without a thread they are freed here: what could not be begun drops what it was given.
+        drop(std::thread::Builder::new().name("freeing".into()).spawn(move || drop(large)));
+        out
+    }
+
     fn reading(&mut self, digest: Digest, document: &Document) -> Result<Arc<Terms>, String> {
         if let Some((_, terms)) = self.read.iter().find(|(known, _)| *known == digest) {
             return Ok(terms.clone());
@@ -202,12 +212,14 @@
         if same {
             if let Some(agreed) = &mut self.agreed {
                 agreed.base = base;
-                agreed.read.clear();
+                for (_, terms) in std::mem::take(&mut agreed.read) {
+                    agreed.office.iter_mut().for_each(|office| office.retire(terms.clone()));
+                }
                 let acting = agreed.acting.clone();
                 return self.act(now, acting, false);
             }
         }
-        let were_out = self.agreed.take().map(|agreed| agreed.out).unwrap_or_default();
+        let were_out = self.agreed.take().map(Agreed::close).unwrap_or_default();
         let opened = wanted.map(|setup| Agreed::open(&self.handle, setup, base, self.config.seed));
         match opened {
             Some(Ok(agreed)) => {
@@ -268,6 +280,20 @@
         self.agreed.as_ref().is_some_and(|agreed| agreed.turns != before)
     }
 
+    /// A step of the accord's work on whole documents, if there is any. Whether there is more: calls that came meanwhile
+    /// are looked at first.
+    pub(super) fn go_on_with_accord(&mut self) -> bool {
+        let Some(agreed) = self.agreed.as_mut().filter(|agreed| agreed.accord.has_work()) else {
+            return false;
+        };
+        let mut out = Vec::new();
+        agreed.accord.work(since_boot(), &mut out);
+        let now = self.clock.now();
+        self.carry_out_accord(now, out);
+        self.settle();
+        self.agreed.as_ref().is_some_and(|agreed| agreed.accord.has_work())
+    }
+
     pub(super) fn next_accord(&self, now: Micros) -> Micros {
         let wait =
             self.agreed.as_ref().and_then(|a| a.accord.wake_at()).map(|at| at.saturating_sub(since_boot()));
--- a/node/tests/accord.rs
+++ b/node/tests/accord.rs
@@ -402,3 +402,56 @@
     assert_eq!(program.operate("GET", "/accord", ""), 404);
     assert_eq!(program.operate("POST", "/accord", r#"{"base":1}"#), 404);
 }
+
+/// A member that begins with a smaller document than the others fetches theirs, of 100,000 entries, while calls run at all
+/// of them, one is stalled over its lease and let go, and the list is changed meanwhile.
+#[test]
+fn a_list_of_100_000_entries_comes_while_calls_run_and_one_is_stalled() {
+    const ENTRIES: usize = 100_000;
+    let entries: Vec<String> = (0..ENTRIES).map(|i| format!("\"a{i:06}\"")).collect();
+    let document = format!("[accord.document]\nlist.functions = [{}]\n", entries.join(", "));
+    let more = ACCORD.replace("[accord.document]\n", &document);
+    let mut fleet = Fleet::met_with(3, &more);
+    acts_on(&fleet, &[0, 1, 2], "one");
+    for at in 0..3 {
+        wait_for("hosts", || serves(&fleet, at) == 200);
+    }
+    // It knows nothing but a file with none of it, so the whole list comes over the network.
+    fleet.process(2).kill();
+    let small = fleet.file(2).replace(&format!("list.functions = [{}]\n", entries.join(", ")), "");
+    fleet.each[2] = Some(Program::start(&small, true));
+    wait_for("hosts", || serves(&fleet, 2) == 200);
+    let one = fleet.each[2].as_ref().expect("it runs");
+    let fetches = || show(&fleet, 2)["fetched"]["bytes"].as_u64().is_some_and(|bytes| bytes > 0);
+    let here = |at: usize| show(&fleet, at)["entries"].as_u64() >= Some(ENTRIES as u64);
+    wait_for("some of it", || fetches() || here(2));
+    let (mut calls, before) = (0, agreed(&fleet, &[0, 1], 0)["number"].as_u64().expect("a number"));
+    let mut call_all = |each: &[usize]| {
+        for at in each {
+            assert_eq!(serves(&fleet, *at), 200, "no call is lost");
+            calls += 1;
+        }
+    };
+    call_all(&[0, 1, 2]);
+    one.stop(true);
+    (0..20).for_each(|_| call_all(&[0, 1]));
+    sleep(ms(2 * LEASE));
+    one.stop(false);
+    wait_for("all of it", || {
+        call_all(&[0, 1, 2]);
+        (0..3).all(here)
+    });
+    let (status, said) = change(&fleet, 0, r#"{"list/functions/gone":true,"class/check-score/attempts":2}"#);
+    assert_eq!(status, 202, "{said}");
+    wait_for("the change", || {
+        call_all(&[0, 1, 2]);
+        (0..3).all(|at| show(&fleet, at)["acting"]["version"]["number"].as_u64() > Some(before))
+    });
+    assert!(calls > 40);
+    for at in 0..3 {
+        let program = fleet.each[at].as_ref().expect("it runs");
+        for out in ["a000007", "a099999", "gone"] {
+            assert_eq!(program.http(&call(out, "check-score", &[], "x")).status, 503, "m{at} obeys the list");
+        }
+    }
+}
