--- a/crates/accord/src/document.rs
+++ b/crates/accord/src/document.rs
@@ -170,6 +170,8 @@
     digest: Option<Digest>,
     /// Known only while hashed: it holds entries of lists and nothing else.
     lists: bool,
+    /// Known only while hashed: it holds keys that say who votes.
+    voters: bool,
 }
 
 impl Bucket {
@@ -182,6 +184,7 @@
     fn seal(&mut self) {
         self.digest = Some(hash_bucket(&self.entries));
         self.lists = self.entries.keys().all(|key| key.as_str().starts_with("list/"));
+        self.voters = self.entries.keys().any(|key| key.as_str().starts_with("voter/"));
     }
 }
 
@@ -244,6 +247,12 @@
         self.buckets.iter().filter(other).flat_map(|bucket| &bucket.entries)
     }
 
+    /// The entries of buckets that say who votes, and what else those hold: few, of a document of any size.
+    pub(crate) fn beside_voters(&self) -> impl Iterator<Item = (&Key, &Value)> {
+        let with = |bucket: &&Arc<Bucket>| bucket.digest.is_none() || bucket.voters;
+        self.buckets.iter().filter(with).flat_map(|bucket| &bucket.entries)
+    }
+
     /// The entries below a prefix such as `class/`, by key. Looks at every entry once.
     pub fn under(&self, prefix: &str) -> Vec<(&Key, &Value)> {
         let mut found: Vec<_> = self.iter().filter(|(key, _)| key.as_str().starts_with(prefix)).collect();
--- a/crates/accord/src/quorum.rs
+++ b/crates/accord/src/quorum.rs
@@ -53,7 +53,7 @@
     /// As [`Voters::new`].
     pub fn of(document: &Document) -> Result<Option<Voters>, VotersError> {
         // Of a document's lists none is looked at: this is asked each period.
-        let names = document.beside_lists().filter_map(|(key, _)| named(key));
+        let names = document.beside_voters().filter_map(|(key, _)| named(key));
         let names: Vec<Name> = names.take(MOST_VOTERS + 1).collect();
         if names.is_empty() {
             return Ok(None);
