Shares by the crowds that answers tell, where no router hears another

One answer tells how many calls for the same function were there, of all routers: a part of some 900 that are out. It now counts as so many calls seen, out of as many (learn_crowd, share in src/state.rs), and of presumed places the one where fewer were met is preferred.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -170,9 +170,8 @@
                 }
                 self.forget(&request);
             }
-            Event::Answer {
-                request, attempt, worker, outcome, finished, duration, found, report, ..
-            } => {
+            Event::Answer { request, attempt, worker, outcome, finished, duration, found, report, crowd } => {
+                self.learn_crowd(&request, &worker, found, crowd);
                 let seen = (outcome, finished, duration, found, report);
                 self.answer(&request, attempt, &worker, seen, out);
             }
@@ -261,7 +260,7 @@
 
     /// Workers, first in order, that a function's calls are spread over by its share, where our own calls do
     /// not tell where copies stand: the others use them too, so they are presumed loaded.
-    fn spread(&self, f: &Function) -> usize {
+    pub(crate) fn spread(&self, f: &Function) -> usize {
         let n = SPREAD * self.share(f) * self.totals.up * (1.0 - self.trust());
         if n < 2.0 || self.heard.well {
             0
@@ -332,7 +331,7 @@
             }
             let (per_size, queue) = (pressure(w), queue(p, w));
             if warm && queue < 1.0 && per_size < limit {
-                let height = per_size * self.mean_size() + w.slow / PRESSURE;
+                let height = per_size * self.mean_size() + w.slow / PRESSURE + self.crowd(f, p, spread);
                 let (level, tie) = if told {
                     // What was told is old by up to a period: all would turn to the least loaded one of then.
                     let apart =
--- a/src/state.rs
+++ b/src/state.rs
@@ -12,6 +12,10 @@
 pub(crate) const FEW_CALLS: f64 = 10.0;
 /// Calls of a function that prove nothing of its share: seldom called ones come twice by chance.
 pub(crate) const BY_CHANCE: f64 = 1.0;
+/// Calls at the average worker, at least, that a crowd is taken as a part of: of fewer, it slows nobody.
+pub(crate) const FEW_OUT: f64 = 4.0;
+/// Calls that one answer is believed to have met: more than a worker runs of one function are a spoilt answer.
+const MOST_MET: u32 = 64;
 /// In flight at the average worker below which a router sees too little of the others' load to tell it.
 pub(crate) const TELLING: f64 = 0.1;
 /// An answer's time says this long how slow its worker is.
@@ -41,6 +45,9 @@
     pub(crate) missed_until: Micros,
     pub(crate) in_flight: u32,
     pub(crate) mean_in_flight: f64,
+    /// Calls for the function that were there when one of ours came, as its answer told, and when it did; 0: never.
+    pub(crate) crowd: f64,
+    pub(crate) crowd_at: Micros,
     /// When somebody last told that a copy stands.
     pub(crate) told_at: Micros,
 }
@@ -67,6 +74,9 @@
     /// What stands for it where routers tell one another.
     pub(crate) key: u32,
     pub(crate) calls: f64,
+    /// Calls of all routers that answers told of, and out of how many.
+    pub(crate) crowd: f64,
+    pub(crate) crowd_of: f64,
     pub(crate) last_call: Micros,
     pub(crate) seen: u64,
     /// Some worker knows it: it was served or missed there, not answered with an error.
@@ -418,9 +428,50 @@
         seen / (seen + unseen)
     }
 
-    /// A function's share of the calls.
+    /// A function's share of the calls: of our own, and of all that answers told of.
     pub(crate) fn share(&self, f: &Function) -> f64 {
-        (f.calls - BY_CHANCE).max(0.0) / self.calls.max(FEW_CALLS)
+        ((f.calls - BY_CHANCE).max(0.0) + f.crowd) / (self.calls.max(FEW_CALLS) + f.crowd_of)
+    }
+
+    /// Calls that all routers have out, as far as this one neither sees them nor hears of them.
+    fn unseen(&self) -> f64 {
+        if self.heard.well {
+            return 0.0;
+        }
+        let out = self.totals.in_flight * f64::from(self.settings.routers);
+        (1.0 - self.trust()) * out.max(FEW_OUT * self.totals.up)
+    }
+
+    /// Takes in how many calls of all routers for its function a call met. They are a part of all that are out, which is
+    /// as many calls as this router would see in minutes: a share of two or three of its own is chance, and each router
+    /// that is wrong by itself begins a load that nobody else uses. What awaits a load piles up, and tells of the load.
+    pub(crate) fn learn_crowd(
+        &mut self,
+        id: &RequestId,
+        n: &WorkerId,
+        found: Option<Found>,
+        crowd: Option<u32>,
+    ) {
+        let met = crowd.filter(|_| matches!(found, Some(Found::Warm | Found::BeganLoad)));
+        let (Some(met), Some(r)) = (met, self.requests.get(id)) else { return };
+        let Some(f) = self.functions.get(&r.function) else { return };
+        let (now, part) = (self.now, self.unseen() / self.spread(f).max(1) as f64);
+        let met = if part > 0.0 { (1.0 - self.trust()) * f64::from(met.min(MOST_MET)) } else { 0.0 };
+        let Some(f) = self.functions.get_mut(&r.function) else { return };
+        (f.crowd, f.crowd_of) = (f.crowd + met, f.crowd_of + part);
+        f.places.entry(n.clone()).and_modify(|p| (p.crowd, p.crowd_at) = (met, now));
+    }
+
+    /// Calls for the function at one of so many places, of routers that this one does not hear: as it met them there
+    /// while a copy lay idle at the most, else their fair part; none where no answer told of any.
+    pub(crate) fn crowd(&self, f: &Function, p: &Place, places: usize) -> f64 {
+        if f.crowd_of == 0.0 || self.heard.well {
+            0.0
+        } else if p.crowd_at > 0 && self.now - p.crowd_at < self.settings.keep {
+            p.crowd
+        } else {
+            self.share(f) * self.unseen() / places.max(1) as f64
+        }
     }
 
     /// Takes in the time of an answer, over its aim.
@@ -679,7 +730,7 @@
 impl Function {
     /// Halves the counts; false when nothing is left to remember.
     pub(crate) fn halve(&mut self, now: Micros, forget: Micros) -> bool {
-        self.calls /= 2.0;
+        (self.calls, self.crowd, self.crowd_of) = (self.calls / 2.0, self.crowd / 2.0, self.crowd_of / 2.0);
         self.successors.retain(|_, n| {
             *n /= 2.0;
             *n >= 0.25
--- a/tests/common/fleet.rs
+++ b/tests/common/fleet.rs
@@ -23,6 +23,8 @@
     /// Copies by function, and when they stand.
     pub copies: BTreeMap<FunctionId, Micros>,
     pub held: u32,
+    /// ... of each function.
+    pub crowds: BTreeMap<FunctionId, u32>,
     /// Calls that came since it started cold, and when.
     pub sent: Vec<Micros>,
     /// ... and whether their routers had been told of the start.
@@ -121,6 +123,8 @@
     pub reports: bool,
     /// Calls that came before this are in no share.
     pub counted: Micros,
+    /// ... how many calls for the same function it held, and whether they began or awaited a load.
+    pub crowds: bool,
     /// The classes of calls, one after another.
     pub classes: Vec<usize>,
     /// This share of the calls goes to these functions alike, in place of those that are called always.
@@ -178,6 +182,7 @@
             cores: CORES,
             reports: false,
             counted: 0,
+            crowds: false,
             classes: vec![UNSAFE, SAFE, SAFE, SAFE, SAFE],
             surge: (0.0, Vec::new()),
             settings,
@@ -392,6 +397,7 @@
         open.ran.extend(open.out.take().filter(|_| !outcome.never_ran()));
         if let Some(h) = self.hosts.get_mut(host).filter(|_| *outcome != Outcome::Miss) {
             h.held = h.held.saturating_sub(1);
+            h.crowds.entry(open.function.clone()).and_modify(|n| *n = n.saturating_sub(1));
         }
         if *outcome == Outcome::Done && !open.left {
             open.answers += 1;
@@ -450,10 +456,16 @@
                 h.told.push(self.starts.get(&(router, host.clone())) == Some(&h.started));
                 self.seen.pairs.insert((router, worker.clone()));
                 *self.seen.drawn.entry((now / STRETCH, host.clone())).or_default() += 1;
+                let mut found = if h.copies.get(&function).is_some_and(|at| *at > now) {
+                    Found::AwaitedLoad
+                } else {
+                    Found::Warm
+                };
                 if self.settings.when_cold == WhenCold::Loads
                     && !h.silent
                     && !h.copies.contains_key(&function)
                 {
+                    found = Found::BeganLoad;
                     h.copies.insert(function.clone(), now + self.load);
                     *self.seen.loads.entry(function.clone()).or_default() += 1;
                 }
@@ -470,8 +482,14 @@
                 self.seen.into_silence += usize::from(h.silent);
                 h.held += u32::from(outcome != Outcome::Miss);
                 self.seen.most_held = self.seen.most_held.max(h.held);
+                let crowd = h.crowds.entry(function).or_default();
+                let met = *crowd;
+                *crowd += u32::from(outcome != Outcome::Miss);
                 let mut event = Self::end(request, (number, worker), outcome, after);
-                if let Event::Answer { report, .. } = &mut event {
+                if let Event::Answer { report, crowd, found: told, .. } = &mut event {
+                    if self.crowds && outcome == Outcome::Done {
+                        (*crowd, *told) = (Some(met.min(30)), Some(found));
+                    }
                     *report = if self.reports { LoadReport::new(f64::from(h.held), 0.0) } else { None };
                 }
                 self.at(now + after, Due::Answer { router, host, event });
--- a/tests/mass.rs
+++ b/tests/mass.rs
@@ -268,3 +268,32 @@
         );
     }
 }
+
+/// Routers that hear no other, where a miss loads: each sees a hundredth of the calls for a function, and its share of them
+/// is chance. What answers tell of the crowd there says more, so that fewer places are loaded for what few call.
+#[test]
+fn crowds_that_answers_tell_spare_loads_where_no_router_hears_another() {
+    let loads = |crowds: bool| {
+        let told = Settings { routers: ROUTERS as u32, ..settings() };
+        let mut fleet = Fleet::of(told, HOSTS, 1200);
+        (fleet.crowds, fleet.load) = (crowds, S);
+        fleet.pass(20 * S, RATE);
+        fleet.settle();
+        let (seen, all) = (&fleet.seen, fleet.seen.loads.values().sum::<usize>());
+        println!(
+            "crowds {crowds}: {all} loads of {} functions, {} late of {}",
+            seen.loads.len(),
+            seen.late,
+            seen.calls
+        );
+        (all - seen.loads.len(), seen.late)
+    };
+    let (told, untold) = (loads(true), loads(false));
+    assert!(
+        told.0 * 10 < untold.0 * 7,
+        "{} loads besides the first, {} where nothing is told",
+        told.0,
+        untold.0
+    );
+    assert!(told.1 < untold.1, "{} late, {} where nothing is told", told.1, untold.1);
+}
