A candidate tells of an attempt that it withholds before it tells its end

Seen: on reading the change of passed calls. Where terms change between a decision and its send, the hub ends the attempt as never sent and tells the holder its end without having told the attempt; the holder's ledger calls that a broken protocol and ends the candidate with all that it was passed. Lines at fault: carry_out in node/src/node.rs and the same in node/src/node/accord.rs, which called never_left alone. Change: withheld tells the attempt first. A fault of debug builds, attempt:EAGAIN:FROM:COUNT, withholds attempts on purpose. Measured: node/tests/rollout.rs has the case; without the word the candidate is lost at the first such attempt. The calls withheld are refused, which is true. Ruled out: leaving the end untold, as attempts are numbered in turn and the next would be out of turn.

--- a/node/src/faults.rs
+++ b/node/src/faults.rs
@@ -12,6 +12,8 @@
     Accept,
     /// A socket for a connection to somebody else.
     Connect,
+    /// No call of the system: an attempt is withheld, as if the terms that it was decided by were not obeyed any more.
+    Attempt,
 }
 
 /// The error that this call is to meet instead of being made.
@@ -38,12 +40,12 @@
 
     struct Plan {
         faults: Vec<Fault>,
-        made: [u32; 2],
+        made: [u32; 3],
     }
 
     thread_local!(static PLAN: RefCell<Plan> = RefCell::new(Plan {
         faults: read(&std::env::var("WHEELLINK_FAULTS").unwrap_or_default()),
-        made: [0; 2],
+        made: [0; 3],
     }));
 
     fn read(text: &str) -> Vec<Fault> {
@@ -52,9 +54,11 @@
             let call = match words.next()? {
                 "accept" => Call::Accept,
                 "connect" => Call::Connect,
+                "attempt" => Call::Attempt,
                 _ => return None,
             };
             let error = match words.next()? {
+                "EAGAIN" => 11,
                 "EMFILE" => 24,
                 "ENFILE" => 23,
                 "ENOBUFS" => 105,
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -34,6 +34,7 @@
 use crate::control::{self, Control};
 use crate::dnssd::{Browser, DnsSd};
 use crate::door::{self, Door};
+use crate::faults::{meet, Call as Faulty};
 use crate::fellows::Fellows;
 use crate::front::invoke::{self, Invoke};
 use crate::front::platform::frames::Request;
@@ -484,7 +485,9 @@
         let now = self.clock.now();
         match command {
             // Decided by terms that are not obeyed any more: it is decided anew.
-            Command::Send { attempt, .. } if self.mind_accord() => self.never_left(now, attempt),
+            Command::Send { attempt, host, .. } if self.mind_accord() || meet(Faulty::Attempt).is_err() => {
+                self.withheld(now, attempt, host)
+            }
             Command::Send { attempt, host, until } => {
                 self.turn_sent(now, attempt, &host);
                 self.send(now, attempt, host, until)
--- a/node/src/node/accord.rs
+++ b/node/src/node/accord.rs
@@ -397,12 +397,12 @@
         let mut never = Vec::new();
         for command in std::mem::take(&mut self.commands) {
             match command {
-                Command::Send { attempt, .. } => never.push(attempt),
+                Command::Send { attempt, host, .. } => never.push((attempt, host)),
                 other => kept.push_back(other),
             }
         }
         self.commands = kept;
-        never.into_iter().for_each(|attempt| self.never_left(now, attempt));
+        never.into_iter().for_each(|(attempt, host)| self.withheld(now, attempt, host));
     }
 
     /// Has these hosts out or in, as what is obeyed says.
--- a/node/src/node/rollout/candidate.rs
+++ b/node/src/node/rollout/candidate.rs
@@ -173,6 +173,16 @@
         }
     }
 
+    /// Ends an attempt before anything was said of it. The holder counts attempts in turn: the end of one that it was not told
+    /// of would break the protocol, and it would end this process with all that it was passed.
+    pub(in crate::node) fn withheld(&mut self, now: Micros, attempt: AttemptId, host: WorkerId) {
+        if let Some(Origin::Peer(seq)) = self.pending.get(&attempt.ticket).map(|p| &p.origin) {
+            let (seq, number, host) = (*seq, attempt.number, host.0.to_string());
+            self.upgrade.say(&Word::Intent { seq, number, host, at: now });
+        }
+        self.never_left(now, attempt);
+    }
+
     pub(in crate::node) fn never_left(&mut self, now: Micros, attempt: AttemptId) {
         self.tell_end(attempt, Outcome::NotSent);
         self.run_engine(|engine, out| engine.attempt_ended(now, attempt, Outcome::NotSent.into(), out));
--- a/node/tests/common/rollout.rs
+++ b/node/tests/common/rollout.rs
@@ -37,6 +37,11 @@
 }
 
 pub fn pair_of(hosts: &[&Host], edits: &[(&str, Value)], new_edits: &[(&str, Value)]) -> Pair {
+    pair_with(hosts, edits, |text| Program::start(&edited(text, new_edits), false))
+}
+
+/// The candidate is started by this, with what its file says.
+pub fn pair_with(hosts: &[&Host], edits: &[(&str, Value)], start: impl Fn(&str) -> Program) -> Pair {
     let bus = Bus::start();
     let text = edited(&config(bus.address, hosts), &[("rollout", json!({"version": "one"}))]);
     let text = edited(&text, edits);
@@ -45,7 +50,7 @@
     let old = Platform { program, bus, feed };
     let listen = json!(old.program.address.to_string());
     let text = edited(&text, &[("listen", listen), ("rollout", json!({"version": "two"}))]);
-    let new = Program::start(&edited(&text, new_edits), false);
+    let new = start(&text);
     let (_, feed) = old.bus.greeted();
     let pair = Pair { old, new, feed };
     wait_for("the candidate", || pair.show()["candidate"]["caught_up"] == json!(true));
--- a/node/tests/rollout.rs
+++ b/node/tests/rollout.rs
@@ -90,6 +90,22 @@
     client.end();
 }
 
+/// A candidate withholds attempts, as one whose terms change under it does: these calls are refused, which is true, and it goes on
+/// deciding the others. It told of their ends without having told of them, and was ended for that.
+#[test]
+fn a_candidate_that_withholds_an_attempt_goes_on() {
+    let host = Host::warm();
+    let p = pair_with(&[&host], &[], |text| Program::start_with_faults("attempt:EAGAIN:2:2", text, false));
+    let p = p.whole();
+    let mut client = Client::new(&p.old.program, 0);
+    let codes: Vec<u8> = (0..9).map(|n| client.one(CLASSES[n % 3])).collect();
+    let runs: Vec<u32> = (0..9).map(|n| runs(&[&host], n)).collect();
+    assert_eq!(codes, [&[SERVED, REFUSED, REFUSED][..], &[SERVED; 6]].concat());
+    assert_eq!(runs, [1, 0, 0, 1, 1, 1, 1, 1, 1]);
+    assert_eq!((p.count("passed"), p.show()["life"].clone()), (9, json!("stepping")));
+    client.end();
+}
+
 // ------------------------------------------------------------------- the candidate fails at each point
 
 #[derive(Clone, Copy, Debug, PartialEq)]
