Crowds count as calls seen only where routers cannot tell one another

Cause: before most others were heard (the start, a cut) answers taught crowds, which weigh as many calls and fade in half a minute, so that they went on steering shares and reach where word of others is newer. Line at fault: unseen in src/state.rs asked whether others are heard well now. Change: it asks whether the settings let routers tell one another at all; where they do, nothing differs from before.

--- a/src/state.rs
+++ b/src/state.rs
@@ -433,9 +433,11 @@
         ((f.calls - BY_CHANCE).max(0.0) + f.crowd) / (self.calls.max(FEW_CALLS) + f.crowd_of)
     }
 
-    /// Calls that all routers have out, as far as this one neither sees them nor hears of them.
+    /// Calls that all routers have out, as far as this one neither sees them nor could hear of them. Where routers tell one
+    /// another, a moment without word is short, and what answers told in it would count for half a minute after: it cost
+    /// 0.02 of a calm day's score at 300 routers.
     fn unseen(&self) -> f64 {
-        if self.heard.well {
+        if self.tells() {
             return 0.0;
         }
         let out = self.totals.in_flight * f64::from(self.settings.routers);
--- a/tests/advice.rs
+++ b/tests/advice.rs
@@ -28,6 +28,46 @@
     bed
 }
 
+/// Workers as in [`bed`], with 40 routers that may tell one another so many bytes at once.
+fn bed_of_many(tell: usize) -> Bed {
+    let mut bed = bed();
+    bed.event(Event::Settings(Box::new(Settings { routers: 40, tell, ..settings() })));
+    bed
+}
+
+/// What answers tell of crowds steers where nobody could tell it otherwise, and there alone.
+#[test]
+fn crowds_that_answers_tell_count_only_where_routers_cannot_tell_one_another() {
+    let play = |tell: usize, told: bool| {
+        let mut bed = bed_of_many(tell);
+        let mut to = Vec::new();
+        for _ in 0..30 {
+            bed.now += 200 * MS;
+            let (request, out) = bed.call(SAFE, "f");
+            let worker = sent(&out).remove(0);
+            // The first three hold twenty calls of the function, the others none.
+            let crowd = told.then_some(if worker < "w3".to_string() { 20 } else { 0 });
+            bed.event(Event::Answer {
+                request,
+                attempt: 0,
+                worker: worker.as_str().into(),
+                outcome: Outcome::Done,
+                finished: true,
+                duration: 50 * MS,
+                found: Some(Found::Warm),
+                crowd,
+                report: None,
+            });
+            to.push(worker);
+        }
+        to
+    };
+    assert_eq!(play(256, true), play(256, false));
+    let crowded = |to: Vec<String>| to.iter().filter(|w| w.as_str() < "w3").count();
+    let (told, untold) = (crowded(play(0, true)), crowded(play(0, false)));
+    assert!(told < untold, "{told} of 30 calls to crowded workers, {untold} where nothing is told");
+}
+
 fn sent(out: &[Action]) -> Vec<String> {
     common::sent(out).map(|w| w.0.to_string()).into_iter().collect()
 }
