--- a/node/tests/accord.rs
+++ b/node/tests/accord.rs
@@ -199,9 +199,10 @@
     one.reload(&whole.replacen("aim_ms = 2000", "aim_ms = 1900", 1));
     wait_for("word of it", || one.logged("configuration read again") == 1);
     assert_eq!((show(&fleet, 0)["acting"]["on"].as_str(), acts(&fleet, 0).len()), (Some("one"), 4));
-    // Another lease: another life, which begins on the floor and comes back.
+    // Another lease: another life, which begins on the floor and comes back, maybe between two looks.
+    let had = acts(&fleet, 0).len();
     one.reload(&whole.replace("period_ms = 60", "period_ms = 70"));
-    wait_for("a new life", || acts(&fleet, 0).last().is_some_and(|last| last.starts_with("the floor")));
+    wait_for("a new life", || acts(&fleet, 0)[had..].iter().any(|act| act.starts_with("the floor")));
     agreed(&fleet, &[0, 1, 2], 0);
     one.reload(&whole[..whole.find("[accord]").unwrap()]);
     wait_for("its end", || one.operate("GET", "/accord", "") == 404);
--- a/node/tests/turns.rs
+++ b/node/tests/turns.rs
@@ -418,7 +418,7 @@
         talk.prefix = (0..PREFIX).map(|i| format!("{:x}", talk.number << 32 | (1_000 + i))).collect();
     }
     let busy = Mutex::new(Vec::new());
-    let (lost, lay, refused) = scope(|s| {
+    let (lost, gone, lay, refused) = scope(|s| {
         // Calls without a turn keep every lane busy, until this is dropped.
         let over = Arc::new(AtomicBool::new(false));
         let _end = End(over.clone());
@@ -450,12 +450,15 @@
                 *last = (*last).max((*at, i));
             }
         }
-        let lay: Vec<u64> = last.into_iter().filter(|(_, (_, i))| *i == 1).map(|(talk, _)| talk).collect();
+        // The site where most lie is lost: who lies where is chance, as the busy calls move some for load.
+        let at = |site: usize| last.values().filter(|(_, i)| *i == site).count();
+        let gone = (0..3).max_by_key(|site| at(*site)).unwrap();
+        let lay: Vec<u64> = last.into_iter().filter(|(_, (_, i))| *i == gone).map(|(talk, _)| talk).collect();
         fleet.cut(true);
         // For as long as they remember what they heard.
         sleep(ms(1_000));
         let lost = Instant::now();
-        fleet.list(1, false);
+        fleet.list(gone, false);
         (0..3).for_each(|i| fleet.sees(i, 2));
         // Those that lay there come first.
         talks.sort_by_key(|t| !lay.contains(&t.number));
@@ -469,11 +472,11 @@
             round(&mut talks[..waits], &fleet)
         };
         let refused: usize = (0..8).map(again).sum();
-        (lost, lay, refused)
+        (lost, gone, lay, refused)
     });
     // Of the sites that are left the module may take the one where there is room: together they keep their budgets.
     let mut anew = Vec::new();
-    for site in [0, 2] {
+    for site in (0..3).filter(|site| *site != gone) {
         let cache = fleet.sites[site].cache.lock().unwrap();
         anew.extend(cache.missed.iter().filter(|(talk, at, _)| *at >= lost && lay.contains(talk)).copied());
     }
@@ -491,15 +494,15 @@
     let given_up = |i: usize| fleet.view(i)["held_back"]["given_up"].as_u64().unwrap();
     assert!(given_up(0) + given_up(1) + given_up(2) > 0, "refused for something else");
     // It comes back empty, and they hear each other again.
-    fleet.sites[1].cache.lock().unwrap().blocks.clear();
-    let before = fleet.sites[1].calls();
+    fleet.sites[gone].cache.lock().unwrap().blocks.clear();
+    let before = fleet.sites[gone].calls();
     fleet.cut(false);
-    fleet.list(1, true);
+    fleet.list(gone, true);
     (0..3).for_each(|i| fleet.sees(i, 3));
     let mut fresh = Talk::some(300).split_off(120);
     round(&mut fresh, &fleet);
     round(&mut fresh, &fleet);
-    let came = fleet.sites[1].calls() - before;
+    let came = fleet.sites[gone].calls() - before;
     assert!((1..=180).contains(&came), "{came} of 360 at the site that is back");
     let mut busy_ones = Talk::some(1).remove(0);
     busy_ones.answered = busy.into_inner().unwrap();
--- a/src/state.rs
+++ b/src/state.rs
@@ -434,8 +434,7 @@
     }
 
     /// Calls that all routers have out, as far as this one neither sees them nor could hear of them. Where routers tell one
-    /// another, a moment without word is short, and what answers told in it would count for half a minute after: it cost
-    /// 0.02 of a calm day's score at 300 routers.
+    /// another, a moment without word is short, and what answers told in it would count for half a minute after.
     fn unseen(&self) -> f64 {
         if self.tells() {
             return 0.0;
