--- a/tests/advice.rs
+++ b/tests/advice.rs
@@ -46,7 +46,7 @@
             let (request, out) = bed.call(SAFE, "f");
             let worker = sent(&out).remove(0);
             // The first three hold twenty calls of the function, the others none.
-            let crowd = told.then_some(if worker < "w3".to_string() { 20 } else { 0 });
+            let crowd = told.then_some(if worker.as_str() < "w3" { 20 } else { 0 });
             bed.event(Event::Answer {
                 request,
                 attempt: 0,
