Tests of turns and of passed calls share one stand-in host that says what a test wants

Seen: node/tests/passing.rs and turns.rs held the same 28 lines that read calls and answer them. Change: common/stand_in.rs reads and answers; each file says what its host finds. Nothing else changes.

--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod links;
 pub mod rollout;
+pub mod stand_in;
 
 use std::net::{SocketAddr, TcpStream};
 use std::ops::{Deref, DerefMut};
--- a/node/tests/passing.rs
+++ b/node/tests/passing.rs
@@ -5,7 +5,7 @@
 
 use std::collections::{BTreeMap, HashSet};
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener};
 use std::os::fd::AsFd;
 use std::os::unix::net::{UnixListener, UnixStream};
 use std::process::Command;
@@ -14,6 +14,7 @@
 use std::time::Duration;
 
 use common::rollout::plan;
+use common::stand_in::stand_in;
 use common::*;
 use rstest::rstest;
 use rustix::net::{sendmsg, SendAncillaryBuffer, SendAncillaryMessage, SendFlags};
@@ -44,16 +45,14 @@
 
 impl Site {
     fn start() -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let site = Self { address: listener.local_addr().unwrap(), seen: Arc::default() };
-        let seen = site.seen.clone();
-        spawn(move || {
-            for stream in listener.incoming().map_while(Result::ok) {
-                let seen = seen.clone();
-                spawn(move || attend(stream, &seen));
-            }
-        });
-        site
+        let seen: Arc<Mutex<Seen>> = Arc::default();
+        let shared = seen.clone();
+        let address = stand_in(Arc::new(move |line, body| {
+            let (said, work) = serve(&mut shared.lock().unwrap(), line, body);
+            sleep(work);
+            format!(",meter=inflight:3;queue:0{said}")
+        }));
+        Self { address, seen }
     }
 
     fn calls(&self) -> usize {
@@ -61,38 +60,6 @@
     }
 }
 
-fn attend(stream: TcpStream, seen: &Mutex<Seen>) {
-    let (mut lines, mut out) = (BufReader::new(stream.try_clone().unwrap()), stream);
-    loop {
-        let mut line = String::new();
-        if lines.read_line(&mut line).unwrap_or(0) == 0 {
-            return;
-        }
-        let words: Vec<&str> = line.trim_end().split(' ').collect();
-        let answer = match words[0] {
-            "FN" => {
-                let mut body = vec![0; words[3].parse::<usize>().unwrap() + 2];
-                lines.read_exact(&mut body).unwrap();
-                body.truncate(body.len() - 2);
-                let body = String::from_utf8(body).unwrap();
-                let (said, work) = serve(&mut seen.lock().unwrap(), line.trim_end(), &body);
-                sleep(work);
-                format!(
-                    "{} 200 tell=warm,meter=inflight:3;queue:0{said} {}\r\n{body}\r\n",
-                    words[1],
-                    body.len()
-                )
-            }
-            "SPAWN" => format!("{} 200 copies=1 0\r\n\r\n", words[1]),
-            "HELO" => format!("{} alive - 0\r\n\r\n", words[1]),
-            _ => continue,
-        };
-        if out.write_all(answer.as_bytes()).is_err() {
-            return;
-        }
-    }
-}
-
 fn serve(seen: &mut Seen, line: &str, body: &str) -> (String, Duration) {
     seen.lines.push(line.to_string());
     *seen.runs.entry(body.to_string()).or_default() += 1;
--- a/node/tests/turns.rs
+++ b/node/tests/turns.rs
@@ -4,13 +4,13 @@
 mod common;
 
 use std::collections::{BTreeMap, HashMap};
-use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::net::{SocketAddr, UdpSocket};
 use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
 use std::sync::{Arc, Mutex};
 use std::thread::{scope, sleep, spawn};
 use std::time::Instant;
 
+use common::stand_in::stand_in;
 use common::*;
 use rstest::rstest;
 use serde_json::Value;
@@ -59,8 +59,6 @@
 
 impl Site {
     fn start(most: usize) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let address = listener.local_addr().unwrap();
         let cache = Cache {
             most,
             used: 0,
@@ -69,15 +67,15 @@
             lines: Vec::new(),
             missed: Vec::new(),
         };
-        let site = Self { address, cache: Arc::new(Mutex::new(cache)) };
-        let shared = site.cache.clone();
-        spawn(move || {
-            for stream in listener.incoming().map_while(Result::ok) {
-                let cache = shared.clone();
-                spawn(move || attend(stream, &cache));
-            }
-        });
-        site
+        let cache = Arc::new(Mutex::new(cache));
+        let shared = cache.clone();
+        let address = stand_in(Arc::new(move |line, body| {
+            let found = shared.lock().unwrap().serve(line, body);
+            // A call that keeps a lane busy says so.
+            sleep(ms(if body.starts_with("busy") { 120 } else { 1 }));
+            found.map_or(String::new(), |n| format!(",found={n}"))
+        }));
+        Self { address, cache }
     }
 
     fn calls(&self) -> usize {
@@ -85,36 +83,6 @@
     }
 }
 
-fn attend(stream: TcpStream, cache: &Mutex<Cache>) {
-    let (mut lines, mut out) = (BufReader::new(stream.try_clone().unwrap()), stream);
-    loop {
-        let mut line = String::new();
-        if lines.read_line(&mut line).unwrap_or(0) == 0 {
-            return;
-        }
-        let words: Vec<&str> = line.trim_end().split(' ').collect();
-        let answer = match words[0] {
-            "FN" => {
-                let mut body = vec![0; words[3].parse::<usize>().unwrap() + 2];
-                lines.read_exact(&mut body).unwrap();
-                body.truncate(body.len() - 2);
-                let body = String::from_utf8(body).unwrap();
-                let found = cache.lock().unwrap().serve(line.trim_end(), &body);
-                let found = found.map_or(String::new(), |n| format!(",found={n}"));
-                // A call that keeps a lane busy says so.
-                sleep(ms(if body.starts_with("busy") { 120 } else { 1 }));
-                format!("{} 200 tell=warm{found} {}\r\n{body}\r\n", words[1], body.len())
-            }
-            "SPAWN" => format!("{} 200 copies=1 0\r\n\r\n", words[1]),
-            "HELO" => format!("{} alive - 0\r\n\r\n", words[1]),
-            _ => continue,
-        };
-        if out.write_all(answer.as_bytes()).is_err() {
-            return;
-        }
-    }
-}
-
 /// A way between two activators by which datagrams go until it is cut.
 struct Link {
     at: SocketAddr,
