Log and metrics: why a request was repeated, refused or failed; host list; clock steps

Now there is a line for each attempt after a request's first and for each request that was not served, with the client's id, a line for each news of the host list, one for each step of the wall clock against the monotonic one, and GET /metrics with the same as counters (prometheus-client). Lines of requests have a rate limit of their own. No decision changes.

--- a/crates/lab/src/program.rs
+++ b/crates/lab/src/program.rs
@@ -237,6 +237,14 @@
         (reply.status, serde_json::from_slice(&reply.body).unwrap_or_default())
     }
 
+    /// The text that an operator's `GET` of this path answers.
+    pub fn fetch(&self, path: &str) -> String {
+        let mut stream = self.connect_control();
+        stream.write_all(request("GET", path, &[], "").as_bytes()).unwrap();
+        let reply = read_reply(&mut stream).expect("an answer");
+        String::from_utf8(reply.body).expect("text")
+    }
+
     /// What `GET /status` answers.
     pub fn status(&self) -> u16 {
         self.operate("GET", "/status", "")
--- a/node/src/clock.rs
+++ b/node/src/clock.rs
@@ -1,5 +1,7 @@
 //! The system's Unix clock, in microseconds, made to never run backwards.
 
+pub mod steps;
+
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use wheellink::Micros;
--- a/node/src/control.rs
+++ b/node/src/control.rs
@@ -30,6 +30,8 @@
 pub enum Call {
     /// Whether this process is ready to serve.
     Status,
+    /// All counters.
+    Metrics,
     /// Nothing new to this host; or it may be used again.
     Host { id: String, out: bool },
     /// No new clients; or they are welcome again.
@@ -141,12 +143,13 @@
 pub fn call(request: &Request) -> Result<Call, Response> {
     let path = request.path.split('?').next().unwrap_or_default();
     let wanted = match (path, request.method.as_str()) {
-        ("/status" | "/admission" | "/members" | "/drafts" | "/turns", _) => "GET",
+        ("/status" | "/metrics" | "/admission" | "/members" | "/drafts" | "/turns", _) => "GET",
         ("/rollout" | "/accord", "GET" | "HEAD") => "GET",
         _ => "POST",
     };
     let call = match path {
         "/status" => Call::Status,
+        "/metrics" => Call::Metrics,
         "/maintenance/enter" | "/maintenance/exit" => {
             Call::Host { id: String::new(), out: path.ends_with("enter") }
         }
--- a/node/src/http.rs
+++ b/node/src/http.rs
@@ -212,6 +212,10 @@
             .with("Content-Type", "application/json")
     }
 
+    pub fn text(status: u16, kind: &str, body: String) -> Self {
+        Self { status, headers: Vec::new(), body: body.into_bytes() }.with("Content-Type", kind)
+    }
+
     pub fn with(mut self, name: &'static str, value: impl Into<String>) -> Self {
         self.headers.push((name, value.into()));
         self
--- a/node/src/log.rs
+++ b/node/src/log.rs
@@ -1,5 +1,6 @@
 //! The log: lines on standard error, bounded in rate, since the log shares the machine's memory.
 
+use std::collections::BTreeMap;
 use std::fmt::Display;
 
 use wheellink::Micros;
@@ -91,24 +92,38 @@
 }
 
 /// The log. Clients can end connections by the thousand, and send thousands of things that cannot be read:
-/// the lines of connections have an allowance of their own, so that they drown nothing else.
+/// the lines of connections and of requests have allowances of their own, so that they drown nothing else.
 pub struct Log {
     connections: Allowance,
+    requests: Allowance,
     others: Allowance,
+    /// Connections that ended, by the code of the reason: those whose lines were left out as well.
+    ended: BTreeMap<&'static str, u64>,
 }
 
 impl Log {
     pub fn new() -> Self {
         let whole = || Allowance { left: BURST, at: 0, dropped: 0 };
-        Self { connections: whole(), others: whole() }
+        Self { connections: whole(), requests: whole(), others: whole(), ended: BTreeMap::new() }
     }
 
     /// The one line of a connection that has ended.
     pub fn ended(&mut self, now: Micros, what: impl Display, reason: Reason, detail: impl Display) {
         let text = format_args!("conn {what} ended reason={} {detail}", reason.code());
+        *self.ended.entry(reason.code()).or_default() += 1;
         write(now, self.connections.take(now), text);
     }
 
+    /// How many connections have ended, by the code of the reason.
+    pub fn ended_by_reason(&self) -> impl Iterator<Item = (&'static str, u64)> + '_ {
+        self.ended.iter().map(|(code, count)| (*code, *count))
+    }
+
+    /// What became of a request.
+    pub fn request(&mut self, now: Micros, text: impl Display) {
+        write(now, self.requests.take(now), text);
+    }
+
     /// What a connection brought that cannot be read.
     pub fn bad(&mut self, now: Micros, text: impl Display) {
         write(now, self.connections.take(now), text);
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -18,6 +18,7 @@
 mod listener;
 mod log;
 mod membership;
+mod metrics;
 mod node;
 mod peers;
 mod proxy;
--- /dev/null
+++ b/node/src/metrics.rs
@@ -0,0 +1,106 @@
+//! Counters that operators read at `GET /metrics`, in the text format of OpenMetrics.
+//!
+//! Labels come from the settings (classes) and from fixed words of this program, so that their number is bounded.
+
+use prometheus_client::encoding::{text, EncodeLabelSet};
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::registry::{Registry, Unit};
+
+/// How requests of a class ended.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct RequestLabels {
+    /// The class, as in the settings.
+    pub class: String,
+    /// `served`, `refused`, `failed`, `timed_out`, `turned_away` or `client_left`.
+    pub outcome: &'static str,
+}
+
+/// Something that happened for this reason.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ReasonLabels {
+    /// A fixed word.
+    pub reason: &'static str,
+}
+
+/// All counters of the process.
+pub struct Metrics {
+    registry: Registry,
+    /// Requests that have ended.
+    pub requests: Family<RequestLabels, Counter>,
+    /// Attempts that were sent.
+    pub attempts: Counter,
+    /// Attempts after a request's first, by the end of the one before.
+    pub retries: Family<ReasonLabels, Counter>,
+    /// Attempts that ended without an answer that serves, by their outcome.
+    pub failed_attempts: Family<ReasonLabels, Counter>,
+    /// Connections that ended, by reason.
+    pub connections_ended: Family<ReasonLabels, Counter>,
+    /// Orders to load copies.
+    pub load_orders: Counter,
+    /// Steps of the machine's wall clock.
+    pub clock_steps: Counter,
+    /// The sum of these steps, in seconds.
+    pub clock_stepped: Gauge<f64, std::sync::atomic::AtomicU64>,
+    /// Requests that are owed an answer.
+    pub open_requests: Gauge,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let mut metrics = Self {
+            registry: Registry::with_prefix("wheellink"),
+            requests: Family::default(),
+            attempts: Counter::default(),
+            retries: Family::default(),
+            failed_attempts: Family::default(),
+            connections_ended: Family::default(),
+            load_orders: Counter::default(),
+            clock_steps: Counter::default(),
+            clock_stepped: Gauge::default(),
+            open_requests: Gauge::default(),
+        };
+        metrics.register();
+        metrics
+    }
+}
+
+impl Metrics {
+    fn register(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "requests",
+            "Requests that have ended, by class and outcome",
+            self.requests.clone(),
+        );
+        registry.register("attempts", "Attempts sent to script hosts", self.attempts.clone());
+        registry.register(
+            "retries",
+            "Attempts after the first, by the end of the one before",
+            self.retries.clone(),
+        );
+        registry.register(
+            "failed_attempts",
+            "Attempts that did not serve, by outcome",
+            self.failed_attempts.clone(),
+        );
+        registry.register(
+            "connections_ended",
+            "Connections that ended, by reason",
+            self.connections_ended.clone(),
+        );
+        registry.register("load_orders", "Orders to load copies", self.load_orders.clone());
+        registry.register("clock_steps", "Steps of the machine's wall clock", self.clock_steps.clone());
+        let help = "Sum of the steps of the machine's wall clock";
+        registry.register_with_unit("clock_stepped", help, Unit::Seconds, self.clock_stepped.clone());
+        registry.register("open_requests", "Requests that are owed an answer", self.open_requests.clone());
+    }
+
+    /// All of them as text.
+    pub fn encode(&self) -> String {
+        let mut page = String::new();
+        text::encode(&mut page, &self.registry).expect("writing to a string cannot fail");
+        page
+    }
+}
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -7,6 +7,7 @@
 mod life;
 mod news;
 mod operators;
+mod request_log;
 mod requests;
 mod rollout;
 mod together;
@@ -28,6 +29,7 @@
 use wheellink_turns::Turn;
 
 use crate::bus::{self, Bus, Frame, Gap};
+use crate::clock::steps::Steps;
 use crate::clock::Clock;
 use crate::config::{self, Config};
 use crate::conn::{fresh_id, Conn, ConnId};
@@ -45,6 +47,7 @@
 use crate::listener::{self, Listener};
 use crate::log::{Log, Reason};
 use crate::membership::Membership;
+use crate::metrics::Metrics;
 use crate::peers::Peers;
 use crate::startup;
 use crate::upgrade::{self, Message, News, Place, State, Upgrade};
@@ -52,6 +55,7 @@
 
 use admission::AdmissionControl;
 use drafts::Drafting;
+use request_log::Attempts;
 use rollout::{Gradual, Role};
 use turns::Turning;
 
@@ -87,6 +91,7 @@
     /// What the engine was told of it; a class that only the other version of a rollout knows has no index here.
     new: NewRequest,
     arrived: Micros,
+    attempts: Attempts,
     /// Which version decides it.
     by: Version,
     /// Whose memory its body takes, and whom it counts for.
@@ -154,6 +159,8 @@
 pub struct Node {
     handle: Handle,
     clock: Clock,
+    clock_steps: Steps,
+    metrics: Metrics,
     log: Log,
     /// The configuration in force; what `side` holds of it is the fronts' and the bus's.
     config: Config,
@@ -282,6 +289,8 @@
             by_hand: BTreeSet::new(),
             config,
             clock,
+            clock_steps: Steps::default(),
+            metrics: Metrics::default(),
             log: Log::new(),
             stopping: None,
             clients_silent: false,
@@ -419,6 +428,7 @@
             let keep_house = self.kept_house + HOUSEKEEPING <= now;
             if keep_house {
                 self.kept_house = now;
+                self.look_for_clock_step(now);
                 self.resize();
                 self.control.tick(now, &mut self.log);
                 self.tend_admission(now);
@@ -505,6 +515,7 @@
             }
             Command::Send { attempt, host, until } => {
                 self.turn_sent(now, attempt, &host);
+                self.log_attempt(now, attempt, &host);
                 self.send(now, attempt, host, until)
             }
             Command::Cancel { attempt } => {
@@ -517,7 +528,10 @@
                     self.hosts.withdraw_attempt(now, attempt, &mut self.log);
                 }
             }
-            Command::Load { order, host, function, copies } => self.load(now, order, host, function, copies),
+            Command::Load { order, host, function, copies } => {
+                self.metrics.load_orders.inc();
+                self.load(now, order, host, function, copies)
+            }
             Command::Unload { host, function } => self.hosts.unload(now, &host, &function, &mut self.log),
             Command::Probe { host } => self.hosts.probe(now, &host, &mut self.log),
             Command::Tell { data } => self.peers.iter().for_each(|peers| peers.tell(&data)),
--- a/node/src/node/news.rs
+++ b/node/src/node/news.rs
@@ -1,8 +1,13 @@
 //! News of the host list, from the bus or from DNS-SD, and of other activators: to pool and engine.
 
+use wheellink::Condition;
+
 use super::*;
 use crate::peers::Addresses;
 
+/// Hosts that one line of the log names.
+const MOST_NAMED: usize = 16;
+
 impl Node {
     /// Whether the host list is as new as can be told.
     pub(super) fn is_caught_up(&mut self, now: Micros) -> bool {
@@ -129,6 +134,7 @@
             return;
         }
         let now = self.clock.now();
+        self.log_list(now, kind, &hosts);
         self.hosts.list(now, kind, &hosts, &mut self.log);
         // The engine may send to them at once: clients beyond their part make room before.
         self.resize();
@@ -138,6 +144,19 @@
         self.run_engine(|engine, out| engine.hosts(now, kind, entries, out));
     }
 
+    /// One line for news of the host list: how many entries in which state, and the changed hosts by name.
+    fn log_list(&mut self, now: Micros, kind: ListKind, hosts: &[bus::Host]) {
+        let number = |condition| hosts.iter().filter(|h| h.entry.condition == condition).count();
+        let (up, draining) = (number(Condition::Up), number(Condition::Draining));
+        let gone = number(Condition::Gone);
+        let named = if kind == ListKind::Delta { &hosts[..hosts.len().min(MOST_NAMED)] } else { &[] };
+        let names: Vec<String> =
+            named.iter().map(|h| format!("{}={:?}", h.entry.worker.0, h.entry.condition)).collect();
+        let text =
+            format_args!("host list {kind:?} up={up} draining={draining} gone={gone} {}", names.join(" "));
+        self.log.line(now, text);
+    }
+
     /// Hears the other activators of the tier as long as the module tells them anything.
     pub(super) fn attend_peers(&mut self) {
         let wanted = self.engine.tells().then(|| self.config.peers.clone());
--- a/node/src/node/operators.rs
+++ b/node/src/node/operators.rs
@@ -30,6 +30,7 @@
     pub(super) fn operate(&mut self, now: Micros, call: control::Call) -> Response {
         match call {
             control::Call::Status => self.status(now),
+            control::Call::Metrics => self.show_metrics(),
             control::Call::Rollout(call) => self.operate_rollout(now, call),
             control::Call::Admission(call) => self.operate_admission(now, call),
             control::Call::Drafts => match &self.drafting {
--- /dev/null
+++ b/node/src/node/request_log.rs
@@ -0,0 +1,131 @@
+//! What became of requests, for logs and metrics: a line for each attempt after a request's first and for each request
+//! that was not served, with the client's id, so that a record of a client can be followed here.
+
+use super::*;
+use crate::metrics::{ReasonLabels, RequestLabels};
+
+/// The attempts of a request so far.
+#[derive(Default)]
+pub(super) struct Attempts {
+    count: u32,
+    /// When the first was sent.
+    first_sent: Micros,
+    /// Where the last was sent, and how it ended if it has.
+    last: Option<(WorkerId, Option<Outcome>)>,
+}
+
+impl Node {
+    /// An attempt is about to be sent.
+    pub(super) fn log_attempt(&mut self, now: Micros, attempt: AttemptId, host: &WorkerId) {
+        self.metrics.attempts.inc();
+        let Some(pending) = self.pending.get_mut(&attempt.ticket) else { return };
+        let attempts = &mut pending.attempts;
+        attempts.count += 1;
+        if attempts.count == 1 {
+            attempts.first_sent = now;
+        }
+        let Some((before, end)) = attempts.last.replace((host.clone(), None)) else { return };
+        let reason = end.map_or("open", outcome_code);
+        self.metrics.retries.get_or_create(&ReasonLabels { reason }).inc();
+        let (id, class) = (&pending.call.id, &pending.call.class);
+        let (count, since) = (attempts.count, milliseconds(now - attempts.first_sent));
+        let text = format_args!(
+            "request {id} class={class} attempt={count} host={} after={reason} at={} since_first_ms={since}",
+            host.0, before.0
+        );
+        self.log.request(now, text);
+    }
+
+    /// An attempt has ended like this.
+    pub(super) fn log_attempt_end(&mut self, attempt: AttemptId, outcome: Outcome) {
+        if outcome != Outcome::Done {
+            let reason = outcome_code(outcome);
+            self.metrics.failed_attempts.get_or_create(&ReasonLabels { reason }).inc();
+        }
+        let pending = self.pending.get_mut(&attempt.ticket);
+        if let Some((_, end)) = pending.and_then(|p| p.attempts.last.as_mut()) {
+            *end = Some(outcome);
+        }
+    }
+
+    /// A request has its final answer.
+    pub(super) fn log_answer(&mut self, now: Micros, pending: &Pending, reply: &Reply) {
+        let outcome = match reply {
+            Reply::Served(_) => "served",
+            Reply::Refused(_) => "refused",
+            Reply::Failed => "failed",
+            Reply::TimedOut => "timed_out",
+            Reply::TurnedAway(_) => "turned_away",
+        };
+        self.log_request_end(now, pending, outcome);
+    }
+
+    /// A request's client has gone: nothing is owed any more.
+    pub(super) fn log_client_left(&mut self, now: Micros, pending: &Pending) {
+        self.log_request_end(now, pending, "client_left");
+    }
+
+    fn log_request_end(&mut self, now: Micros, pending: &Pending, outcome: &'static str) {
+        let class = pending.call.class.clone();
+        self.metrics.requests.get_or_create(&RequestLabels { class, outcome }).inc();
+        if outcome == "served" {
+            return;
+        }
+        let (id, class, count) = (&pending.call.id, &pending.call.class, pending.attempts.count);
+        let (host, end) = match &pending.attempts.last {
+            None => ("-", "-"),
+            Some((host, end)) => (&*host.0, end.map_or("open", outcome_code)),
+        };
+        let after = milliseconds(now - pending.arrived);
+        let text = format_args!(
+            "request {id} class={class} ended={outcome} attempts={count} last={end} at={host} after_ms={after}"
+        );
+        self.log.request(now, text);
+    }
+
+    /// Looks whether the wall clock was stepped since the last look.
+    pub(super) fn look_for_clock_step(&mut self, now: Micros) {
+        let Some(step) = self.clock_steps.look() else { return };
+        self.metrics.clock_steps.inc_by(self.clock_steps.count() - self.metrics.clock_steps.get());
+        self.metrics.clock_stepped.set(seconds(self.clock_steps.total()));
+        self.log.line(now, format_args!("the wall clock was stepped by {:+.3} s", seconds(step)));
+    }
+
+    /// The page of metrics.
+    pub(super) fn show_metrics(&self) -> Response {
+        self.metrics.open_requests.set(self.engine.open() as i64);
+        for (reason, count) in self.log.ended_by_reason() {
+            let ended = self.metrics.connections_ended.get_or_create_owned(&ReasonLabels { reason });
+            ended.inc_by(count - ended.get());
+        }
+        Response::text(
+            200,
+            "application/openmetrics-text; version=1.0.0; charset=utf-8",
+            self.metrics.encode(),
+        )
+    }
+}
+
+/// The word of an outcome in logs and metrics.
+fn outcome_code(outcome: Outcome) -> &'static str {
+    match outcome {
+        Outcome::Done => "done",
+        Outcome::Error => "error",
+        Outcome::Full => "full",
+        Outcome::TimedOut => "timed_out",
+        Outcome::ConnectFailed => "connect_failed",
+        Outcome::Reset => "reset",
+        Outcome::Cancelled => "cancelled",
+        Outcome::NotSent => "not_sent",
+        Outcome::NoConnection => "no_connection",
+        Outcome::Miss => "miss",
+    }
+}
+
+fn milliseconds(time: Micros) -> Micros {
+    time / 1000
+}
+
+fn seconds(time: Micros) -> f64 {
+    time as f64 / 1e6
+}
--- a/node/src/node/requests.rs
+++ b/node/src/node/requests.rs
@@ -189,8 +189,18 @@
         };
         let class = new.class;
         let by = Version::Old;
-        let mut pending =
-            Pending { call, origin, answer: None, new, arrived: now, by, owner, asking, passed: None };
+        let mut pending = Pending {
+            call,
+            origin,
+            answer: None,
+            new,
+            arrived: now,
+            attempts: Attempts::default(),
+            by,
+            owner,
+            asking,
+            passed: None,
+        };
         let ticket = match self.pass(now, &pending, incoming.placed.as_ref(), &incoming.advice) {
             Some(ticket) => {
                 pending.by = Version::New;
@@ -237,6 +247,7 @@
         self.turn_over(ticket);
         if let Some(pending) = self.pending.remove(&ticket) {
             self.release(now, &pending, false);
+            self.log_client_left(now, &pending);
             self.ids.remove(&pending.call.id);
         }
         if !self.passed_left(ticket) {
@@ -271,6 +282,7 @@
         };
         self.release(now, &pending, matches!(reply, Reply::Served(_)));
         self.count(now, &pending, &reply);
+        self.log_answer(now, &pending, &reply);
         match (&mut self.side, &pending.origin, found) {
             (Side::Operator { front, .. }, Origin::Invoke(origin), Some(found)) => {
                 front.reply_found(now, origin, reply, found, &mut self.log)
@@ -300,6 +312,7 @@
         let now = self.clock.now();
         match notice {
             hosts::Notice::Attempt { attempt, end, body, fields } => {
+                self.log_attempt_end(attempt, end.outcome);
                 self.drafted(now, attempt, &end, &fields);
                 self.turn_ended(now, attempt, &end, &fields);
                 if let Some(pending) = self.pending.get_mut(&attempt.ticket) {
--- a/node/src/node/rollout/candidate.rs
+++ b/node/src/node/rollout/candidate.rs
@@ -103,6 +103,7 @@
         let origin = Origin::Peer(seq);
         let (by, owner) = (Version::New, Owner::Others);
         let pending = Pending {
+            attempts: Attempts::default(),
             call,
             origin,
             answer: None,
--- /dev/null
+++ b/node/tests/request_log.rs
@@ -0,0 +1,37 @@
+//! What the log and the metrics tell of requests: enough to follow one from its client's id to why it ended.
+
+mod common;
+
+use std::io::Write;
+
+use common::*;
+
+/// A keyed call that a host breaks off and another host serves, and one for which there is no host.
+#[test]
+fn repeats_and_failures_are_told_with_id_reason_and_time() {
+    let host = Host::warm();
+    host.ways.lock().unwrap().does = Does::HangUp;
+    let mut p = platform(&[&host]);
+    let mut client = p.program.connect();
+    client.write_all(&call_frame(7, "send-mail", 4000, b"")).unwrap();
+    read_frame(&mut client).unwrap();
+    client.write_all(&call_frame(8, "save-answers", 400, b"")).unwrap();
+    read_frame(&mut client).unwrap();
+
+    let logged = |part: &str| wait_for(part, || p.program.logged(part) > 0);
+    logged("request 0000000000000007 class=send-mail ended=failed attempts=1 last=reset at=s-00000000");
+    logged("request 0000000000000008 class=save-answers attempt=2 host=s-00000000 after=reset at=s-00000000");
+    p.feed.write_all(&event(2, false, &[(0, host.address, 1)])).unwrap();
+    logged("host list Delta up=0 draining=1 gone=0 s-00000000=Draining");
+
+    let page = p.program.fetch("/metrics");
+    for line in [
+        "wheellink_requests_total{class=\"send-mail\",outcome=\"failed\"} 1",
+        "wheellink_retries_total{reason=\"reset\"} 1",
+        "wheellink_connections_ended_total{reason=\"peer_reset\"} 3",
+        "wheellink_clock_steps_total 0",
+        "wheellink_open_requests 0",
+    ] {
+        assert!(page.contains(line), "{line} is not in:\n{page}");
+    }
+}
