--- a/crates/lab/src/host.rs
+++ b/crates/lab/src/host.rs
@@ -95,6 +95,12 @@
         self.seen.lock().unwrap().calls.len()
     }
 
+    /// Ends all connections to it.
+    pub fn hang_up(&self) {
+        let seen = self.seen.lock().unwrap();
+        seen.connections.iter().for_each(|stream| drop(stream.shutdown(std::net::Shutdown::Both)));
+    }
+
     /// Connections that were ever made to it.
     pub fn connections(&self) -> usize {
         self.seen.lock().unwrap().connections.len()
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod scenario;
 pub mod site;
 pub mod tamper;
+pub mod wall_clock;
 
 use std::thread::sleep;
 use std::time::{Duration, Instant};
--- a/crates/lab/src/program.rs
+++ b/crates/lab/src/program.rs
@@ -12,6 +12,7 @@
 use rustix::process::{kill_process, prlimit, Pid, Resource, Rlimit, Signal};
 
 use crate::http::{read_reply, request, Reply};
+use crate::wall_clock::WallClock;
 use crate::{ms, wait_for, LONG};
 
 /// Lines of a process's log that are kept, the newest; a program that says more than that in a test is broken.
@@ -57,6 +58,12 @@
         self
     }
 
+    /// With this wall clock in place of the system's.
+    pub fn wall_clock(mut self, clock: &'a WallClock) -> Self {
+        self.env.extend(clock.environment());
+        self
+    }
+
     /// With so many descriptors, whatever its configuration says.
     pub fn descriptors(mut self, most: u32) -> Self {
         self.descriptors = Some(most);
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -14,6 +14,7 @@
 
 use wheellink_lab::program::Start;
 pub use wheellink_lab::program::{meeting_place, shared_folder};
+pub use wheellink_lab::wall_clock::WallClock;
 pub use wheellink_lab::{bus::*, host::*, http::*, resolver::*};
 pub use wheellink_lab::{ms, wait_for, LONG};
 
@@ -48,6 +49,11 @@
         Self::start_with("WHEELLINK_FAULTS", faults, text, operator)
     }
 
+    /// With a wall clock that the test may step.
+    pub fn start_with_clock(clock: &WallClock, text: &str) -> Self {
+        Self::run(Start::new(Path::new(PROGRAM), text, false).wall_clock(clock))
+    }
+
     /// With this in its environment besides.
     pub fn start_with(name: &str, value: &str, text: &str, operator: bool) -> Self {
         Self::run(Start::new(Path::new(PROGRAM), text, operator).env(name, value))
--- /dev/null
+++ b/node/tests/wall_clock.rs
@@ -0,0 +1,119 @@
+//! The machine's wall clock is stepped under a running activator, by seconds and by an hour, forward and back: windows,
+//! deadlines, rations and starts of hosts are spans of real time. Real processes over loopback, one test a rule.
+
+mod common;
+
+use std::io::Write;
+use std::thread::{scope, sleep};
+use std::time::{Duration, Instant};
+
+use common::*;
+
+const SERVED: u8 = 79;
+const FAILED: u8 = 69;
+/// Steps of the wall clock in seconds; none is the control.
+const STEPS: [f64; 7] = [0.0, -3.0, -20.0, -3600.0, 3.0, 20.0, 3600.0];
+/// A step shows within this: the activator looks at its clock as often as 50 ms.
+const NOTICED: Duration = Duration::from_millis(120);
+
+/// An activator on a machine with a wall clock of its own.
+struct Machine {
+    clock: WallClock,
+    program: Program,
+}
+
+impl Machine {
+    /// It knows these hosts from its start, when its clock was off by so many seconds.
+    fn start(offset: f64, hosts: &[&Host], edit: impl Fn(String) -> String) -> Self {
+        let clock = WallClock::offset_by(offset);
+        let bus = Bus::start();
+        let program = Program::start_with_clock(&clock, &edit(config(bus.address, hosts)));
+        let (_, feed) = bus.greeted();
+        puppet::keep_up(&feed);
+        Self { clock, program }
+    }
+}
+
+/// Runs this for each step at once, as most of the time is spent waiting.
+fn for_each_step(test: impl Fn(f64) + Sync) {
+    scope(|threads| {
+        let test = &test;
+        let running: Vec<_> = STEPS.map(|step| (step, threads.spawn(move || test(step)))).into();
+        let failed = running.into_iter().filter_map(|(step, thread)| thread.join().err().map(|_| step));
+        let failed: Vec<f64> = failed.collect();
+        assert!(failed.is_empty(), "fails where the wall clock is stepped by {failed:?} s");
+    });
+}
+
+/// A keyed call whose host breaks off when the window is over is not sent again; within the window it is.
+#[test]
+fn a_keyed_call_is_repeated_within_its_window_only() {
+    const WINDOW: Duration = Duration::from_millis(1000);
+    let repeats = |step: f64, breaks_after: Duration| {
+        let host = Host::start(Ways { does: Does::Nothing, work: ms(1), load: None });
+        let short = |text: String| text.replace("\"WindowUs\":8000000", "\"WindowUs\":1000000");
+        let machine = Machine::start(0.0, &[&host], short);
+        let mut client = machine.program.connect();
+        client.write_all(&call_frame(1, "save-answers", 2500, b"")).unwrap();
+        wait_for("the call", || host.calls() == 1);
+        let sent = Instant::now();
+        machine.clock.set(step);
+        sleep(breaks_after.saturating_sub(sent.elapsed()));
+        host.ways.lock().unwrap().does = Does::Answer("200");
+        host.hang_up();
+        let answer = read_frame(&mut client).expect("an answer");
+        (host.calls() - 1, answer.code)
+    };
+    for_each_step(|step| {
+        assert_eq!(repeats(step, WINDOW + ms(300)), (0, FAILED), "repeated outside the window");
+        assert_eq!(repeats(step, NOTICED), (1, SERVED), "not repeated within the window");
+    });
+}
+
+/// A call to a silent host is answered before its client gives up, and not long before.
+#[test]
+fn deadlines_are_spans_of_real_time() {
+    const TIMEOUT: u64 = 1500;
+    for_each_step(|step| {
+        let host = Host::start(Ways { does: Does::Nothing, work: ms(1), load: None });
+        let machine = Machine::start(0.0, &[&host], |text| text);
+        let mut client = machine.program.connect();
+        client.set_read_timeout(Some(ms(TIMEOUT + 500))).unwrap();
+        let sent = Instant::now();
+        client.write_all(&call_frame(1, "send-mail", TIMEOUT as u32, b"")).unwrap();
+        wait_for("the call", || host.calls() == 1);
+        machine.clock.set(step);
+        let answer = read_frame(&mut client).expect("an answer");
+        assert_eq!(answer.code, FAILED);
+        let after = sent.elapsed();
+        assert!(after > ms(TIMEOUT / 2), "answered after {after:?}, long before the client gives up");
+    });
+}
+
+/// Orders to load stay within their ration of the last ten seconds, also when the clock is stepped again and again.
+#[test]
+fn the_ration_of_loads_is_counted_in_real_time() {
+    const CALLS: u32 = 30;
+    const CALLS_BETWEEN_STEPS: u32 = 10;
+    /// By the settings: two, and a fifth of the calls taken.
+    const RATION: usize = 2 + CALLS as usize / 5;
+    for_each_step(|step| {
+        let host = Host::start(Ways { does: Does::Answer("200"), work: ms(1), load: Some(ms(1)) });
+        let machine = Machine::start(0.0, &[&host], |text| text);
+        let mut client = machine.program.connect();
+        for n in 1..=CALLS {
+            if n % CALLS_BETWEEN_STEPS == 0 {
+                sleep(NOTICED);
+                machine.clock.set(step * f64::from(n / CALLS_BETWEEN_STEPS));
+                sleep(NOTICED);
+            }
+            let (id, function) = (format!("{n:016x}"), format!("{n:016x}"));
+            let frame = whole_call_frame(n, [&id, "check-score", "5c0f6e1a", &function], 800, b"");
+            client.write_all(&frame).unwrap();
+        }
+        (0..CALLS).for_each(|_| drop(read_frame(&mut client).expect("an answer")));
+        let orders = host.seen.lock().unwrap().orders.len();
+        assert!(orders <= RATION, "{orders} orders to load, {RATION} are allowed");
+        assert!(orders > RATION / 2, "{orders} orders to load, so that the ration was never met");
+    });
+}
