The program's time runs by the monotonic clock; starts of hosts are held against it

A clock set back stood still until it had caught up, so windows never ended, deadlines never came and rations counted many seconds as ten; one set forward ended all of them at once. The class: spans of time measured on a clock that is set.

Now the wall clock is read once, at the start, and time runs by the monotonic clock (std::time::Instant). Related paths of the same class: - a process that takes another's place was handed times (ration, cold sends, due times) by the other's wall clock; it is handed the base of its time as well and goes on by that; - starts of hosts come as Unix milliseconds, and a process that began by a wrong wall clock took a host that had just started for old, which frees it from its slow start. A start is turned into the program's time once, when it is told; it is never in the future, and one that is news is never older than the list could have held it back (hosts/starts.rs).

Ruled out: how the window is read (without a step it was kept), the group of hosts, restarts, stopped processes (docs/incidents).

--- a/node/src/bus.rs
+++ b/node/src/bus.rs
@@ -140,6 +140,8 @@
     /// When the connection came to stand, and whether all was told on it: it says so once a second.
     stood: Micros,
     told: bool,
+    /// When it last said that there is nothing new.
+    whole_at: Option<Micros>,
     /// The event that another process had read when this one began.
     wanted: u64,
     retry_at: Micros,
@@ -182,6 +184,7 @@
             partial: None,
             stood: 0,
             told: false,
+            whole_at: None,
             wanted: 0,
             retry_at: 0,
             pause: FIRST_PAUSE,
@@ -218,6 +221,11 @@
         self.catching_up.is_none() && self.last >= self.wanted && (self.told || quiet)
     }
 
+    /// When the list was last known to be as new as the bus.
+    pub fn whole_at(&self) -> Option<Micros> {
+        self.whole_at
+    }
+
     /// Where it is read, and how far.
     pub fn place(&self) -> (SocketAddr, u64) {
         (self.address, self.last)
@@ -232,10 +240,13 @@
 
     /// It has nothing new. After a gap the list is then as new as the bus has it, also where the event after the gap
     /// never comes: the news to tell, if any.
-    pub fn told_all(&mut self) -> Option<(ListKind, Vec<Host>)> {
+    pub fn told_all(&mut self, now: Micros) -> Option<(ListKind, Vec<Host>)> {
         self.told = true;
         let last = self.last;
         let whole = self.catching_up.take_if(|c| !c.list.is_empty() && last >= c.known);
+        if whole.is_none() && self.catching_up.is_none() {
+            self.whole_at = Some(now);
+        }
         whole.map(|mut caught_up| (ListKind::Full, caught_up.take_list()))
     }
 
--- a/node/src/clock.rs
+++ b/node/src/clock.rs
@@ -1,43 +1,103 @@
-//! The system's Unix clock, in microseconds, made to never run backwards.
+//! The program's time: microseconds by the monotonic clock, which nobody sets.
+//!
+//! Deadlines, windows, waits and graces are spans of real time, so the machine's wall clock must not be part of them: it
+//! may be stepped, forward or back, by seconds or by an hour. It is read once, when the clock is made, so that times
+//! in the log can be laid beside others', and never again. A process that takes another's place goes on with the other's
+//! time, since it is handed times by it.
 
 pub mod steps;
 
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
+use rustix::time::{clock_gettime, ClockId};
+use serde::{Deserialize, Serialize};
 use wheellink::Micros;
 
-#[derive(Default)]
+/// Two readings no further apart than this count as made at the same time.
+const AT_ONCE: Micros = 200;
+/// A machine on which no two readings are that close is not waited for any longer.
+const MOST_READINGS: u32 = 100;
+
+/// What another process on the same machine needs to go by this one's time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TimeBase {
+    /// The program's time less the machine's monotonic clock, in microseconds.
+    difference: Micros,
+}
+
+/// See the module's page.
 pub struct Clock {
-    last: Micros,
-    held: bool,
+    origin: Instant,
+    /// The time at `origin`.
+    began: Micros,
+    /// While it is held, what it stands at.
+    held: Option<Micros>,
+}
+
+impl Default for Clock {
+    /// Begins at what the wall clock says.
+    fn default() -> Self {
+        let origin = Instant::now();
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Self { origin, began: unix.as_micros() as Micros, held: None }
+    }
 }
 
 impl Clock {
-    /// Now. A clock that was set back stands still until it has caught up: the rules count on its time, and
-    /// the module on its order.
-    pub fn now(&mut self) -> Micros {
-        if self.held {
-            return self.last;
-        }
-        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        self.last = self.last.max(since.as_micros() as Micros);
-        self.last
+    /// Goes on with the time of another process of this machine.
+    pub fn from_base(base: TimeBase) -> Self {
+        let (origin, monotonic) = at_once(Instant::now);
+        Self { origin, began: base.difference + monotonic, held: None }
+    }
+
+    /// What another process of this machine goes on by.
+    pub fn base(&self) -> TimeBase {
+        let (time, monotonic) = at_once(|| self.running());
+        TimeBase { difference: time - monotonic }
+    }
+
+    /// Now.
+    pub fn now(&self) -> Micros {
+        self.held.unwrap_or_else(|| self.running())
+    }
+
+    /// Now, also while the clock is held.
+    pub fn running(&self) -> Micros {
+        self.began + self.origin.elapsed().as_micros() as Micros
     }
 
     /// Now, and for all who ask until [`Clock::release`]: whatever is found to be due is due by one time, from before
     /// what has come was looked at, however long that took.
     pub fn hold(&mut self) -> Micros {
-        self.release();
-        let now = self.now();
-        self.held = true;
+        let now = self.running();
+        self.held = Some(now);
         now
     }
 
     /// It goes on.
     pub fn release(&mut self) {
-        self.held = false;
+        self.held = None;
     }
 }
 
+/// Reads a clock and the machine's monotonic one at the same time: read anew where the process was held up between them.
+fn at_once<T>(read: impl Fn() -> T) -> (T, Micros) {
+    let mut tries = 0;
+    loop {
+        let before = monotonic();
+        let value = read();
+        tries += 1;
+        if monotonic() - before <= AT_ONCE || tries == MOST_READINGS {
+            return (value, before);
+        }
+    }
+}
+
+/// The machine's monotonic clock, the one behind [`Instant`], in microseconds.
+fn monotonic() -> Micros {
+    let now = clock_gettime(ClockId::Monotonic);
+    now.tv_sec * 1_000_000 + now.tv_nsec / 1000
+}
+
 #[cfg(test)]
 mod tests;
--- a/node/src/clock/tests.rs
+++ b/node/src/clock/tests.rs
@@ -15,3 +15,14 @@
     clock.release();
     assert!(clock.now() > again);
 }
+
+#[test]
+fn two_clocks_of_one_base_show_one_time() {
+    let first = Clock::default();
+    std::thread::sleep(Duration::from_millis(2));
+    let second = Clock::from_base(first.base());
+    let (before, between, after) = (first.now(), second.now(), first.now());
+    // Each base is as exact as its two readings.
+    let exact = 2 * AT_ONCE;
+    assert!(before - exact <= between && between <= after + exact, "{before} {between} {after}");
+}
--- a/node/src/hosts.rs
+++ b/node/src/hosts.rs
@@ -4,5 +4,7 @@
 pub mod lines;
 mod pool;
 mod quiet;
+mod starts;
 
 pub use pool::{Call, Hosts, Notice};
+pub use starts::Starts;
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -41,7 +41,7 @@
 use crate::front::platform::frames::Request;
 use crate::front::platform::{self, Platform};
 use crate::front::Reply;
-use crate::hosts::{self, Call, Hosts};
+use crate::hosts::{self, Call, Hosts, Starts};
 use crate::http::Response;
 use crate::ipc::more::Said;
 use crate::listener::{self, Listener};
@@ -172,6 +172,7 @@
     ids: HashSet<Rc<str>>,
     side: Side,
     hosts: Hosts,
+    host_starts: Starts,
     peers: Option<Peers>,
     membership: Option<Membership>,
     drafting: Option<Box<Drafting>>,
@@ -254,7 +255,8 @@
                 }
             }
         };
-        let mut clock = Clock::default();
+        let base = state.as_ref().and_then(|state| state.clock);
+        let clock = base.map_or_else(Clock::default, Clock::from_base);
         let begun = clock.now();
         let patience = startup::CATCH_UP.min(startup::LATEST.saturating_sub(began.elapsed()));
         let mut node = Self {
@@ -278,6 +280,7 @@
             ids: HashSet::new(),
             side,
             hosts: Hosts::new(handle.clone(), transport, (most, share)),
+            host_starts: Starts::default(),
             peers: None,
             membership: None,
             drafting: None,
--- a/node/src/node/life.rs
+++ b/node/src/node/life.rs
@@ -140,6 +140,7 @@
             out: self.by_hand.iter().map(|h| h.0.to_string()).collect(),
             standby: self.standby,
             admission: self.admission.state(self.tallied),
+            clock: Some(self.clock.base()),
             bus: match &self.side {
                 Side::Platform(_, bus) => Some(bus.place()),
                 Side::Operator { .. } => None,
--- a/node/src/node/news.rs
+++ b/node/src/node/news.rs
@@ -84,7 +84,7 @@
         };
         bus.heard(now);
         let Frame::Event(event) = frame else {
-            if let Some((kind, hosts)) = bus.told_all() {
+            if let Some((kind, hosts)) = bus.told_all(now) {
                 self.list(kind, hosts);
             }
             return Ok(true);
@@ -125,6 +125,8 @@
 
     /// News of the host list. The pool is told first: the engine may send at once.
     pub(super) fn list(&mut self, kind: ListKind, mut hosts: Vec<bus::Host>) {
+        let now = self.clock.now();
+        self.take_starts(now, &mut hosts);
         // The bus may tell of a new host before it tells that the one before it at its address has gone. DNS-SD may
         // have two names for one address.
         if kind == ListKind::Delta && matches!(self.side, Side::Platform(..)) {
@@ -133,7 +135,6 @@
         if kind == ListKind::Delta && hosts.is_empty() {
             return;
         }
-        let now = self.clock.now();
         self.log_list(now, kind, &hosts);
         self.hosts.list(now, kind, &hosts, &mut self.log);
         // The engine may send to them at once: clients beyond their part make room before.
@@ -144,6 +145,21 @@
         self.run_engine(|engine, out| engine.hosts(now, kind, entries, out));
     }
 
+    /// Has hosts have started by this program's time, not by the one that the list's source goes by.
+    fn take_starts(&mut self, now: Micros, hosts: &mut [bus::Host]) {
+        let whole = match &self.side {
+            Side::Platform(_, bus) => bus.whole_at(),
+            Side::Operator { .. } => None,
+        };
+        let before = self.host_starts.correction();
+        self.host_starts.translate(now, whole, hosts.iter_mut().map(|h| &mut h.entry));
+        let correction = self.host_starts.correction();
+        if correction != before {
+            let ahead = correction as f64 / 1e6;
+            self.log.line(now, format_args!("starts of hosts show that the clock was {ahead:.3} s ahead"));
+        }
+    }
+
     /// One line for news of the host list: how many entries in which state, and the changed hosts by name.
     fn log_list(&mut self, now: Micros, kind: ListKind, hosts: &[bus::Host]) {
         let number = |condition| hosts.iter().filter(|h| h.entry.condition == condition).count();
--- a/node/src/upgrade.rs
+++ b/node/src/upgrade.rs
@@ -29,6 +29,7 @@
 use wheellink_admission::State as Learnt;
 use wheellink_rollout::ClassTerms;
 
+use crate::clock::TimeBase;
 use crate::conn::ConnId;
 use crate::control::AdmissionCall;
 use crate::descriptors::GUESTS;
@@ -90,8 +91,8 @@
         clients: usize,
         ration: Ration,
     },
-    /// Holder of a rollout to its candidate: the client of a passed call ended its side of the connection then, in
-    /// Unix microseconds. Versions that do not know this decide the call as if it had not.
+    /// Holder of a rollout to its candidate: the client of a passed call ended its side of the connection then, by the
+    /// time that both go by. Versions that do not know this decide the call as if it had not.
     HalfClosed {
         seq: u64,
         since: Micros,
@@ -140,6 +141,9 @@
     pub served: f64,
     /// Attempts sent to cold hosts lately: host, when.
     pub sends: Vec<(String, Vec<Micros>)>,
+    /// What all times told are by. Versions of before went by the wall clock and do not tell it.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub clock: Option<TimeBase>,
     /// What is known of addresses.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub admission: Option<Learnt>,
