--- a/node/tests/common/puppet.rs
+++ b/node/tests/common/puppet.rs
@@ -106,10 +106,21 @@
 /// A command as it came.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Said {
-    Call { id: String, body: String },
-    Kill { id: String },
-    Order { tag: String },
-    Probe { tag: String },
+    /// With the time that it says is left, in milliseconds.
+    Call {
+        id: String,
+        limit: u64,
+        body: String,
+    },
+    Kill {
+        id: String,
+    },
+    Order {
+        tag: String,
+    },
+    Probe {
+        tag: String,
+    },
     Other(String),
 }
 
@@ -191,7 +202,9 @@
                 let mut body = vec![0; words[3].parse::<usize>().unwrap() + 2];
                 self.lines.read_exact(&mut body).ok()?;
                 body.truncate(body.len() - 2);
-                Said::Call { id: words[1].into(), body: String::from_utf8_lossy(&body).into() }
+                let limit = words[2].split(',').find_map(|f| f.strip_prefix("limit=")?.parse().ok());
+                let body = String::from_utf8_lossy(&body).into();
+                Said::Call { id: words[1].into(), limit: limit.expect("a limit"), body }
             }
             "KILL" => Said::Kill { id: words[1].into() },
             "SPAWN" => Said::Order { tag: words[1].into() },
