A call leaves within its window and with what is left of its time, or not at all

Cause, src/rules.rs and node/src/hosts/pool/sending.rs: whether a keyed call may be repeated was looked at when it was decided, and its limit was written then as well; the call then waited for a connection, up to the connect time limit, or moved to another one. Send carries a time by which it must leave now, from the module through the engine to the pool, and the limit is written when the call leaves; what is too late is never sent. A process that was held up between decision and send looks at the running clock as well.

Two tests more of stepped clocks: a process that takes another's place, and the slow start of a host.

--- a/node/src/hosts.rs
+++ b/node/src/hosts.rs
@@ -6,5 +6,5 @@
 mod quiet;
 mod starts;
 
-pub use pool::{Call, Hosts, Notice};
+pub use pool::{Call, CallTimes, Hosts, Notice};
 pub use starts::Starts;
--- a/node/src/hosts/lines.rs
+++ b/node/src/hosts/lines.rs
@@ -1,7 +1,5 @@
 //! The lines codec: commands to a script host and its answers. Pure: bytes in, values out.
 
-use std::fmt::Write;
-
 use wheellink::engine::AttemptEnd;
 use wheellink::{Found, LoadReport, Outcome};
 
@@ -21,25 +19,31 @@
         && text.chars().all(|c| !c.is_whitespace() && !c.is_control() && c != ',' && c != '=')
 }
 
-/// A request. `limit` is how long it will be waited for, in milliseconds. `more` are further fields, a comma before
-/// each.
-pub fn call(
-    id: &str,
-    (class, function): (&str, &str),
-    limit: i64,
-    key: Option<&str>,
-    more: &str,
-    body: &[u8],
-) -> Vec<u8> {
-    let mut line = format!("FN {id} cls={class},item={function},limit={limit}");
-    if let Some(key) = key {
-        write!(line, ",nonce={key}").expect("writing to a string cannot fail");
+/// A request but for how long it will be waited for, which is known when it leaves.
+pub struct CallLine {
+    before_limit: String,
+    after_limit: Vec<u8>,
+}
+
+impl CallLine {
+    /// `more` are further fields, a comma before each.
+    pub fn new(
+        id: &str,
+        (class, function): (&str, &str),
+        key: Option<&str>,
+        more: &str,
+        body: &[u8],
+    ) -> Self {
+        let before_limit = format!("FN {id} cls={class},item={function},limit=");
+        let key = key.map_or(String::new(), |key| format!(",nonce={key}"));
+        let after_limit = [format!("{key}{more} {}\r\n", body.len()).as_bytes(), body, b"\r\n"].concat();
+        Self { before_limit, after_limit }
+    }
+
+    /// The whole request, to be waited for so many milliseconds.
+    pub fn bytes(&self, limit: i64) -> Vec<u8> {
+        [self.before_limit.as_bytes(), limit.to_string().as_bytes(), &self.after_limit].concat()
     }
-    write!(line, "{more} {}\r\n", body.len()).expect("writing to a string cannot fail");
-    let mut bytes = line.into_bytes();
-    bytes.extend_from_slice(body);
-    bytes.extend_from_slice(b"\r\n");
-    bytes
 }
 
 /// The blocks of a turn's prefix, as a field.
--- a/node/src/hosts/lines/tests.rs
+++ b/node/src/hosts/lines/tests.rs
@@ -11,12 +11,15 @@
 
 #[test]
 fn commands_have_the_documented_form() {
-    let bytes = call("9b1f", ("save-answers", "7f3a"), 1500, Some("k1"), "", b"a\r\nb");
+    let bytes = CallLine::new("9b1f", ("save-answers", "7f3a"), Some("k1"), "", b"a\r\nb").bytes(1500);
     assert_eq!(bytes, b"FN 9b1f cls=save-answers,item=7f3a,limit=1500,nonce=k1 4\r\na\r\nb\r\n");
-    assert_eq!(call("1", ("c", "f"), 9, None, "", b""), b"FN 1 cls=c,item=f,limit=9 0\r\n\r\n");
-    let drafted = call("1", ("c", "f"), 9, None, ",draft=1:4", b"");
+    assert_eq!(
+        CallLine::new("1", ("c", "f"), None, "", b"").bytes(9),
+        b"FN 1 cls=c,item=f,limit=9 0\r\n\r\n"
+    );
+    let drafted = CallLine::new("1", ("c", "f"), None, ",draft=1:4", b"").bytes(9);
     assert_eq!(drafted, b"FN 1 cls=c,item=f,limit=9,draft=1:4 0\r\n\r\n");
-    let turn = call("1", ("c", "f"), 9, Some("k"), &blocks(&[0xab, 1]), b"");
+    let turn = CallLine::new("1", ("c", "f"), Some("k"), &blocks(&[0xab, 1]), b"").bytes(9);
     assert_eq!(turn, b"FN 1 cls=c,item=f,limit=9,nonce=k,blocks=ab;1 0\r\n\r\n");
     assert_eq!(spawn("o7", "7f3a", 2), b"SPAWN o7 item=7f3a,copies=2\r\n");
     let plain = [kill("9b1f"), reap("7f3a"), helo("p1")].concat();
--- a/node/src/hosts/pool.rs
+++ b/node/src/hosts/pool.rs
@@ -18,6 +18,7 @@
 use wheellink::{Condition, FunctionId, ListEntry, ListKind, Micros, Outcome, WorkerId};
 use wheellink_settings::Transport;
 
+pub use connection::CallTimes;
 use connection::{HostConn, Item};
 
 use super::idling::Idling;
--- a/node/src/hosts/pool/connection.rs
+++ b/node/src/hosts/pool/connection.rs
@@ -1,5 +1,6 @@
 //! One connection to a host: what is queued, written and out on it.
 
+use super::lines::CallLine;
 use super::*;
 
 /// A host that takes no bytes for so long while some wait has stopped reading.
@@ -7,11 +8,30 @@
 /// ... and one that takes a command a few bytes at a time holds up all behind it, its KILL among them.
 const TRICKLING: Micros = 4_000_000;
 
+/// Until when a call is worth something.
+#[derive(Clone, Copy)]
+pub struct CallTimes {
+    /// It is over then.
+    pub until: Micros,
+    /// It may not leave after this.
+    pub leave_by: Micros,
+}
+
+impl CallTimes {
+    /// How long a host that gets it now is told that it is waited for, in milliseconds; `None`: it may not leave.
+    pub(super) fn limit(&self, now: Micros) -> Option<i64> {
+        let limit = (self.until - now) / 1000;
+        (now <= self.leave_by && limit > 0).then_some(limit)
+    }
+}
+
 pub(super) enum Item {
     Call {
         attempt: AttemptId,
         id: Rc<str>,
-        bytes: Vec<u8>,
+        line: CallLine,
+        /// When it is over, and after when it may not leave.
+        times: CallTimes,
         /// How often it has been on a connection that ended before it left.
         moves: u32,
     },
--- a/node/src/hosts/pool/sending.rs
+++ b/node/src/hosts/pool/sending.rs
@@ -1,5 +1,6 @@
 //! Commands on their way: which connection they take, when they leave, and how they are taken back.
 
+use super::lines::CallLine;
 use super::*;
 
 /// Ids of given-up attempts that a connection remembers: more than it carries within any deadline.
@@ -21,17 +22,16 @@
         attempt: AttemptId,
         host: &WorkerId,
         (call, more): (&Call, &str),
-        until: Micros,
+        times: CallTimes,
         log: &mut Log,
     ) {
-        let limit = ((until - now) / 1000).max(1);
         let what = (call.class.as_str(), &*call.function.0);
-        let bytes = lines::call(&call.id, what, limit, call.key.as_deref(), more, &call.body);
+        let line = CallLine::new(&call.id, what, call.key.as_deref(), more, &call.body);
         let fits = |c: &HostConn, streams| c.load() < streams && !c.knows(&call.id);
         match self.pick(now, host, fits, log) {
             Some(id) => {
                 self.attempts.insert(attempt, id);
-                let item = Item::Call { attempt, id: call.id.clone(), bytes, moves: 0 };
+                let item = Item::Call { attempt, id: call.id.clone(), line, times, moves: 0 };
                 self.push(now, id, item, log);
             }
             // The bounds of this process say nothing against a host.
@@ -232,14 +232,19 @@
     /// Moves queued commands into the socket, one at a time.
     pub(super) fn pump(&mut self, now: Micros, id: ConnId, log: &mut Log) {
         let Some(c) = self.conns.get_mut(&id).filter(|c| c.standing) else { return };
-        let mut killed = Vec::new();
+        let (mut killed, mut too_late) = (Vec::new(), Vec::new());
         let ended = loop {
             if c.writing.is_none() {
                 let Some(item) = c.queue.pop_front() else { break None };
                 let fits = match &item {
-                    Item::Call { bytes, .. } | Item::Order { bytes, .. } | Item::Plain(bytes) => {
-                        c.conn.outbox.push(bytes)
-                    }
+                    Item::Call { attempt, line, times, .. } => match times.limit(now) {
+                        Some(limit) => c.conn.outbox.push(&line.bytes(limit)),
+                        None => {
+                            too_late.push(*attempt);
+                            continue;
+                        }
+                    },
+                    Item::Order { bytes, .. } | Item::Plain(bytes) => c.conn.outbox.push(bytes),
                     Item::Kill { id, .. } => c.conn.outbox.push(&lines::kill(id)),
                 };
                 debug_assert!(fits, "a command is shorter than the ring");
@@ -282,6 +287,9 @@
                 Some((Item::Plain(_), _)) | None => {}
             }
         };
+        for attempt in too_late {
+            self.end_attempt(attempt, Outcome::NotSent.into());
+        }
         for attempt in killed {
             self.end_attempt(attempt, Outcome::Cancelled.into());
         }
--- a/node/src/hosts/pool/tests.rs
+++ b/node/src/hosts/pool/tests.rs
@@ -88,7 +88,8 @@
             body: vec![b'x'; length].into(),
         };
         let until = self.now + 4 * SECOND;
-        self.hosts.send(self.now, attempt, &self.host.clone(), (&call, ""), until, &mut self.log);
+        let times = CallTimes { until, leave_by: until };
+        self.hosts.send(self.now, attempt, &self.host.clone(), (&call, ""), times, &mut self.log);
         self.note();
         attempt
     }
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -41,7 +41,7 @@
 use crate::front::platform::frames::Request;
 use crate::front::platform::{self, Platform};
 use crate::front::Reply;
-use crate::hosts::{self, Call, Hosts, Starts};
+use crate::hosts::{self, Call, CallTimes, Hosts, Starts};
 use crate::http::Response;
 use crate::ipc::more::Said;
 use crate::listener::{self, Listener};
@@ -516,10 +516,14 @@
             Command::Send { attempt, host, .. } if self.mind_accord() || meet(Faulty::Attempt).is_err() => {
                 self.withheld(now, attempt, host)
             }
-            Command::Send { attempt, host, until } => {
+            // The process was held up since it was decided.
+            Command::Send { attempt, host, leave_by, .. } if self.clock.running() > leave_by => {
+                self.withheld(now, attempt, host)
+            }
+            Command::Send { attempt, host, until, leave_by } => {
                 self.turn_sent(now, attempt, &host);
                 self.log_attempt(now, attempt, &host);
-                self.send(now, attempt, host, until)
+                self.send(now, attempt, host, CallTimes { until, leave_by })
             }
             Command::Cancel { attempt } => {
                 if !self.cancel_told(now, attempt) {
--- a/node/src/node/rollout.rs
+++ b/node/src/node/rollout.rs
@@ -99,7 +99,7 @@
     /// Of a candidate: its calls by the holder's numbers.
     calls: HashMap<u64, Ticket>,
     /// Attempts whose word has not left: by which byte it will have.
-    waiting: VecDeque<(u64, AttemptId, WorkerId, Micros)>,
+    waiting: VecDeque<(u64, AttemptId, WorkerId, CallTimes)>,
     asked: HashMap<OrderId, (WorkerId, FunctionId, u32)>,
     ask_again: Micros,
     /// What the holder counts for the ration of orders.
--- a/node/src/node/rollout/candidate.rs
+++ b/node/src/node/rollout/candidate.rs
@@ -153,7 +153,13 @@
     }
 
     /// Sends an attempt. That of a passed call leaves once the system has taken all of its word.
-    pub(in crate::node) fn send(&mut self, now: Micros, attempt: AttemptId, host: WorkerId, until: Micros) {
+    pub(in crate::node) fn send(
+        &mut self,
+        now: Micros,
+        attempt: AttemptId,
+        host: WorkerId,
+        times: CallTimes,
+    ) {
         let Some(pending) = self.pending.get(&attempt.ticket) else {
             return self.run_engine(|e, out| e.attempt_ended(now, attempt, Outcome::NotSent.into(), out));
         };
@@ -164,7 +170,7 @@
                 Some(by) if self.gradual.waiting.len() < MOST_WAITING => by,
                 _ => return self.never_left(now, attempt),
             };
-            self.gradual.waiting.push_back((left, attempt, host, until));
+            self.gradual.waiting.push_back((left, attempt, host, times));
             return self.send_told(now);
         }
         if self.gradual.role == Role::Holder && self.engine.is_cold(&host) {
@@ -172,7 +178,7 @@
         }
         let more = self.draft_for(attempt, &host) + &self.blocks_of(attempt.ticket);
         if let Some(pending) = self.pending.get(&attempt.ticket) {
-            self.hosts.send(now, attempt, &host, (&pending.call, &more), until, &mut self.log);
+            self.hosts.send(now, attempt, &host, (&pending.call, &more), times, &mut self.log);
         }
     }
 
@@ -195,11 +201,11 @@
     pub(in crate::node) fn send_told(&mut self, now: Micros) {
         let taken = self.upgrade.taken();
         while self.gradual.waiting.front().is_some_and(|(by, ..)| *by <= taken) {
-            let Some((_, attempt, host, until)) = self.gradual.waiting.pop_front() else { return };
+            let Some((_, attempt, host, times)) = self.gradual.waiting.pop_front() else { return };
             match self.pending.get(&attempt.ticket) {
                 Some(pending) => {
                     let more = pending.passed.as_ref().map_or("", |passed| passed.line.as_str());
-                    self.hosts.send(now, attempt, &host, (&pending.call, more), until, &mut self.log)
+                    self.hosts.send(now, attempt, &host, (&pending.call, more), times, &mut self.log)
                 }
                 None => self.never_left(now, attempt),
             }
--- a/node/tests/wall_clock.rs
+++ b/node/tests/wall_clock.rs
@@ -4,6 +4,7 @@
 mod common;
 
 use std::io::Write;
+use std::net::TcpStream;
 use std::thread::{scope, sleep};
 use std::time::{Duration, Instant};
 
@@ -20,6 +21,8 @@
 struct Machine {
     clock: WallClock,
     program: Program,
+    bus: Bus,
+    feed: TcpStream,
 }
 
 impl Machine {
@@ -30,7 +33,28 @@
         let program = Program::start_with_clock(&clock, &edit(config(bus.address, hosts)));
         let (_, feed) = bus.greeted();
         puppet::keep_up(&feed);
-        Self { clock, program }
+        Self { clock, program, bus, feed }
+    }
+
+    /// Tells it this event.
+    fn tell(&mut self, event: &[u8]) {
+        // Only once the list is known to be whole is a start news.
+        wait_for("the whole list", || self.program.status() == 200);
+        sleep(ms(400));
+        self.feed.write_all(event).unwrap();
+    }
+
+    /// Has a new process take the place of the one that runs.
+    fn upgrade(&mut self, hosts: &[&Host]) {
+        let listen = format!("\"listen\":\"{}\"", self.program.address);
+        let text = config(self.bus.address, hosts).replace("\"listen\":\"127.0.0.1:0\"", &listen);
+        let new = Program::start_with_clock(&self.clock, &text);
+        let (_, feed) = self.bus.greeted();
+        puppet::keep_up(&feed);
+        wait_for("readiness", || new.status() == 200);
+        self.program.terminate();
+        assert!(self.program.ended().success());
+        self.program = new;
     }
 }
 
@@ -117,3 +141,59 @@
         assert!(orders > RATION / 2, "{orders} orders to load, so that the ration was never met");
     });
 }
+
+/// A process that takes another's place after a step counts the other's orders by the same time.
+#[test]
+fn a_new_process_goes_on_with_the_time_of_the_one_before() {
+    const CALLS: u32 = 10;
+    /// By the settings: two, and a fifth of the calls taken by both.
+    const RATION: usize = 2 + 2 * CALLS as usize / 5;
+    for_each_step(|step| {
+        let host = Host::start(Ways { does: Does::Answer("200"), work: ms(1), load: Some(ms(1)) });
+        let mut machine = Machine::start(0.0, &[&host], |text| text);
+        for process in 0..2 {
+            if process == 1 {
+                machine.clock.set(step);
+                machine.upgrade(&[&host]);
+            }
+            let mut client = machine.program.connect();
+            for n in 1..=CALLS {
+                let function = format!("{:016x}", 100 * process + n);
+                let frame = whole_call_frame(n, [&function, "check-score", "5c0f6e1a", &function], 800, b"");
+                client.write_all(&frame).unwrap();
+            }
+            (0..CALLS).for_each(|_| drop(read_frame(&mut client).expect("an answer")));
+        }
+        let orders = host.seen.lock().unwrap().orders.len();
+        assert!(orders <= RATION, "{orders} orders to load, {RATION} are allowed");
+        assert!(orders > RATION / 2, "{orders} orders to load, so that the ration was never met");
+    });
+}
+
+/// A host that starts while the activator's clock is wrong is in slow start nevertheless: the activator began by that clock.
+#[test]
+fn a_host_that_starts_is_in_slow_start_whatever_the_wall_clock_says() {
+    /// What starts is sent less than a tenth of what comes meanwhile; a host that runs for long would get half.
+    const CALLS: u32 = 60;
+    const MOST_TO_STARTING: usize = 12;
+    for_each_step(|step| {
+        let (old, starting) = (Host::warm(), Host::warm());
+        let delicate = |text: String| {
+            text.replace("\"ColdFrom\":0.17", "\"ColdFrom\":0.01")
+                .replace("\"FallMultiple\":4.0", "\"FallMultiple\":1.0")
+        };
+        let mut machine = Machine::start(step, &[&old], delicate);
+        let started = puppet::unix_ms();
+        machine.tell(&puppet::event_of(2, false, &[(1, starting.address, puppet::READY, started)]));
+        wait_for("news of it", || machine.program.logged("s-00000001=Up") > 0);
+        let mut client = machine.program.connect();
+        for n in 1..=CALLS {
+            let function = format!("{n:016x}");
+            let frame = whole_call_frame(n, [&function, "check-score", "5c0f6e1a", &function], 2000, b"");
+            client.write_all(&frame).unwrap();
+            assert_eq!(read_frame(&mut client).expect("an answer").code, SERVED);
+        }
+        let calls = starting.calls();
+        assert!(calls <= MOST_TO_STARTING, "{calls} calls of {CALLS} to a host that has just started");
+    });
+}
--- a/simhost/src/wire.rs
+++ b/simhost/src/wire.rs
@@ -305,7 +305,8 @@
 /// Writes one action as a line.
 pub fn encode(i: i64, action: &Action, reply: &mut String) {
     let line = match action {
-        Action::Send { request, worker, timeout } => json!({"event_type": "ATTEMPT", "I": i,
+        // The simulator sends at once.
+        Action::Send { request, worker, timeout, .. } => json!({"event_type": "ATTEMPT", "I": i,
             "RequestId": &*request.0, "TimeoutUs": timeout.unwrap_or(0), "Server": &*worker.0}),
         Action::Refuse { request, retry_after } => json!({"event_type": "OVERLOAD_REPLY", "I": i,
             "RequestId": &*request.0, "StayAwayUs": retry_after}),
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -116,6 +116,8 @@
         host: WorkerId,
         /// When it is over at the latest.
         until: Micros,
+        /// Not to be sent after this: then [`Engine::attempt_ended`] follows with [`Outcome::NotSent`].
+        leave_by: Micros,
     },
     /// Give an attempt up. [`Engine::attempt_ended`] must still follow, once nothing of it can run unseen.
     Cancel {
@@ -571,8 +573,8 @@
 
     fn act(&mut self, action: Action, out: &mut Vec<Command>) {
         match action {
-            Action::Send { request, worker, timeout } => {
-                self.begin(ticket(&request), worker, timeout, out);
+            Action::Send { request, worker, timeout, leave_by } => {
+                self.begin(ticket(&request), worker, (timeout, leave_by), out);
             }
             Action::Refuse { request, retry_after } => {
                 self.answer(&request, Verdict::Refused { retry_after }, out)
@@ -603,7 +605,13 @@
     }
 
     /// Begins an attempt that the module wants, or tells it that it was never sent where none may begin.
-    fn begin(&mut self, ticket: Ticket, host: WorkerId, timeout: Option<Micros>, out: &mut Vec<Command>) {
+    fn begin(
+        &mut self,
+        ticket: Ticket,
+        host: WorkerId,
+        (timeout, leave_by): (Option<Micros>, Option<Micros>),
+        out: &mut Vec<Command>,
+    ) {
         let Some(open) = self.open.get_mut(&ticket) else { return };
         let (begins, now) = (open.may_begin(self.now), self.now);
         let attempt = AttemptId { ticket, number: open.attempts.len() as u32 };
@@ -627,7 +635,8 @@
         if until < due {
             self.arm(until, Timer::Attempt(attempt));
         }
-        out.push(Command::Send { attempt, host, until });
+        let leave_by = leave_by.map_or(until, |by| by.min(until));
+        out.push(Command::Send { attempt, host, until, leave_by });
     }
 
     fn answer(&mut self, request: &RequestId, verdict: Verdict, out: &mut Vec<Command>) {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -517,6 +517,8 @@
         worker: WorkerId,
         /// Time-out; `None`: until the client gives up.
         timeout: Option<Micros>,
+        /// Not to be sent after this, where earlier attempts bound it: a repeat that waits for a connection may wait too long.
+        leave_by: Option<Micros>,
     },
     /// Final answer: turned away, a repeat does no harm.
     Refuse {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -80,8 +80,10 @@
 const SHED: f64 = 0.6;
 /// A worker is alone in being slow above this multiple of the others' mean.
 const ALONE: f64 = 3.0;
-/// Part of the window of keyed repeats that is left unused: a repeat may have to wait for a connection.
+/// Part of the window of keyed repeats in which none is decided: a repeat may have to wait for a connection.
 const REPEAT_MARGIN: Micros = 16;
+/// ... and part of it in which none leaves: it has yet to arrive.
+const ARRIVAL_MARGIN: Micros = 32;
 /// A request that finds no room is held for this share of its aim, then refused while that is early.
 const HOLD_SHARE: f64 = 0.3;
 /// ... and for this share of the client's own time at most: a client told late has no time to try again.
@@ -580,9 +582,10 @@
                     w.cold_sends.push_back(now);
                     w.cold_sends.retain(|t| now - t <= self.settings.fall_window);
                 }
+                let leave_by = repeat_by(r);
                 r.tries.push(Try { worker: n.clone(), sent: now, warm, clear, ended: None });
                 // No time-out but the client's: beginning anew what waits for a load or a lane adds to both.
-                out.push(Action::Send { request: id.clone(), worker: n, timeout: None });
+                out.push(Action::Send { request: id.clone(), worker: n, timeout: None, leave_by });
             }
         }
     }
@@ -935,3 +938,10 @@
             * if repeat { c.late_worth } else { 1.0 }
     }
 }
+
+/// Until when a repeat of a keyed request may leave, by its earlier attempts that may have run.
+fn repeat_by(request: &Request) -> Option<Micros> {
+    let Effect::Keyed { window, .. } = request.terms.effect else { return None };
+    let may_have_run = request.tries.iter().filter(|t| !t.ended.is_some_and(Outcome::never_ran));
+    may_have_run.map(|t| t.sent + window - window / ARRIVAL_MARGIN).min()
+}
--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -167,7 +167,7 @@
         while !self.commands.is_empty() {
             for command in std::mem::take(&mut self.commands) {
                 match command {
-                    Command::Send { attempt, host, until } => self.send(attempt, host, until),
+                    Command::Send { attempt, host, until, .. } => self.send(attempt, host, until),
                     Command::Cancel { attempt } => self.cancel(attempt),
                     Command::Withdraw { attempt } => self.withdraw(attempt),
                     Command::Answer { ticket, verdict } => self.answer(ticket, verdict),
--- a/tests/engine_module.rs
+++ b/tests/engine_module.rs
@@ -41,6 +41,7 @@
             request: request.clone(),
             worker: HOST.into(),
             timeout: None,
+            leave_by: None,
         };
         match (&event, self.wants) {
             (Event::Arrival { request, .. }, Wants::TwoAtOnce) => out.extend([send(request), send(request)]),
