--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 mod hash;
 pub mod interface;
 pub mod ramp;
+mod repeats;
 pub mod rules;
 mod state;
 mod succession;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -1,12 +1,13 @@
-//! All decisions of the library. The types are in `src/interface.rs`; ARCHITECTURE.md tells where each rule
-//! comes from. Reading order: constants, events, routing, chain preloading, attempts and answers,
-//! health and guards.
+//! Most decisions of the library; which repeats are allowed is in `src/repeats.rs`. The types are in
+//! `src/interface.rs`; ARCHITECTURE.md tells where each rule comes from. Reading order: constants, events,
+//! routing, chain preloading, attempts and answers, health and guards.
 
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::gossip::{Word, TELL_AGAIN};
 use crate::hash::hash;
 use crate::interface::*;
+use crate::repeats::repeat_by;
 use crate::state::*;
 
 // ---------------------------------------------------------------------------------------------- constants
@@ -80,10 +81,6 @@
 const SHED: f64 = 0.6;
 /// A worker is alone in being slow above this multiple of the others' mean.
 const ALONE: f64 = 3.0;
-/// Part of the window of keyed repeats in which none is decided: a repeat may have to wait for a connection.
-const REPEAT_MARGIN: Micros = 16;
-/// ... and part of it in which none leaves: it has yet to arrive.
-const ARRIVAL_MARGIN: Micros = 32;
 /// A request that finds no room is held for this share of its aim, then refused while that is early.
 const HOLD_SHARE: f64 = 0.3;
 /// ... and for this share of the client's own time at most: a client told late has no time to try again.
@@ -745,17 +742,6 @@
 // -------------------------------------------------------------------------------------- health and guards
 
 impl Core {
-    /// Whether a refusal, which calls a repeat harmless, would be true.
-    fn may_refuse(&self, id: &RequestId) -> bool {
-        let Some(r) = self.requests.get(id) else { return false };
-        let never_ran = r.tries.iter().all(|t| t.ended.is_some_and(Outcome::never_ran));
-        match r.terms.effect {
-            Effect::Safe => true,
-            Effect::Keyed { scope, .. } => never_ran || scope == Scope::All,
-            Effect::Unsafe => never_ran,
-        }
-    }
-
     /// Whether the worker has room for one more of ours, by what runs there alone: an estimate of its speed
     /// that only answers refresh would, once wrong, keep them away. What awaits a load takes no core.
     fn admits(&self, w: &Worker) -> bool {
@@ -764,42 +750,6 @@
         (room || self.heard.well) && w.full_until <= self.now
     }
 
-    /// Whether the request may have another attempt somewhere.
-    fn may_repeat(&self, r: &Request) -> bool {
-        let never_ran = r.tries.iter().all(|t| t.ended.is_some_and(Outcome::never_ran));
-        never_ran || r.terms.effect != Effect::Unsafe
-    }
-
-    /// Whether it may go to this worker: keyed requests stay with those that drop their repeats.
-    fn may_repeat_on(&self, r: &Request, n: &WorkerId, w: &Worker) -> bool {
-        let Effect::Keyed { scope, window } = r.terms.effect else { return true };
-        let ran = |t: &&Try| !t.ended.is_some_and(Outcome::never_ran);
-        r.tries.iter().filter(ran).all(|t| {
-            let same = match (scope, self.workers.get(&t.worker)) {
-                (Scope::All, _) => true,
-                _ if t.worker == *n => true,
-                (Scope::Zone, Some(first)) => first.zone == w.zone,
-                (Scope::Cell, Some(first)) => first.cell == w.cell,
-                _ => false,
-            };
-            same && self.now - t.sent < window - window / REPEAT_MARGIN
-        })
-    }
-
-    /// Whether an attempt at this worker is worth cancelling for a retry: a keyed one only while another
-    /// worker that drops its repeats is well, as else it could do nothing but fail.
-    fn may_leave(&self, r: &Request, n: &WorkerId) -> bool {
-        let retries_left = (r.tries.len() as u32) < r.attempts.min(self.settings.max_attempts);
-        let takes_over = |(m, w): (&WorkerId, &Worker)| {
-            m != n && w.up && w.ill_until <= self.now && self.may_repeat_on(r, m, w)
-        };
-        match r.terms.effect {
-            Effect::Safe => true,
-            Effect::Keyed { .. } => retries_left && self.workers.iter().any(takes_over),
-            Effect::Unsafe => false,
-        }
-    }
-
     /// Whether the worker may be sent this request now.
     fn usable(&self, name: &str, w: &Worker, r: &Request, panic: bool) -> bool {
         let here = |t: &&Try| self.workers.get(&t.worker).is_some_and(|x| std::ptr::eq(x, w));
@@ -938,10 +888,3 @@
             * if repeat { c.late_worth } else { 1.0 }
     }
 }
-
-/// Until when a repeat of a keyed request may leave, by its earlier attempts that may have run.
-fn repeat_by(request: &Request) -> Option<Micros> {
-    let Effect::Keyed { window, .. } = request.terms.effect else { return None };
-    let may_have_run = request.tries.iter().filter(|t| !t.ended.is_some_and(Outcome::never_ran));
-    may_have_run.map(|t| t.sent + window - window / ARRIVAL_MARGIN).min()
-}
