--- a/src/repeats.rs
+++ b/src/repeats.rs
@@ -1,6 +1,8 @@
 //! Which repeats and refusals of a request its class, scope and window allow, by what its attempts may have
 //! done.
-//! `src/interface.rs` has the classes' effects. An attempt may have run unless its outcome proves that it never did.
+//!
+//! `src/interface.rs` has the classes' effects. An attempt may have run unless its outcome proves that it
+//! never did.
 
 use crate::interface::*;
 use crate::state::{Core, Request, Try, Worker};
