--- a/crates/lab/src/history.rs
+++ b/crates/lab/src/history.rs
@@ -212,6 +212,13 @@
         /// Whether it is there.
         there: bool,
     },
+    /// The wall clock of an activator's machine was stepped.
+    ClockStepped {
+        /// The activator.
+        who: usize,
+        /// Seconds that it is ahead of the lab's from then on.
+        seconds: f64,
+    },
     /// The program that an activator is started from, just before it is.
     Runs {
         /// The activator.
--- a/crates/lab/src/rig.rs
+++ b/crates/lab/src/rig.rs
@@ -16,11 +16,10 @@
 use crate::run::Programs;
 use crate::scenario::{Restart, Scenario, Which};
 use crate::site::{source, Model, Site};
+use crate::wall_clock::WallClock;
 
 /// How long a fleet may take to meet. A busy machine with nine of a debug build takes some 10 s.
 const MEET: Duration = Duration::from_secs(60);
-/// How long hosts drop repeats of a key, as the file below tells.
-const WINDOW: Duration = Duration::from_millis(8_000);
 /// How long a process that is told to end may take.
 const END: Duration = Duration::from_secs(20);
 /// How long a process may take to say what it obeys once it is let go, and how far two logs are read apart.
@@ -83,6 +82,8 @@
     /// By activator, site and host.
     pub(crate) pipes: Vec<Vec<Vec<Pipe>>>,
     lists: Vec<List>,
+    /// By activator; none where no clock is stepped.
+    pub(crate) clocks: Vec<WallClock>,
     pub(crate) model: Arc<Model>,
     pub(crate) each: Vec<Option<Program>>,
     pub(crate) fronts: Fronts,
@@ -105,8 +106,9 @@
         drop(held);
         let mesh = Arc::new(Mesh::new(&at, scenario.seed).map_err(failed)?);
         let model = Arc::new(Model::new(&scenario.sites.acceptance, scenario.seed ^ 0x5175));
+        let window = ms(scenario.calls.window_ms);
         let site =
-            |k| Site::start(k, &scenario.sites, WINDOW, model.clone(), history.clone()).map_err(failed);
+            |k| Site::start(k, &scenario.sites, window, model.clone(), history.clone()).map_err(failed);
         let sites: Vec<Site> = (0..scenario.sites.count).map(site).collect::<Result<_, _>>()?;
         let (mut pipes, mut lists) = (Vec::new(), Vec::new());
         for who in 0..n {
@@ -122,6 +124,8 @@
             pipes.push(own);
             lists.push(List::start(scenario.fleet.hosts, told).map_err(failed)?);
         }
+        let stepped = if scenario.steps_clocks() { n } else { 0 };
+        let clocks = (0..stepped).map(|_| WallClock::offset_by(0.0)).collect();
         let none = || (0..n).map(|_| Mutex::new(None)).collect::<Vec<_>>();
         Ok(Self {
             scenario: scenario.clone(),
@@ -134,6 +138,7 @@
             sites,
             pipes,
             lists,
+            clocks,
             model,
             each: (0..n).map(|_| None).collect(),
             fronts: Arc::new(none()),
@@ -143,7 +148,7 @@
 
     /// What the checkers are to know.
     pub(crate) fn setup(&self) -> Setup {
-        let terms = |effect: &str| Terms { effect: effect.into(), window_ms: WINDOW.as_millis() as u64 };
+        let terms = |effect: &str| Terms { effect: effect.into(), window_ms: self.scenario.calls.window_ms };
         let effects = ["safe", "keyed", "unsafe"];
         Setup {
             scenario: self.scenario.name.clone(),
@@ -171,7 +176,9 @@
         let listen = self.listens[who].unwrap_or(SocketAddr::from((own_address(who), 0)));
         if self.scenario.fleet.hosts == By::Bus {
             let list = &self.lists[who];
-            return config_of(&format!("n{who}"), &listen.to_string(), list.address(), &list.members());
+            let text = config_of(&format!("n{who}"), &listen.to_string(), list.address(), &list.members());
+            let window_us = 1_000 * self.scenario.calls.window_ms;
+            return text.replace("\"WindowUs\":8000000", &format!("\"WindowUs\":{window_us}"));
         }
         let mut text = format!(
             "listen = \"{}\"\ncontrol = \"127.0.0.1:0\"\nsockets = 1024\nmemory_mb = 192\n\n[hosts]\nresolver = \"{}\"\n\
@@ -183,7 +190,10 @@
         );
         let effects = [
             "effect = \"safe\"\naim_ms = 2000\ngive_up_ms = 5000",
-            "effect = \"keyed\"\nscope = \"cell\"\nwindow_ms = 8000\naim_ms = 1500\ngive_up_ms = 4000",
+            &format!(
+                "effect = \"keyed\"\nscope = \"cell\"\nwindow_ms = {}\naim_ms = 1500\ngive_up_ms = 4000",
+                self.scenario.calls.window_ms
+            ),
             "effect = \"unsafe\"\naim_ms = 1500\ngive_up_ms = 4000",
         ];
         for (name, effect) in CLASSES.iter().zip(effects) {
@@ -226,8 +236,11 @@
         // Before its first line can come: what it obeys belongs to this life.
         self.history.saw(Saw::Runs { who, program: self.runs[who] });
         self.life(who, Turn::Started);
-        let started =
-            Start::new(self.programs.path(self.runs[who]), &text, operator).tap(Box::new(tap)).run();
+        let mut start = Start::new(self.programs.path(self.runs[who]), &text, operator).tap(Box::new(tap));
+        if let Some(clock) = self.clocks.get(who) {
+            start = start.wall_clock(clock);
+        }
+        let started = start.run();
         let program = started.map_err(|said| format!("activator {who}: {said}"))?;
         self.listens[who] = Some(program.address);
         *self.controls.0[who].lock().unwrap() = program.control();
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -198,6 +198,12 @@
                 signal(rig, &[change.to], Turn::Killed);
             }
         }
+        Act::StepClock(steps) => {
+            for (who, seconds) in steps {
+                rig.clocks[*who].set(*seconds);
+                rig.history.saw(Saw::ClockStepped { who: *who, seconds: *seconds });
+            }
+        }
         Act::List { site, host, be } => rig.list(*site, *host, *be),
         Act::Lose(sites) | Act::Back(sites) => {
             let lost = matches!(act, Act::Lose(_));
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -15,6 +15,8 @@
 const LONGEST: f64 = 120.0;
 /// The most clients of one activator that send calls in halves: each is a thread.
 const MOST_HALVES: f64 = 16.0;
+/// The farthest that a wall clock is set off, in seconds: two hours.
+const LONGEST_STEP: f64 = 7_200.0;
 /// The most calls a second, all activators together.
 const MOST_CALLS: f64 = 2_000.0;
 
@@ -190,6 +192,9 @@
     /// The share of unsafe calls; the rest is safe.
     #[serde(default, rename = "unsafe")]
     pub unsafe_: f64,
+    /// How long hosts drop repeats of a keyed call, in milliseconds.
+    #[serde(default = "Calls::window_ms")]
+    pub window_ms: u64,
     /// Conversations that go on at a time; 0: calls are no turns.
     #[serde(default)]
     pub conversations: usize,
@@ -198,6 +203,12 @@
     pub halves: usize,
 }
 
+impl Calls {
+    fn window_ms() -> u64 {
+        8_000
+    }
+}
+
 /// One entry of the timeline.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -253,6 +264,8 @@
     Back(Vec<usize>),
     /// Every connection to these sites is broken off.
     Reset(Vec<usize>),
+    /// The wall clocks of these activators' machines are stepped to the lab's time plus so many seconds.
+    StepClock(Vec<(usize, f64)>),
     /// All activators are told something else of a host. It itself goes on as before.
     List {
         /// Its site.
@@ -410,6 +423,11 @@
         [members, accord, on("drafts", drafts), on("turns", turns)]
     }
 
+    /// Whether any wall clock is stepped.
+    pub fn steps_clocks(&self) -> bool {
+        self.at.iter().any(|at| matches!(at.act, Act::StepClock(_)))
+    }
+
     /// Whether any process is started from the program of before.
     pub fn is_mixed(&self) -> bool {
         let anew = |at: &At| matches!(&at.act, Act::Restart(how) if how.program == Some(Which::Before));
@@ -427,6 +445,7 @@
         within("seconds", self.seconds, 1.0, LONGEST)?;
         within("calls.per_s", self.calls.per_s, 1.0, MOST_CALLS)?;
         within("calls.keyed + calls.unsafe", self.calls.keyed + self.calls.unsafe_, 0.0, 1.0)?;
+        within("calls.window_ms", self.calls.window_ms as f64, 100.0, 60_000.0)?;
         within("calls.conversations", self.calls.conversations as f64, 0.0, 100_000.0)?;
         within("calls.halves", self.calls.halves as f64, 0.0, MOST_HALVES)?;
         within("fleet.programs", self.fleet.programs.len() as f64, 0.0, n as f64)?;
@@ -497,6 +516,12 @@
                     within(&format!("{key}.do.tamper.replay_per_s"), how.replay_per_s, 0.0, MOST_PER_S)?;
                     within(&format!("{key}.do.tamper.forge_per_s"), how.forge_per_s, 0.0, MOST_PER_S)?;
                 }
+                Act::StepClock(steps) => {
+                    steps.iter().try_for_each(|(who, seconds)| {
+                        known("activator", &[*who], n)?;
+                        within(&format!("{key}.do.step_clock"), *seconds, -LONGEST_STEP, LONGEST_STEP)
+                    })?;
+                }
                 Act::Forge { to, .. } => known("activator", &[*to], n)?,
                 Act::Lose(sites) | Act::Back(sites) | Act::Reset(sites) => {
                     known("site", sites, self.sites.count)?
--- a/crates/lab/tests/short.rs
+++ b/crates/lab/tests/short.rs
@@ -13,6 +13,7 @@
 #[case::restarts("short_restarts")]
 #[case::lists("short_lists")]
 #[case::tampered("short_tampered")]
+#[case::clock_steps("short_clock_steps")]
 fn a_short_scenario_holds(#[case] name: &str) {
     // The same file named twice, where a scenario has two: the way is the same as with another one.
     let this = run::Programs::find(None, None).unwrap_or_else(|said| panic!("{said}")).this;
