--- a/crates/accord/tests/faults.rs
+++ b/crates/accord/tests/faults.rs
@@ -182,6 +182,26 @@
     }
 }
 
+/// Their lives look like earlier ones than those that the others remember, and theirs to them.
+#[test]
+fn voters_that_start_on_clocks_that_were_set_back_vote_again() {
+    for seed in 0..8 {
+        let mut net = Net::new(5, 3, seed);
+        net.start();
+        net.propose(Name(5), attempts(2)).unwrap();
+        in_force(&mut net, 2);
+        for name in 1..=3 {
+            net.kill(Name(name));
+            net.restart_set_back(Name(name));
+            net.run(200);
+        }
+        assert!(net.wait(60_000, |net| net.agreed().is_some()), "seed {seed}: {:#?}", net.notes);
+        net.propose(Name(4), attempts(3)).unwrap();
+        assert!(net.wait(60_000, |net| held(net, 1) == Some(Value::Int(3))), "seed {seed}: {:#?}", net.notes);
+        sound(&net);
+    }
+}
+
 #[test]
 fn one_voter_gone_for_good_and_one_that_forgot_found_anew_with_the_third() {
     let mut net = Net::new(4, 3, 5);
--- a/crates/accord/tests/net/mod.rs
+++ b/crates/accord/tests/net/mod.rs
@@ -46,6 +46,9 @@
     }
 }
 
+/// What a later start of a process adds to its life.
+const LIFE: u64 = 1_000;
+
 enum Event {
     Datagram { from: Name, to: Name, data: Vec<u8> },
     Prepared { to: Name, life: u64, version: Version, result: Result<(), Refusal> },
@@ -184,6 +187,11 @@
     }
 
     fn born(&mut self, name: Name, life: u64) -> Accord {
+        self.born_at(name, life * LIFE)
+    }
+
+    /// One whose machine tells this time of its start.
+    fn born_at(&mut self, name: Name, life: u64) -> Accord {
         let seed = self.rng.u64(..);
         Accord::new(self.settings.clone(), name, life, seed, Duration::from_secs(7))
             .unwrap()
@@ -427,9 +435,20 @@
     }
 
     pub fn restart(&mut self, name: Name) {
+        let life = self.members[self.at(name)].life + 1;
+        self.restart_at(name, life * LIFE);
+    }
+
+    /// ... on a machine whose clock was set back to before an earlier start.
+    pub fn restart_set_back(&mut self, name: Name) {
+        let life = self.members[self.at(name)].life + 1;
+        self.restart_at(name, life * LIFE - 3 * LIFE / 2);
+    }
+
+    fn restart_at(&mut self, name: Name, told: u64) {
         let at = self.at(name);
         let life = self.members[at].life + 1;
-        self.members[at].accord = self.born(name, life);
+        self.members[at].accord = self.born_at(name, told);
         let member = &mut self.members[at];
         (member.life, member.up, member.paused, member.born, member.look) = (life, true, false, self.now, 0);
         member.working = false;
--- a/crates/lab/src/load/tests.rs
+++ b/crates/lab/src/load/tests.rs
@@ -26,7 +26,8 @@
     let path = std::env::temp_dir().join(format!("wheellink-load-{}", std::process::id()));
     let history = Arc::new(History::create(&path).unwrap());
     let fronts: Fronts = Arc::new(vec![Mutex::new(None)]);
-    let calls = Calls { per_s: 2_000.0, keyed: 0.2, unsafe_: 0.2, window_ms: 8_000, conversations: 0, halves: 0 };
+    let calls =
+        Calls { per_s: 2_000.0, keyed: 0.2, unsafe_: 0.2, window_ms: 8_000, conversations: 0, halves: 0 };
     let load = Load::start(&calls, By::Dns, fronts, 3, history.clone());
     sleep(Duration::from_millis(1_300));
     load.end();
