Voters that restart on clocks that were set back take a later life than others remember

Cause, crates/accord (told_state, Voter::accept): of two lives of a voter the one with the later start counts, by the wall clock of its machine. One that started anew on a clock set back by an hour was passed over by all that remembered its earlier process, and three such left the whole fleet on its floor for an hour. Others tell a voter which life of its name they remember; one that has granted, promised and accepted nothing yet takes a later one than that.

--- a/crates/accord/src/accord/starts.rs
+++ b/crates/accord/src/accord/starts.rs
@@ -69,6 +69,7 @@
         if !self.may_vote(from) || self.peers.get(&from).is_some_and(|peer| peer.life > life) {
             return;
         }
+        self.outlive(yours, out);
         let met = yours == self.life;
         self.peers.insert(from, Peer { life, standing: stands, known: known.mark, met, heard: now });
         self.learn(now, from, &known, out);
@@ -81,6 +82,21 @@
         }
     }
 
+    /// Another voter remembers this life of this name. Where that is a later one than this, an earlier process went by a clock
+    /// that was ahead: this one takes a later life still, or nobody would hear it. Only while it has promised and granted
+    /// nothing, as what it did under another life would be held for a dead process's.
+    fn outlive(&mut self, remembered: u64, out: &mut Vec<Out>) {
+        let Some(voter) = self.voter.as_mut().filter(|voter| voter.has_forgotten()) else { return };
+        if remembered <= self.life {
+            return;
+        }
+        self.life = remembered.saturating_add(1);
+        voter.renew(self.life);
+        out.push(Out::Note(
+            "as a voter: others remember a later process of this name; in a later life now".into(),
+        ));
+    }
+
     /// Founds a new epoch, if a majority of voters was silent for a lease: no lease of before is left then.
     pub(super) fn found(&mut self, now: Duration, out: &mut Vec<Out>) {
         let Some(voter) = self.voter.as_ref().filter(|voter| voter.standing() == Standing::Ready) else {
--- a/crates/accord/src/voter.rs
+++ b/crates/accord/src/voter.rs
@@ -243,6 +243,17 @@
         self.life
     }
 
+    /// Whether it does not vote yet, and has granted and accepted nothing.
+    pub fn has_forgotten(&self) -> bool {
+        let forgot = matches!(self.standing, Standing::Silent { forgot: true, .. } | Standing::Ready);
+        forgot && self.grants.is_empty() && self.accepted.is_none()
+    }
+
+    /// Takes a later life.
+    pub fn renew(&mut self, life: u64) {
+        self.life = life;
+    }
+
     /// Whether it votes.
     pub fn standing(&self) -> Standing {
         self.standing
--- a/crates/accord/tests/net/mod.rs
+++ b/crates/accord/tests/net/mod.rs
@@ -578,7 +578,11 @@
             2 => {
                 net.kill(a);
                 net.run(dice.u64(0..4_000));
-                net.restart(a);
+                if dice.u32(0..3) == 0 {
+                    net.restart_set_back(a);
+                } else {
+                    net.restart(a);
+                }
             }
             3 => {
                 (1..=voters).for_each(|name| net.kill(Name(name)));
@@ -599,7 +603,11 @@
                 for name in [a, b] {
                     net.kill(name);
                     net.run(dice.u64(0..1_500));
-                    net.restart(name);
+                    if dice.u32(0..3) == 0 {
+                        net.restart_set_back(name);
+                    } else {
+                        net.restart(name);
+                    }
                 }
             }
             _ => {}
