What is read after a hold-up counts from when it may have come

Cause, node/src/node/requests.rs: a client's time, and that of its leaving, counted from when the process read them. A process that was stopped or had no processor for a while read them late: a call was answered up to that much after its client's time, its host was told of more time than was left, and an attempt began for a client long gone. The loop compares each look with when it was due now (node/src/node/held_up.rs); what is read in the first three turns after a look that is 0.1 s late and more counts from the look before. A line of the log and a counter tell of hold-ups.

--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -92,6 +92,7 @@
     let mut wakes = Wakes::default();
     let mut look = |node: &mut Node, wait: Duration| {
         events.dispatch(Some(wait), &mut wakes).map_err(failed("the event loop failed"))?;
+        node.looked(wait);
         while let Some(wake) = wakes.next() {
             match wake {
                 Wake::Reload => node.reload(read()),
--- a/node/src/metrics.rs
+++ b/node/src/metrics.rs
@@ -43,6 +43,8 @@
     pub clock_steps: Counter,
     /// The sum of these steps, in seconds.
     pub clock_stepped: Gauge<f64, std::sync::atomic::AtomicU64>,
+    /// Times that the process was stopped, or without a processor.
+    pub hold_ups: Counter,
     /// Requests that are owed an answer.
     pub open_requests: Gauge,
 }
@@ -59,6 +61,7 @@
             load_orders: Counter::default(),
             clock_steps: Counter::default(),
             clock_stepped: Gauge::default(),
+            hold_ups: Counter::default(),
             open_requests: Gauge::default(),
         };
         metrics.register();
@@ -94,6 +97,11 @@
         registry.register("clock_steps", "Steps of the machine's wall clock", self.clock_steps.clone());
         let help = "Sum of the steps of the machine's wall clock";
         registry.register_with_unit("clock_stepped", help, Unit::Seconds, self.clock_stepped.clone());
+        registry.register(
+            "hold_ups",
+            "Times that the process was stopped or had no processor",
+            self.hold_ups.clone(),
+        );
         registry.register("open_requests", "Requests that are owed an answer", self.open_requests.clone());
     }
 
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -4,6 +4,7 @@
 mod accord;
 mod admission;
 mod drafts;
+mod held_up;
 mod life;
 mod news;
 mod operators;
@@ -55,6 +56,7 @@
 
 use admission::AdmissionControl;
 use drafts::Drafting;
+use held_up::HeldUp;
 use request_log::Attempts;
 use rollout::{Gradual, Role};
 use turns::Turning;
@@ -160,6 +162,7 @@
     handle: Handle,
     clock: Clock,
     clock_steps: Steps,
+    held_up: HeldUp,
     metrics: Metrics,
     log: Log,
     /// The configuration in force; what `side` holds of it is the fronts' and the bus's.
@@ -293,6 +296,7 @@
             config,
             clock,
             clock_steps: Steps::default(),
+            held_up: HeldUp::default(),
             metrics: Metrics::default(),
             log: Log::new(),
             stopping: None,
@@ -375,6 +379,15 @@
         }
     }
 
+    /// The loop has looked at what has come, after it was to wait for this long at the most.
+    pub fn looked(&mut self, wait: Duration) {
+        let now = self.clock.running();
+        if let Some(late) = self.held_up.looked(now, wait) {
+            self.metrics.hold_ups.inc();
+            self.log.line(now, format_args!("held up for {} ms", late / 1000));
+        }
+    }
+
     /// Looks at what the loop found ready. A reload is the caller's, who knows where the configuration lies.
     pub fn woken(&mut self, wake: Wake) {
         self.mind_accord();
--- a/node/src/node/requests.rs
+++ b/node/src/node/requests.rs
@@ -94,7 +94,7 @@
             class_name: request.class,
             tenant,
             function: request.function,
-            timeout: (request.timeout * 1000).min(longest),
+            timeout: self.time_left(now, (request.timeout * 1000).min(longest)),
             lanes: request.lanes,
             repeat: request.repeat,
             hint: request.hint,
@@ -124,7 +124,7 @@
             class_name: self.config.deployment.classes[call.class].clone(),
             tenant: call.tenant,
             function: call.function,
-            timeout: call.timeout.unwrap_or(usual).min(settings.give_up.max(deferred)),
+            timeout: self.time_left(now, call.timeout.unwrap_or(usual).min(settings.give_up.max(deferred))),
             lanes: call.lanes.unwrap_or(lanes),
             repeat: call.repeat,
             hint: 0,
@@ -138,6 +138,11 @@
         self.request(now, Some(conn), Origin::Invoke(origin), incoming);
     }
 
+    /// What is left of the time that a client waits whose request is read now: it may have been here for a while.
+    fn time_left(&self, now: Micros, timeout: Micros) -> Micros {
+        (timeout - (now - self.held_up.arrived(now))).max(0)
+    }
+
     pub(super) fn request(&mut self, now: Micros, conn: Option<ConnId>, origin: Origin, incoming: Incoming) {
         // It may have to wait first for a place for its turn, once.
         if let Some((origin, incoming)) = self.advise(now, conn, origin, incoming) {
@@ -170,6 +175,7 @@
             (Side::Platform(front, _), Origin::Platform(origin)) => front.half_closed(origin.conn),
             _ => None,
         };
+        let half_closed = half_closed.map(|since| self.held_up.arrived(since));
         let new = NewRequest {
             class: incoming.class,
             tenant: incoming.tenant,
@@ -258,6 +264,7 @@
     /// The client of these requests has ended its side of the connection: it has gone, or waits for answers.
     fn client_half_closed(&mut self, tickets: &[Ticket], since: Micros) {
         let now = self.clock.now();
+        let since = self.held_up.arrived(since);
         for ticket in tickets {
             // Where it is decided anew later, that counts from the same time.
             if let Some(pending) = self.pending.get_mut(ticket) {
--- a/node/tests/held_up.rs
+++ b/node/tests/held_up.rs
@@ -46,3 +46,26 @@
     let limit = limit.expect("a limit");
     assert!(limit <= TIMEOUT_MS - STOPPED_MS + 150, "told {limit} ms");
 }
+
+/// Its client has gone long before the process reads its request: no attempt begins.
+#[test]
+fn nothing_begins_for_a_client_that_left_while_the_process_was_stopped() {
+    let host = Host::warm();
+    let p = platform(&[&host]);
+    let mut client = p.program.connect();
+    client.write_all(&client_frame(4, 9, &[0])).unwrap();
+    read_frame(&mut client).expect("word of its readiness");
+    p.program.stop(true);
+    client.write_all(&call_frame(1, "send-mail", 4000, b"")).unwrap();
+    drop(client);
+    sleep(ms(500));
+    p.program.stop(false);
+    // Whoever comes later is served, so that all before has been read.
+    let mut next = p.program.connect();
+    next.write_all(&call_frame(2, "check-score", 4000, b"")).unwrap();
+    read_frame(&mut next).expect("an answer");
+    sleep(ms(100));
+    let seen = host.seen.lock().unwrap();
+    let mails = seen.calls.iter().filter(|(line, _)| line.contains("send-mail")).count();
+    assert_eq!(mails, 0, "begun half a second after its client had left");
+}
