--- a/node/tests/wall_clock.rs
+++ b/node/tests/wall_clock.rs
@@ -14,6 +14,8 @@
 const FAILED: u8 = 69;
 /// Steps of the wall clock in seconds; none is the control.
 const STEPS: [f64; 7] = [0.0, -3.0, -20.0, -3600.0, 3.0, 20.0, 3600.0];
+/// Calls of one round, each of another function.
+const CALLS: u32 = 10;
 /// A step shows within this: the activator looks at its clock as often as 50 ms.
 const NOTICED: Duration = Duration::from_millis(120);
 
@@ -36,6 +38,17 @@
         Self { clock, program, bus, feed }
     }
 
+    /// Calls as many functions that nobody called before, a round's own.
+    fn call_functions(&self, round: u32) {
+        let mut client = self.program.connect();
+        for n in 1..=CALLS {
+            let function = format!("{:016x}", 100 * round + n);
+            let frame = whole_call_frame(n, [&function, "check-score", "5c0f6e1a", &function], 800, b"");
+            client.write_all(&frame).unwrap();
+        }
+        (0..CALLS).for_each(|_| drop(read_frame(&mut client).expect("an answer")));
+    }
+
     /// Tells it this event.
     fn tell(&mut self, event: &[u8]) {
         // Only once the list is known to be whole is a start news.
@@ -58,6 +71,14 @@
     }
 }
 
+/// By the settings: two orders to load, and a fifth of the calls taken.
+fn assert_within_ration(host: &Host, rounds: u32) {
+    let ration = 2 + (rounds * CALLS) as usize / 5;
+    let orders = host.seen.lock().unwrap().orders.len();
+    assert!(orders <= ration, "{orders} orders to load, {ration} are allowed");
+    assert!(orders > ration / 2, "{orders} orders to load, so that the ration was never met");
+}
+
 /// Runs this for each step at once, as most of the time is spent waiting.
 fn for_each_step(test: impl Fn(f64) + Sync) {
     scope(|threads| {
@@ -118,64 +139,38 @@
 /// Orders to load stay within their ration of the last ten seconds, also when the clock is stepped again and again.
 #[test]
 fn the_ration_of_loads_is_counted_in_real_time() {
-    const CALLS: u32 = 30;
-    const CALLS_BETWEEN_STEPS: u32 = 10;
-    /// By the settings: two, and a fifth of the calls taken.
-    const RATION: usize = 2 + CALLS as usize / 5;
+    const ROUNDS: u32 = 3;
     for_each_step(|step| {
         let host = Host::start(Ways { does: Does::Answer("200"), work: ms(1), load: Some(ms(1)) });
         let machine = Machine::start(0.0, &[&host], |text| text);
-        let mut client = machine.program.connect();
-        for n in 1..=CALLS {
-            if n % CALLS_BETWEEN_STEPS == 0 {
-                sleep(NOTICED);
-                machine.clock.set(step * f64::from(n / CALLS_BETWEEN_STEPS));
-                sleep(NOTICED);
-            }
-            let (id, function) = (format!("{n:016x}"), format!("{n:016x}"));
-            let frame = whole_call_frame(n, [&id, "check-score", "5c0f6e1a", &function], 800, b"");
-            client.write_all(&frame).unwrap();
+        for round in 0..ROUNDS {
+            machine.clock.set(step * f64::from(round));
+            sleep(NOTICED);
+            machine.call_functions(round);
         }
-        (0..CALLS).for_each(|_| drop(read_frame(&mut client).expect("an answer")));
-        let orders = host.seen.lock().unwrap().orders.len();
-        assert!(orders <= RATION, "{orders} orders to load, {RATION} are allowed");
-        assert!(orders > RATION / 2, "{orders} orders to load, so that the ration was never met");
+        assert_within_ration(&host, ROUNDS);
     });
 }
 
 /// A process that takes another's place after a step counts the other's orders by the same time.
 #[test]
 fn a_new_process_goes_on_with_the_time_of_the_one_before() {
-    const CALLS: u32 = 10;
-    /// By the settings: two, and a fifth of the calls taken by both.
-    const RATION: usize = 2 + 2 * CALLS as usize / 5;
     for_each_step(|step| {
         let host = Host::start(Ways { does: Does::Answer("200"), work: ms(1), load: Some(ms(1)) });
         let mut machine = Machine::start(0.0, &[&host], |text| text);
-        for process in 0..2 {
-            if process == 1 {
-                machine.clock.set(step);
-                machine.upgrade(&[&host]);
-            }
-            let mut client = machine.program.connect();
-            for n in 1..=CALLS {
-                let function = format!("{:016x}", 100 * process + n);
-                let frame = whole_call_frame(n, [&function, "check-score", "5c0f6e1a", &function], 800, b"");
-                client.write_all(&frame).unwrap();
-            }
-            (0..CALLS).for_each(|_| drop(read_frame(&mut client).expect("an answer")));
-        }
-        let orders = host.seen.lock().unwrap().orders.len();
-        assert!(orders <= RATION, "{orders} orders to load, {RATION} are allowed");
-        assert!(orders > RATION / 2, "{orders} orders to load, so that the ration was never met");
+        machine.call_functions(0);
+        machine.clock.set(step);
+        machine.upgrade(&[&host]);
+        machine.call_functions(1);
+        assert_within_ration(&host, 2);
     });
 }
 
 /// A host that starts while the activator's clock is wrong is in slow start nevertheless: the activator began by that clock.
 #[test]
 fn a_host_that_starts_is_in_slow_start_whatever_the_wall_clock_says() {
-    /// What starts is sent less than a tenth of what comes meanwhile; a host that runs for long would get half.
     const CALLS: u32 = 60;
+    /// A host that runs for long would get half of the calls.
     const MOST_TO_STARTING: usize = 12;
     for_each_step(|step| {
         let (old, starting) = (Host::warm(), Host::warm());
