Hold-ups count back two looks only; starts of hosts left out of whole lists are forgotten; unsent calls

A process held up in every look counted back to the first of them, for ever: requests would have ended at once; now it counts back over the last two looks. Starts of hosts that a whole list does not name any more stayed as listed, without a bound. A call of which the socket had taken no byte kept the limit and the permission of when it was put into the ring; it is looked at again each time.

--- a/node/src/hosts/pool/sending.rs
+++ b/node/src/hosts/pool/sending.rs
@@ -232,6 +232,13 @@
     /// Moves queued commands into the socket, one at a time.
     pub(super) fn pump(&mut self, now: Micros, id: ConnId, log: &mut Log) {
         let Some(c) = self.conns.get_mut(&id).filter(|c| c.standing) else { return };
+        // Nothing of it has left: what it may still do, and the time that is left, are looked at again.
+        let unsent = c.writing.take_if(|(item, begun)| !*begun && matches!(item, Item::Call { .. }));
+        let mut waits_since = unsent.is_some().then_some(c.written_since);
+        if let Some((item, _)) = unsent {
+            c.conn.outbox.consume(usize::MAX);
+            c.queue.push_front(item);
+        }
         let (mut killed, mut too_late) = (Vec::new(), Vec::new());
         let ended = loop {
             if c.writing.is_none() {
@@ -241,6 +248,7 @@
                         Some(limit) => c.conn.outbox.push(&line.bytes(limit)),
                         None => {
                             too_late.push(*attempt);
+                            waits_since = None;
                             continue;
                         }
                     },
@@ -248,7 +256,8 @@
                     Item::Kill { id, .. } => c.conn.outbox.push(&lines::kill(id)),
                 };
                 debug_assert!(fits, "a command is shorter than the ring");
-                (c.writing, c.written_since) = (Some((item, false)), now);
+                c.writing = Some((item, false));
+                c.written_since = waits_since.take().unwrap_or(now);
             }
             match c.conn.flush() {
                 Err(reason) => break Some(reason),
--- a/node/src/hosts/pool/tests.rs
+++ b/node/src/hosts/pool/tests.rs
@@ -192,6 +192,19 @@
         })
     }
 
+    /// Writes past the pool until the host, which does not read, has taken no byte for a while.
+    fn fill_socket(&mut self) {
+        let mut quiet_looks = 0;
+        while quiet_looks < QUIET_LOOKS {
+            let c = self.hosts.conns.values_mut().next().unwrap();
+            assert!(c.conn.outbox.push(&[b'x'; 32 << 10]));
+            let written = c.conn.flush().unwrap();
+            c.conn.outbox.consume(usize::MAX);
+            quiet_looks = if written == 0 { quiet_looks + 1 } else { 0 };
+            self.look();
+        }
+    }
+
     fn outcomes(&self, attempt: AttemptId) -> Vec<Outcome> {
         self.ended.iter().filter(|(ticket, _)| *ticket == attempt.ticket.0).map(|(_, o)| *o).collect()
     }
@@ -219,6 +232,21 @@
     text.matches(part).count()
 }
 
+/// The socket takes no byte of it until its time is over: then it does not leave any more.
+#[test]
+fn a_call_of_which_nothing_has_left_is_looked_at_again() {
+    let mut rig = Rig::new();
+    let (_, _stream) = rig.stand();
+    rig.fill_socket();
+    let waits = rig.send(10);
+    assert!(rig.conn().writing.as_ref().is_some_and(|(_, begun)| !begun), "no byte has left");
+    rig.now += 5 * SECOND;
+    let id = rig.conn_id();
+    rig.hosts.pump(rig.now, id, &mut rig.log);
+    rig.note();
+    assert_eq!(rig.outcomes(waits), [Outcome::NotSent]);
+}
+
 /// What has left in part ends when KILL has been written after it, however often it is cancelled; what has not begun to
 /// leave never ran.
 #[test]
--- a/node/src/hosts/starts.rs
+++ b/node/src/hosts/starts.rs
@@ -13,7 +13,7 @@
 
 use std::collections::BTreeMap;
 
-use wheellink::{Condition, ListEntry, Micros, WorkerId};
+use wheellink::{Condition, ListEntry, ListKind, Micros, WorkerId};
 
 /// The list tells of a start at most so much later; the platform counts it as told after 7 s.
 const LONGEST_DELAY: Micros = 10_000_000;
@@ -46,9 +46,18 @@
         &mut self,
         now: Micros,
         whole: Option<Micros>,
+        kind: ListKind,
         entries: impl Iterator<Item = &'a mut ListEntry>,
     ) {
-        let mut entries: Vec<&mut ListEntry> = entries.filter(|e| e.ready_at > 0).collect();
+        if kind != ListKind::Delta {
+            self.known.values_mut().for_each(|start| start.listed = false);
+        }
+        let mut entries: Vec<&mut ListEntry> = entries.collect();
+        for entry in &entries {
+            let listed = entry.condition != Condition::Gone;
+            self.known.entry(entry.worker.clone()).and_modify(|start| start.listed = listed);
+        }
+        entries.retain(|entry| entry.ready_at > 0);
         let news = entries.iter().filter(|e| self.is_news(e)).map(|e| e.ready_at);
         if let Some(newest) = news.max() {
             self.correct(now, whole, newest);
@@ -86,7 +95,6 @@
         if start.told != told {
             *start = fresh;
         }
-        start.listed = listed;
         start.taken
     }
 
--- a/node/src/hosts/starts/tests.rs
+++ b/node/src/hosts/starts/tests.rs
@@ -1,3 +1,5 @@
+use rstest::rstest;
+
 use super::*;
 
 const SECOND: Micros = 1_000_000;
@@ -11,7 +13,7 @@
 /// What the starts told are taken for, as seconds before now.
 fn ages(starts: &mut Starts, now: Micros, whole: Option<Micros>, told: &[(&str, Micros)]) -> Vec<Micros> {
     let mut entries: Vec<_> = told.iter().map(|(name, at)| entry(name, *at, Condition::Up)).collect();
-    starts.translate(now, whole, entries.iter_mut());
+    starts.translate(now, whole, ListKind::Delta, entries.iter_mut());
     entries.iter().map(|e| (now - e.ready_at) / SECOND).collect()
 }
 
@@ -57,12 +59,15 @@
     assert_eq!(ages(&mut starts, NOW, Some(NOW), &[("a", NOW - SECOND)]), [1]);
 }
 
-#[test]
-fn hosts_that_go_are_remembered_within_a_bound() {
+/// Whether the list says that they have gone, or a whole list does not name them any more.
+#[rstest]
+#[case::told_as_gone(Condition::Gone, ListKind::Delta)]
+#[case::left_out(Condition::Up, ListKind::Full)]
+fn hosts_that_go_are_remembered_within_a_bound(#[case] condition: Condition, #[case] kind: ListKind) {
     let mut starts = Starts::default();
     for n in 0..10 * FEW as Micros {
-        let mut gone = entry(&format!("h{n}"), NOW - HOUR + n, Condition::Gone);
-        starts.translate(NOW, None, [&mut gone].into_iter());
+        let mut one = entry(&format!("h{n}"), NOW - HOUR + n, condition);
+        starts.translate(NOW, None, kind, [&mut one].into_iter());
         assert!(starts.known.len() <= FEW);
     }
 }
--- a/node/src/node/held_up.rs
+++ b/node/src/node/held_up.rs
@@ -7,16 +7,15 @@
 
 /// A look that comes so much later than it was due follows a hold-up; less is within the margin of deadlines.
 const LEAST: Micros = 100_000;
-/// Turns of the loop, that of the late look included, in which what came during a hold-up is read: connections are
-/// accepted in the first of them, and read in the next ones.
-const TURNS: u32 = 3;
+/// Looks in which what came during a hold-up is read: connections are accepted in the late one, and read in the next.
+const LOOKS: usize = 2;
 
 /// When the loop looked last at what has come.
 #[derive(Default)]
 pub struct HeldUp {
     last_look: Option<Micros>,
-    /// Since when, and for how many turns more that counts.
-    since: Option<(Micros, u32)>,
+    /// Of the last looks, newest first: since when what it found may have been there, if it came late.
+    late: [Option<Micros>; LOOKS],
 }
 
 impl HeldUp {
@@ -24,18 +23,14 @@
     pub fn looked(&mut self, now: Micros, wait: Duration) -> Option<Micros> {
         let last = self.last_look.replace(now)?;
         let late = now - last - wait.as_micros() as Micros;
-        if late >= LEAST {
-            let since = self.since.map_or(last, |(since, _)| since);
-            self.since = Some((since, TURNS));
-            return Some(late);
-        }
-        self.since = self.since.map(|(since, turns)| (since, turns - 1)).filter(|(_, turns)| *turns > 0);
-        None
+        self.late.rotate_right(1);
+        self.late[0] = (late >= LEAST).then_some(last);
+        (late >= LEAST).then_some(late)
     }
 
-    /// Since when a request may have been here that is read now.
+    /// Since when something may have been here that is read now.
     pub fn arrived(&self, now: Micros) -> Micros {
-        self.since.map_or(now, |(since, _)| since.min(now))
+        self.late.iter().flatten().copied().fold(now, Micros::min)
     }
 }
 
--- a/node/src/node/news.rs
+++ b/node/src/node/news.rs
@@ -126,7 +126,7 @@
     /// News of the host list. The pool is told first: the engine may send at once.
     pub(super) fn list(&mut self, kind: ListKind, mut hosts: Vec<bus::Host>) {
         let now = self.clock.now();
-        self.take_starts(now, &mut hosts);
+        self.take_starts(now, kind, &mut hosts);
         // The bus may tell of a new host before it tells that the one before it at its address has gone. DNS-SD may
         // have two names for one address.
         if kind == ListKind::Delta && matches!(self.side, Side::Platform(..)) {
@@ -146,13 +146,13 @@
     }
 
     /// Has hosts have started by this program's time, not by the one that the list's source goes by.
-    fn take_starts(&mut self, now: Micros, hosts: &mut [bus::Host]) {
+    fn take_starts(&mut self, now: Micros, kind: ListKind, hosts: &mut [bus::Host]) {
         let whole = match &self.side {
             Side::Platform(_, bus) => bus.whole_at(),
             Side::Operator { .. } => None,
         };
         let before = self.host_starts.correction();
-        self.host_starts.translate(now, whole, hosts.iter_mut().map(|h| &mut h.entry));
+        self.host_starts.translate(now, whole, kind, hosts.iter_mut().map(|h| &mut h.entry));
         let correction = self.host_starts.correction();
         if correction != before {
             let ahead = correction as f64 / 1e6;
