--- a/node/tests/common/links.rs
+++ b/node/tests/common/links.rs
@@ -1,6 +1,7 @@
 //! Several activators that hear each other through links that can be cut, as processes of their own.
 
-use std::net::{SocketAddr, UdpSocket};
+use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
+use std::sync::atomic::{AtomicU32, Ordering::Relaxed};
 
 use wheellink_lab::relay::{Faults, Mesh};
 
@@ -9,6 +10,14 @@
 /// Probes are sent this often: long enough that a busy machine does not make a process look dead.
 pub const PERIOD: u64 = 100;
 
+/// Loopback addresses that no other fleet has: a port there is taken by nobody between its choice and a process's start.
+fn own_addresses(n: usize) -> impl Iterator<Item = Ipv4Addr> {
+    static FLEETS: AtomicU32 = AtomicU32::new(0);
+    const EACH: u32 = 250;
+    let (process, fleet) = (std::process::id() % EACH + 1, FLEETS.fetch_add(1, Relaxed) % EACH + 1);
+    (1..=n).map(move |member| Ipv4Addr::new(127, process as u8, fleet as u8, member as u8))
+}
+
 pub struct Fleet {
     pub each: Vec<Option<Program>>,
     at: Vec<SocketAddr>,
@@ -27,7 +36,7 @@
 
     /// ... with this in their files besides.
     pub fn met_with(n: usize, more: &str) -> Self {
-        let held: Vec<_> = (0..n).map(|_| UdpSocket::bind("127.0.0.1:0").unwrap()).collect();
+        let held: Vec<_> = own_addresses(n).map(|own| UdpSocket::bind((own, 0)).unwrap()).collect();
         let at: Vec<SocketAddr> = held.iter().map(|s| s.local_addr().unwrap()).collect();
         drop(held);
         let mesh = Mesh::new(&at, n as u64).unwrap();
