Review case 2: an error answer in place of a reset connection

Cause: the case needed three disruptions at once. An answer 500 is no disruption, says like a reset that the mail may have run, and can be given in the run without the disruption as well.

Change: the first run of the mail ends with 500 in every run of the script; another host holds a copy of the function. The disruption is the reload and the kill alone. The stand-in client notes when it is asked to leave.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,7 @@
-"""A mail that waits at the new version of a rollout: the classes change by SIGHUP, and the new version is killed."""
+"""A mail that waits at the new version of a rollout: the classes change by SIGHUP, and the new version is killed.
+
+With and without that, the first run of the mail ends with an error, after which it may not be sent again.
+"""
 
 import asyncio
 import json
@@ -16,7 +19,7 @@
 # One class more, as a new configuration may have it; all other classes are as before.
 CLASSES_AFTER = PROFILES[:2] + [profile("read-scores", "safe", scope="all")] + PROFILES[2:]
 PLAN = {"name": "two", "step": [{"percent": 100, "least_ms": 600_000}], "on_fail": "hold", "silent_ms": 1500}
-# For comparison, parts of the disruption can be left out: TROUBLE=no-reload, TROUBLE=no-kill, TROUBLE=no-reset.
+# For comparison, one part of the disruption can be left out: TROUBLE=no-reload or TROUBLE=no-kill.
 LEFT_OUT = os.environ.get("TROUBLE", "")
 
 
@@ -37,15 +40,18 @@
     hosts = [Host(run.record, i, cell=0, load_s=1.1) for i in range(2)]
     for host in hosts:
         await host.start()
-    resets = [run.trouble and LEFT_OUT != "no-reset"]
+    errors = [1]
 
     async def on_call(call):
-        """Once, a connection is reset under its request, which has run by then."""
-        if call.fields["cls"] == "send-mail" and call.fields["item"] in call.host.loaded and resets[0]:
-            resets[0] = False
+        """The other host holds a copy, by the order of somebody else. The first run of the mail ends with an error."""
+        for other in hosts:
+            if other is not call.host and not any(h.loaded for h in hosts):
+                other.loaded.add(FUNCTION)
+                other.say("holds", FUNCTION)
+        if errors[0] and FUNCTION in call.host.loaded:
+            errors[0] = 0
             await call.host.run(call)
-            call.host.say("resets the connection of", call.id)
-            call.conn.reset()
+            call.answer("500")
             return True
         return False
 
--- a/review/standins.py
+++ b/review/standins.py
@@ -264,7 +264,7 @@
     def __init__(self, record, quiet=False):
         self.record, self.quiet = record, quiet
         self.stream, self.answers, self.sent, self.waiting = 0, {}, {}, {}
-        self.ready_code, self.closed = None, asyncio.Event()
+        self.ready_code, self.closed, self.asked_to_leave = None, asyncio.Event(), False
 
     async def connect(self, port):
         self.reader, self.writer = await asyncio.open_connection("127.0.0.1", port)
@@ -281,6 +281,8 @@
                     self._answered(stream, data[5], self._body(data[6:]))
                 elif kind == 5:
                     self.ready_code = data[5]
+                elif kind == 6:
+                    self.asked_to_leave = True
         except (OSError, asyncio.IncompleteReadError):
             pass
         finally:
