--- a/review/standins.py
+++ b/review/standins.py
@@ -130,6 +130,50 @@
             writer.close()
 
 
+# ----------------------------------------------------------------------------------------------------- resolver
+
+
+def dns_name(text):
+    labels = text.rstrip(".").split(".")
+    return b"".join(bytes([len(label)]) + label.encode() for label in labels) + b"\0"
+
+
+class Resolver(asyncio.DatagramProtocol):
+    """A DNS resolver that has the records of one DNS-SD service: PTR, SRV, TXT and A of each host."""
+
+    SERVICE = "_script-host._tcp.hosts.test."
+    A, PTR, TXT, SRV = 1, 12, 16, 33
+
+    def __init__(self, hosts):
+        self.records, self.port = {}, 0
+        for host in hosts:
+            instance, target, txt = f"{host.id}.{self.SERVICE}", f"{host.id}.hosts.test.", f"cell={host.cell}".encode()
+            self.records.setdefault((self.SERVICE, self.PTR), []).append(dns_name(instance))
+            self.records[instance, self.SRV] = [struct.pack(">HHH", 0, 0, host.port) + dns_name(target)]
+            self.records[instance, self.TXT] = [bytes([len(txt)]) + txt]
+            self.records[target, self.A] = [bytes([127, 0, 0, 1])]
+
+    async def start(self):
+        loop = asyncio.get_running_loop()
+        transport, _ = await loop.create_datagram_endpoint(lambda: self, local_addr=("127.0.0.1", 0))
+        self.port = transport.get_extra_info("sockname")[1]
+
+    def connection_made(self, transport):
+        self.transport = transport
+
+    def datagram_received(self, data, address):
+        at, labels = 12, []
+        while data[at]:
+            labels.append(data[at + 1:at + 1 + data[at]].decode())
+            at += 1 + data[at]
+        kind, name, question = struct.unpack(">H", data[at + 1:at + 3])[0], ".".join(labels).lower() + ".", data[12:at + 5]
+        found = self.records.get((name, kind), [])
+        answer = data[:2] + struct.pack(">HHHHH", 0x8180 if found else 0x8183, 1, len(found), 0, 0) + question
+        for value in found:
+            answer += dns_name(name) + struct.pack(">HHIH", kind, 1, 120, len(value)) + value
+        self.transport.sendto(answer, address)
+
+
 # ------------------------------------------------------------------------------------------------- script hosts
 
 
@@ -344,21 +388,25 @@
     """A process of the program, started with the `run` command of the deploy file."""
 
     def __init__(self, record, folder, name, config, listen, control, tmp):
+        """`config` is the platform's configuration, or the text of an operator's file."""
         self.record, self.name, self.listen, self.control = record, name, listen, control
-        self.path = pathlib.Path(folder) / f"{name}.json"
+        operator = isinstance(config, str)
+        self.path = pathlib.Path(folder) / (f"{name}.toml" if operator else f"{name}.json")
         self.write(config)
         self.log_path = pathlib.Path(folder) / f"{name}.log"
         self.log = open(self.log_path, "wb")
-        env = {"PATH": os.environ.get("PATH", ""), "EDGE_NAME": "n0", "EDGE_LISTEN": listen, "EDGE_CONTROL": control,
-               "EDGE_CONFIG": str(self.path), "TMPDIR": str(tmp)}
-        self.process = subprocess.Popen(["/bin/sh", "-c", deploy_command()], cwd=ROOT, env=env, stdout=self.log,
-                                        stderr=self.log, stdin=subprocess.DEVNULL)
+        env = {"PATH": os.environ.get("PATH", ""), "TMPDIR": str(tmp)}
+        if not operator:
+            env |= {"EDGE_NAME": "n0", "EDGE_LISTEN": listen, "EDGE_CONTROL": control, "EDGE_CONFIG": str(self.path)}
+        command = f"{deploy_command()} {self.path}" if operator else deploy_command()
+        self.process = subprocess.Popen(["/bin/sh", "-c", command], cwd=ROOT, env=env, stdout=self.log, stderr=self.log,
+                                        stdin=subprocess.DEVNULL)
         record.line("platform", "starts", name)
 
     def write(self, config):
         """Replaces the configuration file, as a whole."""
         new = self.path.with_suffix(".new")
-        new.write_text(json.dumps(config))
+        new.write_text(config if isinstance(config, str) else json.dumps(config))
         os.replace(new, self.path)
 
     def signal(self, number):
