Review case 3: a keyed call is applied in two cells, in place of the crowd

A keyed call that may have run is repeated at a host of another cell if DNS-SD gives the cells as words or not at all: that applies data twice, which is worse than an answer that is cut off.

The stand-ins get a host that dies and a record without a cell.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
-# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0: without the crowd.
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0: without the death of the script host.
 PYTHONDONTWRITEBYTECODE=1 exec python3 "$(dirname "$0")/case.py"
--- a/review/standins.py
+++ b/review/standins.py
@@ -147,7 +147,8 @@
     def __init__(self, hosts):
         self.records, self.port = {}, 0
         for host in hosts:
-            instance, target, txt = f"{host.id}.{self.SERVICE}", f"{host.id}.hosts.test.", f"cell={host.cell}".encode()
+            instance, target = f"{host.id}.{self.SERVICE}", f"{host.id}.hosts.test."
+            txt = f"cell={host.cell}".encode() if host.cell is not None else b""
             self.records.setdefault((self.SERVICE, self.PTR), []).append(dns_name(instance))
             self.records[instance, self.SRV] = [struct.pack(">HHH", 0, 0, host.port) + dns_name(target)]
             self.records[instance, self.TXT] = [bytes([len(txt)]) + txt]
@@ -185,11 +186,19 @@
         self.load_s, self.work_s, self.port = load_s, work_s, 0
         self.loaded, self.loading, self.runs = set(), {}, []
         self.on_call, self.on_order, self.quiet = None, None, quiet
+        self.conns = []
         self.known = None
 
     async def start(self):
-        server = await asyncio.start_server(self._serve, "127.0.0.1", 0, limit=1 << 20)
-        self.port = server.sockets[0].getsockname()[1]
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0, limit=1 << 20)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    def die(self):
+        """As when the process of the host dies: its connections are reset, and nobody listens any more."""
+        self.say("dies")
+        self.server.close()
+        for conn in self.conns:
+            conn.reset()
 
     def say(self, *words):
         if not self.quiet:
@@ -197,6 +206,7 @@
 
     async def _serve(self, reader, writer):
         conn = Connection(writer)
+        self.conns.append(conn)
         try:
             while line := await reader.readline():
                 words = line.decode().strip().split(" ")
