--- a/review/standins.py
+++ b/review/standins.py
@@ -8,13 +8,13 @@
 import json
 import os
 import pathlib
+import re
 import signal
 import socket
 import struct
 import subprocess
 import tempfile
 import time
-import tomllib
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 SERVED, REFUSED, FAILED = 79, 66, 69
@@ -391,7 +391,8 @@
 
 
 def deploy_command():
-    return tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
+    """The command `run` of the deploy file."""
+    return re.search(r'^run = "([^"]*)"', (ROOT / "deploy/balancer.toml").read_text(), re.M)[1]
 
 
 class Activator:
@@ -499,23 +500,36 @@
         self.temporary.cleanup()
 
 
+KEPT, BROKEN, COULD_NOT_RUN = 0, 10, 2
+
+
 def main(folder, case):
-    """Runs the coroutine `case(run)`, which returns what broke the rule, if anything. Exits with 1, 0 or 2."""
+    """Runs the coroutine `case(run)`, which returns what broke the rule, if anything.
+
+    The status is 0 if the rule was kept and 10 if it was broken. With any other one, as of an error of Python, the case
+    could not run; `run.sh` tells them apart.
+    """
     run = Run(folder)
 
     async def judged():
-        asyncio.get_running_loop().set_exception_handler(lambda *_: None)
-        code = 2
+        loop, task = asyncio.get_running_loop(), asyncio.current_task()
+        loop.set_exception_handler(lambda *_: None)
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            loop.add_signal_handler(number, task.cancel)
+        code = COULD_NOT_RUN
         try:
             broken = await asyncio.wait_for(case(run), 110)
-            code = 1 if broken else 0
+            code = BROKEN if broken else KEPT
             text = f"rule broken: {broken}" if broken else "rule kept"
-        except (CannotRun, OSError, asyncio.TimeoutError) as e:
+        except BaseException as e:
             text = f"the case could not run: {e!r}"
         finally:
             run.close()
         run.record.line("verdict:", text)
-        print(text, flush=True)
+        try:
+            print(text, flush=True)
+        except OSError:
+            pass
         # The stand-ins end with this process; their open connections need no orderly end.
         os._exit(code)
 
