Made-up functions neither grow the activator nor displace learnt ones

Cause: record_call counted each call as a successor of every other function of its tenant's last second, whether any host has such a function or not: R made-up names a second gained R x R entries a second. The same calls lowered the shares of real functions and had their counts halved every ten seconds, so that a bound alone would have cost what was learnt.

A function that a host has served or loaded is learnt from as before. Calls of functions that were not served touch neither shares nor halving of those that were. In gossip, calls of known functions come first, and names known by calls in progress alone fill at most half of the receivers' table.

Why it works: what a client can name is kept in proportion to its open requests and the slots; what a host has shown is not displaced by it.

--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -30,6 +30,8 @@
 const PEER_TIMEOUT_US: Micros = 4_000_000;
 /// Maximum number of stored places of functions that have not been called here yet.
 const MAX_UNCALLED_PLACES: usize = 8_192;
+/// Maximum number of these that were only reported by calls in progress: clients can make up the names that they call.
+const MAX_UNPROVEN_PLACES: usize = MAX_UNCALLED_PLACES / 2;
 /// Maximum number of news entries queued for the next datagrams.
 const MAX_QUEUED_NEWS: usize = 256;
 /// One in this many entries of a datagram is reserved for queued news.
@@ -87,10 +89,15 @@
     bytes.iter().fold(0x9d, |sum: u8, b| (sum.rotate_left(3) ^ b).wrapping_add(7))
 }
 
+/// Number of entries that a datagram of at most this size holds.
+fn entries_within(max_bytes: usize) -> usize {
+    max_bytes.saturating_sub(HEADER_BYTES) / ENTRY_BYTES
+}
+
 /// Encodes a datagram; entries beyond `max_bytes` are omitted.
 pub(crate) fn encode(sequence: u8, entries: &[Entry], max_bytes: usize) -> Vec<u8> {
     let mut bytes = vec![FORMAT, sequence, 0];
-    for e in entries.iter().take(max_bytes.saturating_sub(HEADER_BYTES) / ENTRY_BYTES) {
+    for e in entries.iter().take(entries_within(max_bytes)) {
         let (function, code) = match e.status {
             Status::Serving(n) => (e.function, n.min(MAX_ENTRY_CALLS)),
             Status::Loading => (e.function, 11),
@@ -137,14 +144,24 @@
     calls: Vec<(u16, u32, u32)>,
 }
 
+/// A place of a function that has not been called here yet.
+struct UncalledPlace {
+    /// Time of the last report.
+    at: Micros,
+    copies: u8,
+    /// Whether news reported it, and not only calls in progress.
+    proven: bool,
+}
+
 /// Information received from the other routers.
 #[derive(Default)]
 pub(crate) struct PeerTable {
     peers: BTreeMap<u32, Peer>,
     at_host: BTreeMap<u16, u32>,
     at_place: BTreeMap<PlaceKey, u32>,
-    /// Time of the last report and copies of functions that have not been called here yet.
-    uncalled: BTreeMap<PlaceKey, (Micros, u8)>,
+    uncalled: BTreeMap<PlaceKey, UncalledPlace>,
+    /// Number of places in `uncalled` that are not proven.
+    unproven: usize,
     /// Gossip is needed here, and enough of the other routers were heard from recently; see [`PeerTable::expire`].
     pub(crate) reliable: bool,
     /// Since when `reliable` holds without a break.
@@ -196,7 +213,8 @@
         let expired: Vec<_> = self.peers.iter().filter(|(_, p)| expired(p)).map(|(n, _)| *n).collect();
         expired.into_iter().for_each(|n| self.clear_calls(n));
         self.peers.retain(|_, p| now - p.at <= PEER_TIMEOUT_US);
-        self.uncalled.retain(|_, (at, _)| now - *at < keep);
+        self.uncalled.retain(|_, place| now - place.at < keep);
+        self.unproven = self.uncalled.values().filter(|place| !place.proven).count();
         let enough = self.peers.len() as f64 >= MIN_HEARD_SHARE * f64::from(routers.saturating_sub(1));
         let reliable = sees_little && enough && routers > 1;
         if reliable && !self.reliable {
@@ -229,21 +247,40 @@
     /// Removes and returns the places of a function that is now called here: hosts, times of the report, copies.
     pub(crate) fn take_known(&mut self, function: u32) -> Vec<(u16, Micros, u8)> {
         let range = (function, 0)..=(function, u16::MAX);
-        let found: Vec<_> = self.uncalled.range(range).map(|(k, v)| (k.1, v.0, v.1)).collect();
+        let found: Vec<_> = self.uncalled.range(range).map(|(k, v)| (k.1, v.at, v.copies)).collect();
         for (host, ..) in &found {
-            self.uncalled.remove(&(function, *host));
+            self.remove_uncalled((function, *host));
         }
         found
     }
 
     /// Stores the place of a function that has not been called here yet.
-    pub(crate) fn remember(&mut self, now: Micros, place: PlaceKey, status: Status) {
-        match status {
-            Status::Gone => drop(self.uncalled.remove(&place)),
-            Status::NoRoom => {}
-            _ if self.uncalled.len() >= MAX_UNCALLED_PLACES && !self.uncalled.contains_key(&place) => {}
-            Status::Copies(n) => drop(self.uncalled.insert(place, (now, n))),
-            Status::Serving(_) | Status::Loading => self.uncalled.entry(place).or_insert((now, 1)).0 = now,
+    pub(crate) fn remember(&mut self, now: Micros, key: PlaceKey, status: Status) {
+        let reported = match status {
+            Status::NoRoom => return,
+            Status::Gone => return self.remove_uncalled(key),
+            Status::Copies(n) => Some(n),
+            Status::Serving(_) | Status::Loading => None,
+        };
+        let proven = !matches!(status, Status::Serving(1..));
+        if let Some(place) = self.uncalled.get_mut(&key) {
+            self.unproven -= usize::from(proven && !place.proven);
+            *place = UncalledPlace {
+                at: now,
+                copies: reported.unwrap_or(place.copies),
+                proven: proven || place.proven,
+            };
+            return;
+        }
+        if self.uncalled.len() < MAX_UNCALLED_PLACES && (proven || self.unproven < MAX_UNPROVEN_PLACES) {
+            self.uncalled.insert(key, UncalledPlace { at: now, copies: reported.unwrap_or(1), proven });
+            self.unproven += usize::from(!proven);
+        }
+    }
+
+    fn remove_uncalled(&mut self, key: PlaceKey) {
+        if self.uncalled.remove(&key).is_some_and(|place| !place.proven) {
+            self.unproven -= 1;
         }
     }
 }
@@ -289,6 +326,11 @@
         }
     }
 
+    /// Entries of a datagram of at most `max_bytes` that this number of calls in progress and the queued news leave.
+    pub(crate) fn spare_entries(&self, calls: usize, max_bytes: usize) -> usize {
+        entries_within(max_bytes).saturating_sub(calls + self.news.len())
+    }
+
     /// Number of queued news entries.
     pub(crate) fn entries(&self) -> usize {
         self.news.len()
@@ -317,7 +359,7 @@
         mut due: impl FnMut(&PlaceKey, Status) -> bool,
     ) -> Option<Vec<u8>> {
         let entry = |&(function, host): &PlaceKey, status| Entry { host, function, status };
-        let capacity = max_bytes.saturating_sub(HEADER_BYTES) / ENTRY_BYTES;
+        let capacity = entries_within(max_bytes);
         // Calls in progress must not take the entries reserved for news.
         let call_entries = capacity - self.news.len().min(capacity / NEWS_RESERVE_DIVISOR);
         let mut entries = Vec::new();
--- a/src/gossip/tests.rs
+++ b/src/gossip/tests.rs
@@ -69,13 +69,30 @@
     }
     assert_eq!(table.uncalled.len(), MAX_UNCALLED_PLACES);
     table.remember(2, (0, 0), Status::Copies(3));
-    assert_eq!(table.uncalled[&(0, 0)], (2, 3), "a known place is kept up to date");
+    let place = &table.uncalled[&(0, 0)];
+    assert_eq!((place.at, place.copies), (2, 3), "a known place is kept up to date");
     table.remember(3, (0, 0), Status::Gone);
     assert_eq!(table.uncalled.len(), MAX_UNCALLED_PLACES - 1);
     table.expire(6_000_000, (500_000, 5_000_000), 4, true);
     assert!(table.uncalled.is_empty());
 }
 
+/// Calls in progress may be of names that clients made up: they leave room for places that news reports.
+#[test]
+fn calls_in_progress_do_not_fill_the_table_of_uncalled_functions() {
+    let mut table = PeerTable::default();
+    for f in 0..2 * MAX_UNCALLED_PLACES as u32 {
+        table.remember(1, (f, 0), Status::Serving(1));
+    }
+    assert_eq!((table.uncalled.len(), table.unproven), (MAX_UNPROVEN_PLACES, MAX_UNPROVEN_PLACES));
+    table.remember(2, (7, 1), Status::Copies(2));
+    table.remember(2, (3, 0), Status::Loading);
+    assert_eq!((table.take_known(7).len(), table.unproven), (1 + 1, MAX_UNPROVEN_PLACES - 2));
+    assert!(table.uncalled[&(3, 0)].proven);
+    table.expire(6_000_000, (500_000, 5_000_000), 4, true);
+    assert_eq!((table.uncalled.len(), table.unproven), (0, 0));
+}
+
 /// Guards against places that are never sent: calls in progress were sent from the lowest key up and news from the
 /// highest down, both cut at one datagram, so that with more entries each datagram had the same places.
 #[test]
--- a/src/gossip_exchange.rs
+++ b/src/gossip_exchange.rs
@@ -7,7 +7,7 @@
     function_key, host_key, period, PlaceKey, Status, ANNOUNCE_AGAIN_DIVISOR, MIN_DATAGRAM_BYTES, NO_FUNCTION,
 };
 use crate::interface::*;
-use crate::state::{Core, Router};
+use crate::state::{Core, Function, Router};
 
 /// Time in which a worker that had no room for a load gets no load orders: copies in use free room within about that
 /// time, and the list shows a drain within half of it.
@@ -77,10 +77,15 @@
         if !self.gossip_enabled() || self.function_keys.get(&key).is_some_and(|known| known == id) {
             return;
         }
-        self.function_keys.insert(key, id.clone());
         let (now, keep) = (self.now, self.settings.keep);
-        let f = self.functions.entry(id.clone()).or_default();
-        f.key = key;
+        self.functions.entry(id.clone()).or_default().key = key;
+        // Another function has the same key. A name that was made up must not take it from one that is served.
+        let served = |f: &FunctionId| self.functions.get(f).is_some_and(Function::is_served);
+        if self.function_keys.get(&key).is_some_and(served) && !served(id) {
+            return;
+        }
+        self.function_keys.insert(key, id.clone());
+        let Some(f) = self.functions.get_mut(id) else { return };
         for (host, at, copies) in self.gossip.take_known(key) {
             if let Some(n) = self.host_keys.get(&host) {
                 f.apply(n, (now, at), keep, Status::Copies(copies));
@@ -115,14 +120,28 @@
         let functions = &mut self.functions;
         self.function_keys.retain(|_, f| functions.contains_key(f));
         let mut calls: BTreeMap<PlaceKey, u8> = BTreeMap::new();
+        // The time of the oldest call and the number of calls.
+        let mut unproven: BTreeMap<PlaceKey, (Micros, u8)> = BTreeMap::new();
         for r in self.requests.values() {
             for t in r.attempts.iter().filter(|t| t.ended.is_none()) {
-                let n = calls.entry((function_key(&r.function), host_key(&t.worker))).or_default();
-                *n = n.saturating_add(1);
-                let f = functions.get_mut(&r.function);
-                f.and_then(|f| f.places.get_mut(&t.worker)).into_iter().for_each(|p| p.announced = now);
+                let place = (function_key(&r.function), host_key(&t.worker));
+                let Some(f) = functions.get_mut(&r.function) else { continue };
+                f.places.entry(t.worker.clone()).and_modify(|p| p.announced = now);
+                if f.known {
+                    let n = calls.entry(place).or_default();
+                    *n = n.saturating_add(1);
+                } else {
+                    let (oldest, n) = unproven.entry(place).or_insert((t.sent, 0));
+                    (*oldest, *n) = (t.sent.min(*oldest), n.saturating_add(1));
+                }
             }
         }
+        // Calls of functions that no worker may have get the entries that are left. The oldest come first: a name that was
+        // made up soon gets its error, and a load takes longer.
+        let spare = self.composer.spare_entries(calls.len(), self.settings.max_gossip_bytes);
+        let mut unproven: Vec<_> = unproven.into_iter().collect();
+        unproven.sort_by_key(|(_, (oldest, _))| *oldest);
+        calls.extend(unproven.into_iter().take(spare).map(|(place, (_, n))| (place, n)));
         let (function_keys, host_keys, keep) = (&self.function_keys, &self.host_keys, self.settings.keep);
         // Hundreds of routers may find the same copy within one period: what one has announced, the others omit.
         let due = |&(function, host): &PlaceKey, status| {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod called_functions;
 mod concurrency_limit;
 pub mod engine;
 mod gossip;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -14,10 +14,9 @@
 
 /// Interval at which call counts are halved, so that past popularity fades within some tens of seconds.
 const HALVING_PERIOD_US: Micros = 10_000_000;
-/// Calls that must be counted before counts are halved: a router with little traffic needs its old counts.
+/// Calls of served functions that must be counted before counts are halved: a router with little traffic
+/// needs its old counts.
 const MIN_CALLS_TO_HALVE: f64 = 200.0;
-/// A call counts as a successor of an earlier call of the same tenant within this time, once per call.
-const SUCCESSION_WINDOW_US: Micros = 1_000_000;
 /// Calls of a function that are needed before its successor counts are used.
 const MIN_CHAIN_CALLS: f64 = 4.0;
 /// A successor is preloaded when it follows more than this share of the calls of a function.
@@ -130,7 +129,7 @@
                 if class >= self.settings.classes.len() || self.requests.contains_key(&request) {
                     return;
                 }
-                let counted = self.record_call(&function, tenant, lanes);
+                let (counted, learned) = self.record_call(&function, tenant, lanes);
                 let fresh = Request {
                     class,
                     terms: self.settings.classes[class],
@@ -144,6 +143,7 @@
                     answered: false,
                     held: false,
                     counted,
+                    learned,
                     streaming: false,
                     admission_draw: 1.0 - self.rng.f64(),
                     hint,
@@ -239,10 +239,9 @@
         for p in self.functions.values_mut().flat_map(|f| f.places.values_mut()) {
             p.mean_in_flight += (p.in_flight as f64 - p.mean_in_flight) * (1.0 - fade);
         }
-        if now - self.last_halving >= HALVING_PERIOD_US && self.calls >= MIN_CALLS_TO_HALVE {
+        if now - self.last_halving >= HALVING_PERIOD_US && self.served_calls >= MIN_CALLS_TO_HALVE {
             self.last_halving = now;
-            self.calls /= 2.0;
-            self.functions.retain(|_, f| f.halve(now, 4 * HALVING_PERIOD_US));
+            self.halve_functions(4 * HALVING_PERIOD_US);
         }
         self.send_gossip(out);
         self.rest_silent_workers(out);
@@ -459,30 +458,18 @@
 // --------------------------------------------------------------------------------------- chain preloading
 
 impl Core {
-    /// Counts a call and its predecessors: Accessed_Num and hit_candidate_path of the paper's Algorithm 2,
-    /// on order-one paths. Returns whether the call counts for the load budget: calls of functions that no
-    /// worker is known to have do not, as clients may invent hundreds of names.
-    fn record_call(&mut self, id: &FunctionId, tenant: Option<usize>, lanes: u32) -> bool {
-        let now = self.now;
+    /// Counts a call. Returns whether it counts for the load budget, and whether it is learnt from: calls of
+    /// functions that no worker is known to have do not count for the budget, as clients may invent names.
+    fn record_call(&mut self, id: &FunctionId, tenant: Option<usize>, lanes: u32) -> (bool, bool) {
         if let Some(rate) = tenant.and_then(|t| self.tenant_rates.get_mut(t)) {
             *rate += TICK_WEIGHT * 1e6 / TICK_US as f64;
         }
-        let functions = &mut self.functions;
-        self.recent_calls.call(now, (id, tenant), SUCCESSION_WINDOW_US, |before, calls| {
-            if let Some(f) = functions.get_mut(before) {
-                *f.successors.entry(id.clone()).or_default() += f64::from(calls);
-            }
-        });
-        self.register_function(id);
-        let f = self.functions.entry(id.clone()).or_default();
-        f.calls += 1.0;
-        self.calls += 1.0;
-        (f.last_call, f.lanes, f.call_count) = (now, lanes, f.call_count + 1);
-        let known = f.known;
+        let learned = self.open_function(id, tenant, lanes);
+        let known = self.functions.get(id).is_some_and(|f| f.known);
         if known {
-            self.count_for_budget(now);
+            self.count_for_budget(self.now);
         }
-        known
+        (known, learned)
     }
 
     /// Algorithm 2: orders the most likely successor that is not loaded, if its share is above the
@@ -571,6 +558,9 @@
         }
         p.copies = copies;
         p.warm_until = if copies > 0 { now + keep } else { 0 };
+        if copies > 0 {
+            self.mark_served(id);
+        }
         let status =
             [Status::Gone, Status::Serving(0), Status::Copies(copies.min(4) as u8)][copies.min(2) as usize];
         self.queue_news(worker, id, status);
@@ -696,11 +686,17 @@
         r.counted |= knows;
         let known = self.functions.get_mut(&function).is_some_and(|f| {
             f.known |= knows;
+            if outcome == Outcome::Error {
+                f.refute();
+            }
             f.known
         });
         if counts {
             self.count_for_budget(arrived);
         }
+        if outcome == Outcome::Done {
+            self.learn_served_call(id, &function);
+        }
         if let Some(w) = self.workers.get_mut(worker) {
             w.in_flight = w.in_flight.saturating_sub(1);
             w.awaiting = w.awaiting.saturating_sub(u32::from(!warm));
--- a/src/state.rs
+++ b/src/state.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
+use crate::called_functions::{Unserved, UnservedFunctions};
 use crate::concurrency_limit::ConcurrencyLimit;
 use crate::gossip::{host_key, Composer, PeerTable, Status};
 use crate::hash::hash;
@@ -76,7 +77,6 @@
 }
 
 /// A function that was called here.
-#[derive(Default)]
 pub(crate) struct Function {
     /// Key of the function in gossip.
     pub(crate) key: u32,
@@ -91,6 +91,10 @@
     pub(crate) call_count: u64,
     /// Some worker has it in its store: it answered a call or reported a miss, not an error.
     pub(crate) known: bool,
+    /// Set until a worker has served a call of it or loaded it; see `src/called_functions.rs`.
+    pub(crate) unserved: Option<Unserved>,
+    /// Number of its requests in [`Core::requests`].
+    pub(crate) open: u32,
     /// How many calls of this function each other function followed.
     pub(crate) successors: BTreeMap<FunctionId, f64>,
     pub(crate) lanes: u32,
@@ -100,6 +104,28 @@
     pub(crate) ranked_version: u64,
 }
 
+impl Default for Function {
+    /// A function that no worker has served.
+    fn default() -> Self {
+        Self {
+            key: 0,
+            calls: 0.0,
+            overlap: 0.0,
+            overlap_base: 0.0,
+            last_call: 0,
+            call_count: 0,
+            known: false,
+            unserved: Some(Unserved::default()),
+            open: 0,
+            successors: BTreeMap::new(),
+            lanes: 0,
+            places: BTreeMap::new(),
+            ranked: Vec::new(),
+            ranked_version: 0,
+        }
+    }
+}
+
 /// Requests of the other routers at a worker: running means of its load reports without the own requests.
 #[derive(Clone, Copy, Default)]
 pub(crate) struct OtherLoad {
@@ -196,6 +222,8 @@
     pub(crate) held: bool,
     /// Whether it is counted for the load budget.
     pub(crate) counted: bool,
+    /// Whether its call is counted for the shares and successors of functions.
+    pub(crate) learned: bool,
     pub(crate) streaming: bool,
     /// Expected work, as time on a standard core; 0: unknown.
     pub(crate) hint: Micros,
@@ -221,12 +249,15 @@
     pub(crate) worker_set_version: u64,
     pub(crate) totals: Totals,
     pub(crate) functions: BTreeMap<FunctionId, Function>,
+    pub(crate) unserved: UnservedFunctions,
     pub(crate) requests: BTreeMap<RequestId, Request>,
     pub(crate) recent_calls: Succession,
     /// Arrival times of the calls that count for the load budget, in order.
     pub(crate) arrivals: VecDeque<Micros>,
     /// Calls of all functions, halved together with the counts of the functions.
     pub(crate) calls: f64,
+    /// Those of functions that a worker has served.
+    pub(crate) served_calls: f64,
     /// Times of the load orders within the period of the budget.
     pub(crate) orders: VecDeque<Micros>,
     /// Preload orders in progress.
@@ -352,7 +383,10 @@
     /// Number of entries in all tables. Each table is bounded or expires, so the number does not grow for ever.
     pub fn entries(&self) -> usize {
         let c = &self.0;
-        let count = |f: &Function| 1 + f.successors.len() + f.places.len() + f.ranked.len();
+        let count = |f: &Function| {
+            let unserved = f.unserved.as_ref().map_or(0, Unserved::entries);
+            1 + f.successors.len() + f.places.len() + f.ranked.len() + unserved
+        };
         c.functions.values().map(count).sum::<usize>()
             + c.workers.values().map(|w| 1 + w.rejections.len() + w.cold_sends.len()).sum::<usize>()
             + c.requests.values().map(|r| 1 + r.attempts.len()).sum::<usize>()
@@ -361,6 +395,7 @@
             + c.preloads.len()
             + c.peer.calls.len()
             + c.peer.orders.len()
+            + c.unserved.entries()
             + c.recent_calls.entries()
             + c.gossip.entries()
             + c.composer.entries()
@@ -458,9 +493,11 @@
         seen / (seen + unseen)
     }
 
-    /// A function's share of the calls: the own ones, and those of all routers that answers reported.
+    /// A function's share of the calls: the own ones, and those of all routers that answers reported. Calls of functions
+    /// that were not served, which clients may have made up, take nothing from the share of one that was.
     pub(crate) fn share(&self, f: &Function) -> f64 {
-        ((f.calls - IGNORED_CALLS).max(0.0) + f.overlap) / (self.calls.max(MIN_SHARE_CALLS) + f.overlap_base)
+        let all = if f.is_served() { self.served_calls } else { self.calls };
+        ((f.calls - IGNORED_CALLS).max(0.0) + f.overlap) / (all.max(MIN_SHARE_CALLS) + f.overlap_base)
     }
 
     /// Calls of all routers in flight that this router neither sees nor could learn of by gossip; 0 with gossip: gaps in
@@ -695,12 +732,16 @@
             }
             self.orders.extend(late);
         }
-        for l in loaded.into_iter().filter(|l| l.until > self.now && l.calls.is_finite()) {
-            let f = self.functions.entry(l.function).or_default();
+        let now = self.now;
+        for l in loaded.into_iter().filter(|l| l.until > now && l.calls.is_finite()) {
+            self.functions.entry(l.function.clone()).or_default();
+            self.mark_served(&l.function);
+            let Some(f) = self.functions.get_mut(&l.function) else { continue };
             if f.places.is_empty() {
-                self.calls += l.calls.max(0.0);
-                (f.calls, f.lanes, f.known) = (f.calls + l.calls.max(0.0), l.lanes.max(1), true);
-                (f.last_call, f.call_count) = (self.now, f.call_count.max(2));
+                let calls = l.calls.max(0.0);
+                (self.calls, self.served_calls) = (self.calls + calls, self.served_calls + calls);
+                (f.calls, f.lanes, f.known) = (f.calls + calls, l.lanes.max(1), true);
+                (f.last_call, f.call_count) = (now, f.call_count.max(2));
             }
             let p = f.places.entry(l.worker).or_default();
             (p.warm_until, p.copies) = (p.warm_until.max(l.until), p.copies.max(l.copies));
@@ -762,7 +803,8 @@
     pub(crate) fn forget(&mut self, id: &RequestId) {
         let over = |r: &Request| r.answered && r.attempts.iter().all(|t| t.ended.is_some());
         if self.requests.get(id).is_some_and(over) {
-            self.requests.remove(id);
+            let function = self.requests.remove(id).map(|r| r.function);
+            function.iter().for_each(|function| self.close_function(function));
         }
     }
 
@@ -787,7 +829,7 @@
             *n >= 0.25
         });
         self.places.retain(|_, p| p.warm_until > now || p.loading.is_some() || p.in_flight > 0);
-        !self.places.is_empty() || now - self.last_call < forget
+        !self.places.is_empty() || self.open > 0 || now - self.last_call < forget
     }
 
     /// Applies a status that another router reported at `at`, unless this router knows better.
--- a/src/succession.rs
+++ b/src/succession.rs
@@ -18,12 +18,20 @@
     latest: BTreeMap<u64, FunctionId>,
 }
 
+/// A call within the window.
+struct Call {
+    at: Micros,
+    number: u64,
+    tenant: Option<usize>,
+    function: FunctionId,
+}
+
 /// The calls within the window.
 #[derive(Default)]
 pub(crate) struct Succession {
     number: u64,
     /// Oldest first. All tables are bounded by the number of calls in the window.
-    window: VecDeque<(Micros, Option<usize>, FunctionId)>,
+    window: VecDeque<Call>,
     tenants: BTreeMap<Option<usize>, TenantCalls>,
 }
 
@@ -50,7 +58,7 @@
             followed(other, (calls.len() - before) as u32);
         }
         tenant_calls.latest.insert(self.number, id.clone());
-        self.window.push_back((now, tenant, id.clone()));
+        self.window.push_back(Call { at: now, number: self.number, tenant, function: id.clone() });
     }
 
     /// Number of entries in all tables.
@@ -65,22 +73,45 @@
         self.tenants.clear();
     }
 
+    /// Removes all calls of the function.
+    pub(crate) fn remove(&mut self, id: &FunctionId) {
+        for tenant_calls in self.tenants.values_mut() {
+            tenant_calls.remove(id);
+        }
+        self.tenants.retain(|_, tenant_calls| !tenant_calls.calls.is_empty());
+    }
+
     fn expire(&mut self, now: Micros, window: Micros) {
-        while self.window.front().is_some_and(|(at, ..)| now - at > window) {
-            let Some((_, tenant, id)) = self.window.pop_front() else { return };
-            let Some(tenant_calls) = self.tenants.get_mut(&tenant) else { continue };
-            let Some(calls) = tenant_calls.calls.get_mut(&id) else { continue };
-            let last = calls.pop_front();
-            if calls.is_empty() {
-                tenant_calls.calls.remove(&id);
-                last.map(|number| tenant_calls.latest.remove(&number));
-            }
+        while self.window.front().is_some_and(|call| now - call.at > window) {
+            let Some(call) = self.window.pop_front() else { return };
+            let Some(tenant_calls) = self.tenants.get_mut(&call.tenant) else { continue };
+            tenant_calls.expire(&call);
             if tenant_calls.calls.is_empty() {
-                self.tenants.remove(&tenant);
+                self.tenants.remove(&call.tenant);
             }
         }
     }
 }
 
+impl TenantCalls {
+    fn remove(&mut self, id: &FunctionId) {
+        let last = self.calls.remove(id).and_then(|calls| calls.back().copied());
+        last.map(|number| self.latest.remove(&number));
+    }
+
+    /// Removes the oldest call. Calls of a function that was removed are not there any more.
+    fn expire(&mut self, call: &Call) {
+        let Some(calls) = self.calls.get_mut(&call.function) else { return };
+        if calls.front() != Some(&call.number) {
+            return;
+        }
+        calls.pop_front();
+        if calls.is_empty() {
+            self.calls.remove(&call.function);
+            self.latest.remove(&call.number);
+        }
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/src/succession/tests.rs
+++ b/src/succession/tests.rs
@@ -90,3 +90,17 @@
     s.clear();
     assert_eq!((s.window.len(), s.tenants.len()), (0, 0));
 }
+
+/// A function whose calls were removed has no successors from then on; its later calls and those of others count.
+#[test]
+fn removed_calls_do_not_count() {
+    let mut s = Succession::default();
+    counted(&mut s, 0, &function(1), None);
+    counted(&mut s, 1, &function(2), None);
+    s.remove(&function(1));
+    assert_eq!(counted(&mut s, 2, &function(3), None).0, BTreeMap::from([(function(2), 1)]));
+    counted(&mut s, WINDOW - 1, &function(1), None);
+    // The removed call leaves the window; the later one of the same function stays.
+    let expected = BTreeMap::from([(function(1), 1), (function(3), 1)]);
+    assert_eq!(counted(&mut s, WINDOW + 2, &function(2), None).0, expected);
+}
