An unknown cell or zone is equal to no other: keyed calls stay in theirs

Cause: Browser::host took a cell that is no number, like an absent one, for -1, and an unknown zone for u32::MAX, as did the readers of the bus and of the simulator's wire. may_retry_on compared these numbers, and -1 equals -1: all hosts of no known cell counted as one cell.

Change: zones and cells are Options; two groups are one only if both are known and equal, else a host drops repeats of its own attempts only. An attempt keeps the group that its host had when it was sent. Attributes of a TXT record that make no sense are ignored and logged once. Hosts of an unknown zone are sites of their own in [turns].

Why it works: "unknown" is no value any more that could be compared.

Existing tests changed in the type of zones and cells alone.

--- a/node/src/bus.rs
+++ b/node/src/bus.rs
@@ -91,11 +91,11 @@
         2 => Condition::Gone,
         other => return Err(format!("a host in unknown state {other}")),
     };
-    let zone = if usize::from(r[11]) < zones.len() { u32::from(r[11]) } else { u32::MAX };
+    let zone = (usize::from(r[11]) < zones.len()).then(|| u32::from(r[11]));
     let entry = ListEntry {
         worker: format!("s-{:08x}", u32_at(0)).as_str().into(),
         zone,
-        cell: u16_at(13).into(),
+        cell: Some(u16_at(13).into()),
         condition,
         size: f64::from(u32_at(15)) / 1000.0,
         ready_at: started as Micros * 1000,
@@ -126,7 +126,7 @@
     let entry = ListEntry {
         worker: id.into(),
         zone: deployment.zone(text("locality")),
-        cell: m.get("cell").and_then(Value::as_i64).unwrap_or(-1),
+        cell: m.get("cell").and_then(Value::as_i64),
         condition,
         size: m.get("size").and_then(Value::as_f64).unwrap_or(1.0),
         ready_at: m.get("up_since_ms").and_then(Value::as_i64).unwrap_or(0) * 1000,
--- a/node/src/bus/tests.rs
+++ b/node/src/bus/tests.rs
@@ -8,7 +8,7 @@
 
 fn host(id: &str, condition: Condition) -> Host {
     let worker: WorkerId = id.into();
-    let entry = ListEntry { worker, zone: 0, cell: 0, condition, size: 1.0, ready_at: 0 };
+    let entry = ListEntry { worker, zone: Some(0), cell: Some(0), condition, size: 1.0, ready_at: 0 };
     Host { entry, address: ([127, 0, 0, 1], 9).into() }
 }
 
@@ -66,8 +66,8 @@
     }
     let entry = ListEntry {
         worker: "s-00c41f7a".into(),
-        zone: 0,
-        cell: 2,
+        zone: Some(0),
+        cell: Some(2),
         condition: Condition::Draining,
         size: 4.0,
         ready_at: 5000,
--- a/node/src/config/operator.rs
+++ b/node/src/config/operator.rs
@@ -269,9 +269,9 @@
     })
 }
 
-fn zone(hosts: &Hosts) -> u32 {
+fn zone(hosts: &Hosts) -> Option<u32> {
     let at = hosts.zone.as_ref().and_then(|zone| hosts.zones.iter().position(|z| z == zone));
-    at.map_or(u32::MAX, |i| i as u32)
+    at.map(|i| i as u32)
 }
 
 fn class(c: &ClassTable) -> Result<Class, String> {
--- a/node/src/dnssd.rs
+++ b/node/src/dnssd.rs
@@ -1,6 +1,7 @@
 //! Discovery of script hosts by DNS-SD (RFC 6763): sends unicast queries to a resolver, and turns its records into
 //! changes of the host list.
 
+mod attributes;
 mod browser;
 mod records;
 
@@ -94,7 +95,7 @@
             }
         }
         self.query_over_tcp(now, log);
-        self.browser.changes(now)
+        self.changes(now, log)
     }
 
     /// Sends the queries that are due. Returns the changes of the host list, as records expire.
@@ -106,7 +107,7 @@
         let late: Vec<_> =
             self.queries.iter().filter(|(_, q)| now - q.started >= TIMEOUT_US).map(|(id, _)| *id).collect();
         late.into_iter().for_each(|id| self.end(now, id, Reason::Silent, log));
-        self.browser.changes(now)
+        self.changes(now, log)
     }
 
     fn query_over_tcp(&mut self, now: Micros, log: &mut Log) {
@@ -131,7 +132,16 @@
             Ok(true) => self.end(now, id, Reason::Finished, log),
             Err(reason) => self.end(now, id, reason, log),
         }
-        self.browser.changes(now)
+        self.changes(now, log)
+    }
+
+    /// The changes of the host list. Attributes of instances that make no sense are logged.
+    fn changes(&mut self, now: Micros, log: &mut Log) -> Vec<Host> {
+        let changes = self.browser.changes(now);
+        for (instance, attribute) in std::mem::take(&mut self.browser.malformed) {
+            log.line(now, format_args!("the TXT record of {instance}: {attribute}"));
+        }
+        changes
     }
 
     /// Sends the query and reads the answer, each with a length of two bytes before the message. True once the answer
--- a/node/src/dnssd/browser.rs
+++ b/node/src/dnssd/browser.rs
@@ -11,6 +11,7 @@
 use hickory_proto::rr::Name;
 use wheellink::{Condition, ListEntry, Micros};
 
+use super::attributes::{self, Malformed};
 use super::records::{self, Data, Failure, Kind, Question};
 use crate::bus::Host;
 
@@ -50,18 +51,28 @@
     known: bool,
 }
 
+/// An instance as it was last reported.
+struct Listed {
+    host: Host,
+    /// Since when it has been missing.
+    missing_since: Option<Micros>,
+    malformed: Vec<Malformed>,
+}
+
 /// See the module documentation.
 pub struct Browser {
     service: Name,
     entries: BTreeMap<Question, Entry>,
-    /// The list as last reported, with the time since when an instance has been missing.
-    list: BTreeMap<Name, (Host, Option<Micros>)>,
+    /// The list as last reported.
+    list: BTreeMap<Name, Listed>,
     /// Whether any host has been reported. Instances that appear later have just started.
     populated: bool,
     zones: Vec<String>,
     ids: fastrand::Rng,
     /// Queries to send over TCP, as their answers were truncated.
     pub over_tcp: Vec<Vec<u8>>,
+    /// Instances and attributes of their TXT records that make no sense, each reported once.
+    pub malformed: Vec<(Name, Malformed)>,
 }
 
 impl Browser {
@@ -69,13 +80,22 @@
         let mut entries = BTreeMap::new();
         entries.insert(Question { name: service.clone(), kind: Kind::Ptr }, Entry::default());
         let ids = fastrand::Rng::with_seed(seed);
-        Self { service, entries, list: BTreeMap::new(), populated: false, zones, ids, over_tcp: Vec::new() }
+        Self {
+            service,
+            entries,
+            list: BTreeMap::new(),
+            populated: false,
+            zones,
+            ids,
+            over_tcp: Vec::new(),
+            malformed: Vec::new(),
+        }
     }
 
     /// When [`Browser::due`] and [`Browser::changes`] must be called next.
     pub fn next_tick(&self) -> Micros {
         let at = |e: &Entry| e.pending.map_or(e.query_at, |(_, sent)| sent + QUERY_TIMEOUT_US);
-        let ends = self.list.values().filter_map(|(_, since)| since.map(|s| s + DRAIN_TIME_US));
+        let ends = self.list.values().filter_map(|listed| listed.missing_since.map(|s| s + DRAIN_TIME_US));
         self.entries.values().map(at).chain(ends).min().unwrap_or(Micros::MAX)
     }
 
@@ -183,8 +203,8 @@
         srv.min().map(|(_, _, target, port)| (target.clone(), port))
     }
 
-    /// The instance as an entry of the host list, once all its records are known.
-    fn host(&self, now: Micros, name: &Name) -> Option<Host> {
+    /// The instance as an entry of the host list, once all its records are known, and its attributes that make no sense.
+    fn host(&self, now: Micros, name: &Name) -> Option<(Host, Vec<Malformed>)> {
         let (target, port) = self.srv(now, &Question { name: name.clone(), kind: Kind::Srv })?;
         let a =
             self.records(now, &Question { name: target, kind: Kind::A }).iter().find_map(|d| match d {
@@ -195,26 +215,22 @@
         if !self.entries.get(&txt).is_some_and(|e| e.known) {
             return None;
         }
-        let attr = |key: &str| {
-            self.records(now, &txt).iter().find_map(|d| match d {
-                Data::Txt(pairs) => pairs.iter().find(|(k, _)| k == key).map(|(_, v)| v.as_str()),
-                _ => None,
-            })
-        };
-        let zone = attr("zone").and_then(|z| self.zones.iter().position(|known| known == z));
-        let started =
-            attr("started").and_then(|ms| ms.parse::<Micros>().ok()).map(|ms| ms.saturating_mul(1000));
-        let since = self.list.get(name).map(|(host, _)| host.entry.ready_at);
+        let pairs = self.records(now, &txt).iter().find_map(|d| match d {
+            Data::Txt(pairs) => Some(pairs.as_slice()),
+            _ => None,
+        });
+        let (attributes, malformed) = attributes::parse(pairs.unwrap_or_default(), &self.zones);
+        let since = self.list.get(name).map(|listed| listed.host.entry.ready_at);
         let entry = ListEntry {
             worker: name.to_utf8().as_str().into(),
-            zone: zone.map_or(u32::MAX, |z| z as u32),
-            cell: attr("cell").and_then(|c| c.parse().ok()).unwrap_or(-1),
-            condition: if attr("state") == Some("draining") { Condition::Draining } else { Condition::Up },
-            size: attr("size").and_then(|s| s.parse().ok()).unwrap_or(1.0),
+            zone: attributes.zone,
+            cell: attributes.cell,
+            condition: if attributes.draining { Condition::Draining } else { Condition::Up },
+            size: attributes.size,
             // An instance without a start time that appears later counts as just started, and so as cold.
-            ready_at: started.or(since).unwrap_or(if self.populated { now } else { 0 }),
+            ready_at: attributes.started.or(since).unwrap_or(if self.populated { now } else { 0 }),
         };
-        Some(Host { entry, address: SocketAddr::from((a, port)) })
+        Some((Host { entry, address: SocketAddr::from((a, port)) }, malformed))
     }
 
     /// Whether the resolver has answered that the SRV or address record of the instance does not exist. Records that
@@ -236,28 +252,29 @@
         let mut named = self.instances(now);
         named.retain(|name| !self.is_lost(now, name));
         for name in &named {
-            let Some(mut host) = self.host(now, name) else { continue };
-            if let Some((last, _)) = self.list.get(name) {
+            let Some((mut host, malformed)) = self.host(now, name) else { continue };
+            self.report_malformed(name, &malformed);
+            if let Some(last) = self.list.get_mut(name) {
                 // A new address means a new process, even with the same start time.
-                if last.address != host.address && last.entry.ready_at == host.entry.ready_at {
+                if last.host.address != host.address && last.host.entry.ready_at == host.entry.ready_at {
                     host.entry.ready_at = now;
                 }
-                if *last == host {
-                    self.list.get_mut(name).expect("just found").1 = None;
+                if last.host == host {
+                    (last.missing_since, last.malformed) = (None, malformed);
                     continue;
                 }
             }
             changes.push(host.clone());
-            self.list.insert(name.clone(), (host, None));
+            self.list.insert(name.clone(), Listed { host, missing_since: None, malformed });
         }
         self.populated |= !changes.is_empty();
         let named: BTreeSet<_> = named.into_iter().collect();
         let missing: Vec<_> = self.list.keys().filter(|name| !named.contains(name)).cloned().collect();
         for name in missing {
-            let Some((host, since)) = self.list.get_mut(&name) else { continue };
-            match *since {
+            let Some(Listed { host, missing_since, .. }) = self.list.get_mut(&name) else { continue };
+            match *missing_since {
                 None => {
-                    *since = Some(now);
+                    *missing_since = Some(now);
                     if host.entry.condition == Condition::Up {
                         host.entry.condition = Condition::Draining;
                         changes.push(host.clone());
@@ -276,7 +293,14 @@
 
     /// Whether any instance is in service.
     pub fn any_up(&self) -> bool {
-        self.list.values().any(|(host, _)| host.entry.condition == Condition::Up)
+        self.list.values().any(|listed| listed.host.entry.condition == Condition::Up)
+    }
+
+    /// Reports attributes that make no sense and were not so when the instance was last looked at.
+    fn report_malformed(&mut self, name: &Name, malformed: &[Malformed]) {
+        let before = self.list.get(name).map_or(&[][..], |listed| &listed.malformed);
+        let new = malformed.iter().filter(|attribute| !before.contains(attribute)).cloned();
+        self.malformed.extend(new.map(|attribute| (name.clone(), attribute)));
     }
 }
 
--- a/node/src/dnssd/browser/tests.rs
+++ b/node/src/dnssd/browser/tests.rs
@@ -92,8 +92,8 @@
     let changes = Rig::new().pass(SECOND);
     let entry = ListEntry {
         worker: "a.s.test.".into(),
-        zone: 1,
-        cell: 3,
+        zone: Some(1),
+        cell: Some(3),
         condition: Condition::Up,
         size: 1.0,
         ready_at: 0,
--- a/node/src/hosts/pool/tests.rs
+++ b/node/src/hosts/pool/tests.rs
@@ -67,7 +67,7 @@
 
     fn listed(&self, condition: Condition) -> Host {
         let worker = self.host.clone();
-        let entry = ListEntry { worker, zone: 1, cell: 2, condition, size: 1.0, ready_at: 0 };
+        let entry = ListEntry { worker, zone: Some(1), cell: Some(2), condition, size: 1.0, ready_at: 0 };
         Host { entry, address: self.listener.local_addr().unwrap() }
     }
 
--- a/node/src/hosts/start_times/tests.rs
+++ b/node/src/hosts/start_times/tests.rs
@@ -7,7 +7,7 @@
 const NOW: Micros = 1_796_228_524 * SECOND;
 
 fn entry(name: &str, ready_at: Micros, condition: Condition) -> ListEntry {
-    ListEntry { worker: name.into(), zone: 0, cell: 0, condition, size: 1.0, ready_at }
+    ListEntry { worker: name.into(), zone: Some(0), cell: Some(0), condition, size: 1.0, ready_at }
 }
 
 /// The converted start times, as seconds before now.
--- a/node/src/node/turns.rs
+++ b/node/src/node/turns.rs
@@ -31,7 +31,7 @@
 struct Host {
     site: SiteId,
     size: f64,
-    zone: u32,
+    zone: Option<u32>,
     up: bool,
     /// Latest start of the host's process.
     started: Micros,
@@ -74,7 +74,7 @@
     /// The last renewal of each resident function.
     resident: HashMap<(SiteId, FunctionId), Micros>,
     /// This activator's own zone.
-    zone: u32,
+    zone: Option<u32>,
     /// Names of sites, and their locations for the engine.
     labels: BTreeMap<SiteId, (String, PreferredLocation)>,
     /// Weights of sites, by name.
@@ -100,7 +100,7 @@
 }
 
 impl TurnRouting {
-    fn new(setup: &Setup, me: MemberId, zone: u32, seed: u64) -> Result<Self, String> {
+    fn new(setup: &Setup, me: MemberId, zone: Option<u32>, seed: u64) -> Result<Self, String> {
         let origin = Instant::now();
         // A random incarnation distinguishes this process from earlier ones of the same member.
         let incarnation = fastrand::u32(..);
@@ -127,15 +127,15 @@
         self.origin.elapsed()
     }
 
-    /// The site of a host, by the configured kind of site.
-    fn site(&mut self, host: &WorkerId, zone: u32, cell: i64, zones: &[String]) -> SiteId {
-        let (label, location) = match self.setup.site {
-            SiteKind::Cell if cell >= 0 => (cell.to_string(), PreferredLocation::Cell(cell)),
-            SiteKind::Zone => {
+    /// The site of a host, by the configured kind of site. A host whose cell or zone is not known is a site of its own.
+    fn site(&mut self, host: &WorkerId, zone: Option<u32>, cell: Option<i64>, zones: &[String]) -> SiteId {
+        let (label, location) = match (self.setup.site, zone, cell) {
+            (SiteKind::Cell, _, Some(cell)) => (cell.to_string(), PreferredLocation::Cell(cell)),
+            (SiteKind::Zone, Some(zone), _) => {
                 let name = zones.get(zone as usize).cloned();
                 (name.unwrap_or_else(|| zone.to_string()), PreferredLocation::Zone(zone))
             }
-            SiteKind::Cell | SiteKind::Host => (host.0.to_string(), PreferredLocation::Worker(host.clone())),
+            _ => (host.0.to_string(), PreferredLocation::Worker(host.clone())),
         };
         let site = site_id(&label);
         if self.labels.len() >= 4 * wheellink_turns::MAX_SITES {
@@ -194,7 +194,7 @@
             site.hosts.push(id.clone());
             site.now.capacity += host.size * f64::from(self.setup.lanes);
             site.now.in_flight += f64::from(host.in_flight);
-            site.now.remote &= host.zone != self.zone && self.zone != u32::MAX;
+            site.now.remote &= self.zone.is_some() && host.zone != self.zone;
         }
         self.resident.clear();
     }
@@ -522,7 +522,7 @@
         let id = |site: &Site| match (site, kind) {
             (Site::Cell(cell), SiteKind::Cell) => Some(site_id(&cell.to_string())),
             (Site::Zone(name), SiteKind::Zone) => Some(site_id(name)),
-            (Site::Host(name), SiteKind::Cell | SiteKind::Host) => Some(site_id(name)),
+            (Site::Host(name), _) => Some(site_id(name)),
             _ => None,
         };
         let loaded = t.resident_functions(now, sites.iter().filter_map(id), function, lanes);
--- a/node/tests/measure.rs
+++ b/node/tests/measure.rs
@@ -413,8 +413,8 @@
     let (mut now, mut out) = (1_000_000_000i64, Vec::new());
     let entry = |i| ListEntry {
         worker: format!("s-{i:08x}").as_str().into(),
-        zone: 0,
-        cell: 0,
+        zone: Some(0),
+        cell: Some(0),
         condition: Condition::Up,
         size: 1.0,
         ready_at: 0,
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -150,15 +150,15 @@
         self.tenants.iter().position(|tenant| tenant == name)
     }
 
-    /// Index of a zone; `u32::MAX`, which is the index of no listed zone, if the name is absent or unknown.
-    pub fn zone(&self, name: Option<&str>) -> u32 {
+    /// Index of a zone; `None` if the name is absent or unknown.
+    pub fn zone(&self, name: Option<&str>) -> Option<u32> {
         zone(&self.zones, name)
     }
 }
 
-fn zone(zones: &[String], name: Option<&str>) -> u32 {
+fn zone(zones: &[String], name: Option<&str>) -> Option<u32> {
     let index = zones.iter().position(|zone| Some(zone.as_str()) == name);
-    index.map_or(u32::MAX, |i| i as u32)
+    index.map(|i| i as u32)
 }
 
 impl TryFrom<Options> for Deployment {
--- a/settings/tests/extremes.rs
+++ b/settings/tests/extremes.rs
@@ -35,7 +35,7 @@
 
 fn entry(name: &str, ready_at: Micros) -> ListEntry {
     let (worker, condition) = (name.into(), Condition::Up);
-    ListEntry { worker, zone: 0, cell: 0, condition, size: 1.0, ready_at }
+    ListEntry { worker, zone: Some(0), cell: Some(0), condition, size: 1.0, ready_at }
 }
 
 /// A router with its attempts and load orders that have not been answered yet.
--- a/simhost/src/wire.rs
+++ b/simhost/src/wire.rs
@@ -304,7 +304,7 @@
     Ok(ListEntry {
         worker: member.server.as_str().into(),
         zone: deployment.zone(member.locality.as_deref()),
-        cell: member.pod.unwrap_or(-1),
+        cell: member.pod,
         condition: match member.condition.as_str() {
             "U" => Condition::Up,
             "L" => Condition::Draining,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -141,8 +141,8 @@
     pub tenants: Vec<Tenant>,
     /// Factor for the worth of a request beyond its tenant's quota.
     pub over_share_worth: f64,
-    /// This router's zone; entries of the worker list use the same numbers.
-    pub zone: u32,
+    /// This router's zone, if known; entries of the worker list use the same numbers.
+    pub zone: Option<u32>,
     /// How the router gets the worker list.
     pub discovery: Discovery,
     /// What workers do with a request for a function that they have not loaded.
@@ -226,10 +226,10 @@
 pub struct ListEntry {
     /// The worker.
     pub worker: WorkerId,
-    /// Its zone.
-    pub zone: u32,
-    /// Its cell.
-    pub cell: i64,
+    /// Its zone; `None` if unknown. It then shares a zone with no other worker.
+    pub zone: Option<u32>,
+    /// Its cell; `None` if unknown. It then shares a cell with no other worker.
+    pub cell: Option<i64>,
     /// Its state.
     pub condition: Condition,
     /// Its size relative to other workers.
@@ -498,10 +498,15 @@
 
 impl PreferredLocation {
     /// Index of the first location that includes this worker; [`MAX_PREFERRED_LOCATIONS`] if none does.
-    pub(crate) fn rank(locations: &[PreferredLocation], worker: &WorkerId, zone: u32, cell: i64) -> usize {
+    pub(crate) fn rank(
+        locations: &[PreferredLocation],
+        worker: &WorkerId,
+        zone: Option<u32>,
+        cell: Option<i64>,
+    ) -> usize {
         let includes = |location: &PreferredLocation| match location {
-            PreferredLocation::Zone(z) => *z == zone,
-            PreferredLocation::Cell(c) => *c == cell,
+            PreferredLocation::Zone(z) => Some(*z) == zone,
+            PreferredLocation::Cell(c) => Some(*c) == cell,
             PreferredLocation::Worker(w) => w == worker,
         };
         locations.iter().take(MAX_PREFERRED_LOCATIONS).position(includes).unwrap_or(MAX_PREFERRED_LOCATIONS)
--- a/src/repeats.rs
+++ b/src/repeats.rs
@@ -37,12 +37,10 @@
         let Effect::Keyed { scope, window } = r.terms.effect else { return true };
         let ran = |t: &&Attempt| !t.ended.is_some_and(Outcome::never_ran);
         r.attempts.iter().filter(ran).all(|t| {
-            let same = match (scope, self.workers.get(&t.worker)) {
-                (Scope::All, _) => true,
-                _ if t.worker == *n => true,
-                (Scope::Zone, Some(first)) => first.zone == w.zone,
-                (Scope::Cell, Some(first)) => first.cell == w.cell,
-                _ => false,
+            let same = match scope {
+                Scope::All => true,
+                Scope::Zone => drops_repeats(t.worker == *n, t.zone, w.zone),
+                Scope::Cell => drops_repeats(t.worker == *n, t.cell, w.cell),
             };
             same && self.now - t.sent < window - window / DECISION_MARGIN_DIVISOR
         })
@@ -63,6 +61,16 @@
     }
 }
 
+/// Whether a worker of the group `now` drops repeats of an attempt that was sent to a worker of the group
+/// `then`. A group that is not known is equal to no other: only the worker itself is then known to share the
+/// keys that it has seen.
+fn drops_repeats<Group: PartialEq>(same_worker: bool, then: Option<Group>, now: Option<Group>) -> bool {
+    match (then, now) {
+        (Some(then), Some(now)) => then == now,
+        _ => same_worker,
+    }
+}
+
 /// Latest time at which a retry of a keyed request may be sent, by its earlier attempts that may have run.
 pub(crate) fn retry_deadline(request: &Request) -> Option<Micros> {
     let Effect::Keyed { window, .. } = request.terms.effect else { return None };
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -625,7 +625,10 @@
                     w.cold_sends.retain(|t| now - t <= self.settings.fall_window);
                 }
                 let leave_by = retry_deadline(r);
-                r.attempts.push(Attempt { worker: n.clone(), sent: now, warm, lane_free, ended: None });
+                let (zone, cell) = self.workers.get(&n).map_or((None, None), |w| (w.zone, w.cell));
+                let attempt =
+                    Attempt { worker: n.clone(), zone, cell, sent: now, warm, lane_free, ended: None };
+                r.attempts.push(attempt);
                 // Only the client's time-out applies: a retry of a request that waits for a load or a lane
                 // would make both queues longer.
                 out.push(Action::Send { request: id.clone(), worker: n, timeout: None, leave_by });
--- a/src/state.rs
+++ b/src/state.rs
@@ -141,8 +141,8 @@
 pub(crate) struct Worker {
     /// Key of the worker in gossip.
     pub(crate) key: u16,
-    pub(crate) zone: u32,
-    pub(crate) cell: i64,
+    pub(crate) zone: Option<u32>,
+    pub(crate) cell: Option<i64>,
     pub(crate) size: f64,
     /// Order of equally loaded workers, different at each router so that routers do not all choose the same one.
     pub(crate) tie_break: f64,
@@ -196,6 +196,9 @@
 /// One attempt of a request.
 pub(crate) struct Attempt {
     pub(crate) worker: WorkerId,
+    /// Zone and cell of the worker when the attempt was sent: the list may place it elsewhere later.
+    pub(crate) zone: Option<u32>,
+    pub(crate) cell: Option<i64>,
     pub(crate) sent: Micros,
     /// It was sent to a copy assumed to be loaded.
     pub(crate) warm: bool,
@@ -690,16 +693,12 @@
 
     /// Sets the attempts that the next request to arrive had at another router.
     pub(crate) fn set_past_attempts(&mut self, past: Vec<PastAttempt>) {
-        let past = past.into_iter();
-        self.past = past
-            .map(|p| Attempt {
-                worker: p.worker,
-                sent: p.sent,
-                warm: false,
-                lane_free: false,
-                ended: Some(p.outcome),
-            })
-            .collect();
+        let attempt = |p: PastAttempt| {
+            let (zone, cell) = self.workers.get(&p.worker).map_or((None, None), |w| (w.zone, w.cell));
+            let ended = Some(p.outcome);
+            Attempt { worker: p.worker, zone, cell, sent: p.sent, warm: false, lane_free: false, ended }
+        };
+        self.past = past.into_iter().map(attempt).collect();
     }
 
     /// Takes over the state of another router where this one knows no better, and counts its calls and orders as own
--- a/tests/common/fleet.rs
+++ b/tests/common/fleet.rs
@@ -321,7 +321,12 @@
     /// A list entry of the host, whose number gives its zone and cell.
     fn entry(n: &str, condition: Condition, ready_at: Micros) -> ListEntry {
         let number: usize = n[1..].parse().unwrap();
-        ListEntry { zone: (number % 3) as u32, cell: number as i64 % 5, ready_at, ..entry(n, condition) }
+        ListEntry {
+            zone: Some((number % 3) as u32),
+            cell: Some(number as i64 % 5),
+            ready_at,
+            ..entry(n, condition)
+        }
     }
 
     fn at(&mut self, at: Micros, due: Timed) {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -32,7 +32,7 @@
         ],
         tenants: vec![],
         over_share_worth: 0.1,
-        zone: 0,
+        zone: Some(0),
         discovery: Discovery::Pushed,
         when_cold: WhenCold::Loads,
         keep: 8 * S,
@@ -52,7 +52,7 @@
 
 /// A list entry of a worker that started long ago.
 pub fn entry(name: &str, condition: Condition) -> ListEntry {
-    ListEntry { worker: name.into(), zone: 0, cell: 0, condition, size: 1.0, ready_at: 0 }
+    ListEntry { worker: name.into(), zone: Some(0), cell: Some(0), condition, size: 1.0, ready_at: 0 }
 }
 
 /// A router and its clock.
--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -140,8 +140,10 @@
 fn run_with_past(class: usize, past: &[(&str, Outcome)], workers: &[&str]) -> (Vec<String>, Vec<Verdict>) {
     let mut engine = Engine::new(Router::new(settings(), 7).unwrap(), S);
     let (now, mut out) = (100 * S, Vec::new());
-    let zoned =
-        |name: &&str| ListEntry { zone: u32::from(name.starts_with('z')), ..entry(name, Condition::Up) };
+    let zoned = |name: &&str| ListEntry {
+        zone: Some(u32::from(name.starts_with('z'))),
+        ..entry(name, Condition::Up)
+    };
     engine.update_hosts(now, ListKind::Cached, workers.iter().map(zoned).collect(), &mut out);
     let past = past.iter().map(|(worker, outcome)| PastAttempt {
         worker: (*worker).into(),
--- a/tests/label_independence.rs
+++ b/tests/label_independence.rs
@@ -61,7 +61,7 @@
         routers,
         classes,
         tenants,
-        zone: labels.zones[rng.usize(..3)],
+        zone: Some(labels.zones[rng.usize(..3)]),
         when_cold: if misses { WhenCold::Misses } else { WhenCold::Loads },
         load_budget: misses.then_some(LoadBudget { free: 2.0, share: 0.2, period: 10 * S }),
         max_gossip_bytes: if rng.bool() { 256 } else { 0 },
@@ -88,7 +88,7 @@
             for i in 0..HOSTS {
                 let condition =
                     [Condition::Up, Condition::Up, Condition::Up, Condition::Draining][rng.usize(..4)];
-                let (zone, cell) = (labels.zones[i % 3], labels.cells[rng.usize(..4)]);
+                let (zone, cell) = (Some(labels.zones[i % 3]), Some(labels.cells[rng.usize(..4)]));
                 let ready_at = if rng.bool() { 0 } else { now - rng.i64(0..S) };
                 entries.push(ListEntry { worker: host(i), zone, cell, condition, size: 1.0, ready_at });
             }
--- a/tests/preferred_locations.rs
+++ b/tests/preferred_locations.rs
@@ -10,8 +10,8 @@
 fn bed() -> TestBed {
     let mut bed = TestBed::new(settings(), 0);
     let at = |i: usize| ListEntry {
-        cell: i as i64 / 2,
-        zone: i as u32 / 3,
+        cell: Some(i as i64 / 2),
+        zone: Some(i as u32 / 3),
         ..entry(&format!("w{i}"), Condition::Up)
     };
     bed.event(Event::List { kind: ListKind::Full, entries: (0..6).map(at).collect() });
@@ -172,10 +172,10 @@
 fn preferred_locations_override_no_rule() {
     let mut bed = bed();
     let w4 = || vec![PreferredLocation::Worker("w4".into())];
-    let draining = ListEntry { cell: 2, zone: 1, ..entry("w4", Condition::Draining) };
+    let draining = ListEntry { cell: Some(2), zone: Some(1), ..entry("w4", Condition::Draining) };
     bed.event(Event::List { kind: ListKind::Delta, entries: vec![draining] });
     assert!((0..20).all(|_| routed(&mut bed, w4()) != "w4"), "a draining worker got a request");
-    let up = ListEntry { cell: 2, zone: 1, ..entry("w4", Condition::Up) };
+    let up = ListEntry { cell: Some(2), zone: Some(1), ..entry("w4", Condition::Up) };
     bed.event(Event::List { kind: ListKind::Delta, entries: vec![up] });
     bed.event(Event::OutOfService { worker: "w4".into(), out: true });
     assert!((0..20).all(|_| routed(&mut bed, w4()) != "w4"), "a worker out of service got a request");
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -35,7 +35,7 @@
     let mut router = Router::new(settings, seed).unwrap();
     let mut now = 50 * S;
     let mut up: BTreeMap<WorkerId, bool> = BTreeMap::new();
-    let mut zones: BTreeMap<WorkerId, u32> = BTreeMap::new();
+    let mut zones: BTreeMap<WorkerId, Option<u32>> = BTreeMap::new();
     let mut requests: BTreeMap<RequestId, Open> = BTreeMap::new();
     let mut orders: Vec<(WorkerId, FunctionId)> = Vec::new();
     let mut order_times: VecDeque<Micros> = VecDeque::new();
@@ -64,7 +64,7 @@
                         _ => Condition::Up,
                     };
                     let ready_at = if rng.bool() { 0 } else { now - rng.i64(0..S) };
-                    ListEntry { zone: i % 2, ready_at, ..entry(&format!("w{i}"), condition) }
+                    ListEntry { zone: Some(i % 2), ready_at, ..entry(&format!("w{i}"), condition) }
                 })
                 .collect();
             let full = step == 0 || rng.bool();
--- a/tests/random_traces.rs
+++ b/tests/random_traces.rs
@@ -120,7 +120,7 @@
 }
 
 fn listed(host: &WorkerId, condition: Condition) -> ListEntry {
-    ListEntry { zone: zone(host), ..entry(&host.0, condition) }
+    ListEntry { zone: Some(zone(host)), ..entry(&host.0, condition) }
 }
 
 impl Simulation {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -68,7 +68,7 @@
     let mut bed = TestBed::new(settings(), 1);
     let (r, out) = bed.call(KEYED, "f");
     let first = sent(&out).unwrap();
-    let other_zone = ListEntry { zone: 1, ..entry("w9", Condition::Up) };
+    let other_zone = ListEntry { zone: Some(1), ..entry("w9", Condition::Up) };
     bed.event(Event::List { kind: ListKind::Delta, entries: vec![other_zone] });
     // The only other worker is in another zone.
     let out = bed.answer(&r, 0, &first, Outcome::Error);
--- a/tests/silent_hosts.rs
+++ b/tests/silent_hosts.rs
@@ -20,7 +20,7 @@
 /// Two workers in these cells.
 fn two_workers(cells: [i64; 2], window: Micros) -> TestBed {
     let mut bed = TestBed::new(keyed_by_cell(window), 0);
-    let worker = |i: usize| ListEntry { cell: cells[i], ..entry(&format!("w{i}"), Condition::Up) };
+    let worker = |i: usize| ListEntry { cell: Some(cells[i]), ..entry(&format!("w{i}"), Condition::Up) };
     let entries = (0..2).map(worker).collect();
     bed.event(Event::List { kind: ListKind::Full, entries });
     bed
