A request under way keeps its class over a reload, and zones their names

Calls that waited for the budget of [turns] over a reload got no answer until their time was over.

Cause: classes, tenants and zones are kept by their index in lists of the settings. apply_config left the indexes of Node::pending and of WaitingCall as they were; recover_call checked only that the old index is within the new list, and rerun took the call anew with it, under another class. With the right index it would still have got the terms of now: a mail whose class a reload made safe was sent again, too.

Change: src/renumbering.rs compares lists by name, and Node::renumber applies the new indexes to all that outlives a reload: calls, waiting turns, hosts and attempts by zone, admission, quotas, rates. A call keeps the terms of its arrival; one that is taken anew gets the stricter of these and of what its class says now, and only these if the class is gone. Requests whose class is gone do not count as one class any more for a host's rejections. A reload takes up zones of [hosts].

Why it works: no index is read against a list that it was not made for.

--- a/crates/admission/src/adaptive.rs
+++ b/crates/admission/src/adaptive.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeMap;
 
 use serde::{Deserialize, Serialize};
-use wheellink::Micros;
+use wheellink::{Micros, Renumbering};
 
 /// The settings of the adaptive limit.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -97,6 +97,14 @@
     tenants: BTreeMap<Option<usize>, Tenant>,
 }
 
+/// The new key of a tenant, or of requests without one; `None` if the tenant is gone.
+pub(crate) fn new_tenant(renumbering: &Renumbering, tenant: Option<usize>) -> Option<Option<usize>> {
+    match tenant {
+        Some(index) => renumbering.tenants.of(index).map(Some),
+        None => Some(None),
+    }
+}
+
 impl AdaptiveLimit {
     /// Creates a limit that starts at its maximum.
     pub fn new(rules: AdaptiveRules) -> Self {
@@ -118,6 +126,14 @@
         self.rules = rules;
     }
 
+    /// Applies new indexes of classes and tenants. What was counted for those that are gone is dropped.
+    pub fn renumber(&mut self, renumbering: &Renumbering) {
+        let classes = std::mem::take(&mut self.classes).into_iter();
+        self.classes = classes.filter_map(|(id, c)| Some((renumbering.classes.of(id)?, c))).collect();
+        let tenants = std::mem::take(&mut self.tenants).into_iter();
+        self.tenants = tenants.filter_map(|(id, t)| Some((new_tenant(renumbering, id)?, t))).collect();
+    }
+
     /// The current limit and the number of concurrent requests.
     pub fn state(&self) -> (u32, u32) {
         (self.limit as u32, self.in_flight)
--- a/crates/admission/src/admission.rs
+++ b/crates/admission/src/admission.rs
@@ -4,9 +4,9 @@
 use std::net::IpAddr;
 
 use serde::{Deserialize, Serialize};
-use wheellink::Micros;
+use wheellink::{Micros, Renumbering};
 
-use crate::adaptive::{AdaptiveLimit, LimitRefusal};
+use crate::adaptive::{new_tenant, AdaptiveLimit, LimitRefusal};
 use crate::prefix::Prefix;
 use crate::rules::{Caps, Rules, MAX_PREFIXES};
 use crate::table::{AddressTable, Entry};
@@ -216,6 +216,13 @@
         self.rules = rules;
     }
 
+    /// Applies new indexes of classes and tenants. What was counted for those that are gone is dropped.
+    pub fn renumber(&mut self, renumbering: &Renumbering) {
+        let tenants = std::mem::take(&mut self.tenants).into_iter();
+        self.tenants = tenants.filter_map(|(id, t)| Some((new_tenant(renumbering, id)?, t))).collect();
+        self.adaptive.iter_mut().for_each(|adaptive| adaptive.renumber(renumbering));
+    }
+
     /// The rules in force.
     pub fn rules(&self) -> &Rules {
         &self.rules
--- a/node/src/bus.rs
+++ b/node/src/bus.rs
@@ -5,7 +5,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 
 use serde_json::Value;
-use wheellink::{Condition, ListEntry, ListKind, Micros, WorkerId};
+use wheellink::{Condition, ListEntry, ListKind, Micros, Renumbering, WorkerId};
 use wheellink_settings::Deployment;
 
 use crate::conn::Conn;
@@ -259,6 +259,13 @@
         done.map(|mut caught_up| (ListKind::Full, caught_up.take_list()))
     }
 
+    /// Applies new indexes of the zones to the list of a replay.
+    pub fn renumber(&mut self, renumbering: &Renumbering) {
+        for host in self.catching_up.iter_mut().flat_map(|replay| replay.list.values_mut()) {
+            host.entry.zone = renumbering.zone(host.entry.zone);
+        }
+    }
+
     /// Changes the address of the bus, which has the same events there. Connects at once.
     pub fn set_address(&mut self, address: SocketAddr) {
         (self.address, self.retry_at, self.retry_delay) = (address, 0, FIRST_RETRY_DELAY_US);
--- a/node/src/dnssd/browser.rs
+++ b/node/src/dnssd/browser.rs
@@ -92,6 +92,11 @@
         }
     }
 
+    /// Changes the names of the zones. Hosts get their new indexes with the next [`Browser::changes`].
+    pub fn set_zones(&mut self, zones: &[String]) {
+        self.zones = zones.to_vec();
+    }
+
     /// When [`Browser::due`] and [`Browser::changes`] must be called next.
     pub fn next_tick(&self) -> Micros {
         let at = |e: &Entry| e.pending.map_or(e.query_at, |(_, sent)| sent + QUERY_TIMEOUT_US);
--- a/node/src/hosts/pool.rs
+++ b/node/src/hosts/pool.rs
@@ -15,7 +15,7 @@
 use std::rc::Rc;
 
 use wheellink::engine::{AttemptEnd, AttemptId, OrderId};
-use wheellink::{Condition, FunctionId, ListEntry, ListKind, Micros, Outcome, WorkerId};
+use wheellink::{Condition, FunctionId, ListEntry, ListKind, Micros, Outcome, Renumbering, WorkerId};
 use wheellink_settings::Transport;
 
 pub use connection::CallTimes;
@@ -113,6 +113,13 @@
         self.known.len()
     }
 
+    /// Applies new indexes of the zones.
+    pub fn renumber(&mut self, renumbering: &Renumbering) {
+        for host in self.known.values_mut() {
+            host.entry.zone = renumbering.zone(host.entry.zone);
+        }
+    }
+
     /// Replaces the settings of connections.
     pub fn set_transport(&mut self, transport: Transport) {
         self.transport = transport;
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -8,6 +8,7 @@
 mod drafts;
 mod lifecycle;
 mod operators;
+mod renumber;
 mod request_log;
 mod requests;
 mod rollout;
@@ -21,8 +22,8 @@
 
 use wheellink::engine::{AttemptId, Command, NewRequest, OrderId, Verdict};
 use wheellink::{
-    Effect, Engine, FunctionId, HandoverState, ListEntry, ListKind, Micros, Outcome, PastAttempt,
-    PreferredLocation, Settings, Tally, Ticket, WorkerId,
+    Class, Effect, Engine, FunctionId, HandoverState, ListEntry, ListKind, Micros, Outcome, PastAttempt,
+    PreferredLocation, Renumbering, Settings, Tally, Ticket, WorkerId,
 };
 use wheellink_admission::{Owner, RequestInfo};
 use wheellink_rollout::{Ledger, Version};
@@ -93,8 +94,11 @@
     origin: Origin,
     /// A host's answer, from its arrival until the engine's verdict.
     answer: Option<(AttemptId, Vec<u8>)>,
-    /// The request as the engine got it. Its class is `usize::MAX` if only the other version of a rollout knows it.
+    /// The request as the engine got it. Its class is [`renumber::NO_CLASS`] if the configuration does not have it: only the
+    /// other version of a rollout knows it, or a reload has removed it.
     new: NewRequest,
+    /// The terms of its class when it arrived; `None` if only the other version of a rollout knows the class.
+    terms: Option<Class>,
     arrived: Micros,
     attempts: Attempts,
     /// The version of a rollout that decides the request.
@@ -129,6 +133,8 @@
     id: String,
     class: usize,
     class_name: String,
+    /// The terms of its class when it arrived; `None` if only the other version of a rollout knows the class.
+    terms: Option<Class>,
     tenant: Option<usize>,
     function: String,
     timeout: Micros,
--- a/node/src/node/accord.rs
+++ b/node/src/node/accord.rs
@@ -181,6 +181,12 @@
         !ahead
     }
 
+    /// Applies new indexes of the tenants.
+    fn renumber(&mut self, renumbering: &Renumbering) {
+        let used = std::mem::take(&mut self.used_until).into_iter();
+        self.used_until = used.filter_map(|(id, until)| Some((renumbering.tenants.of(id)?, until))).collect();
+    }
+
     /// Puts the terms of the accord in force.
     fn apply(&mut self, active: ActiveTerms) -> Result<(), String> {
         let floor = matches!(active, ActiveTerms::Floor(_));
@@ -209,6 +215,11 @@
         Arc::new(Base { settings, classes, tenants })
     }
 
+    /// Applies new indexes of the tenants to what they used of their quotas.
+    pub(super) fn renumber_quotas(&mut self, renumbering: &Renumbering) {
+        self.agreed.iter_mut().for_each(|agreed| agreed.renumber(renumbering));
+    }
+
     /// The settings for the engine, before a rollout makes them stricter.
     pub(super) fn agreed_settings(&self) -> &Settings {
         self.agreed_settings.as_ref().unwrap_or(&self.config.deployment.settings)
--- a/node/src/node/admission.rs
+++ b/node/src/node/admission.rs
@@ -10,6 +10,7 @@
     TakeOutcome,
 };
 
+use super::renumber::NO_CLASS;
 use super::*;
 use crate::conn::is_exhaustion;
 use crate::control::AdmissionCommand;
@@ -92,6 +93,11 @@
         }
     }
 
+    /// Applies new indexes of classes and tenants.
+    pub(super) fn renumber(&mut self, renumbering: &Renumbering) {
+        self.policy.iter_mut().for_each(|policy| policy.renumber(renumbering));
+    }
+
     /// Sets the memory limit for bodies. A part of it is reserved for known clients.
     pub(super) fn set_memory_limit(&mut self, bodies: usize) {
         let part = self.policy.as_ref().map_or(0.0, |policy| policy.rules().reserve);
@@ -453,7 +459,9 @@
     pub(super) fn release(&mut self, now: Micros, pending: &Pending, served: bool) {
         self.admission.release_memory(pending.owner, pending.call.body.len());
         if let (Some(policy), Some(info)) = (&mut self.admission.policy, &pending.info) {
-            policy.request_done(now, info, pending.new.class, served.then(|| now - pending.arrived));
+            // Times of classes that the configuration does not have must not count as those of one class.
+            let took = (served && pending.new.class != NO_CLASS).then(|| now - pending.arrived);
+            policy.request_done(now, info, pending.new.class, took);
         }
     }
 
--- a/node/src/node/lifecycle.rs
+++ b/node/src/node/lifecycle.rs
@@ -297,6 +297,7 @@
             ) => {
                 let failed = |e| format!("no socket for queries to {resolver}: {e}");
                 hosts.set_resolver(*resolver).map_err(failed)?;
+                hosts.browser.set_zones(&d.zones);
                 front.update(idle, *bounds, (d.classes.clone(), d.tenants.clone()));
                 if let config::Mode::Operator { classes: new, .. } = &config.mode {
                     classes.clone_from(new);
@@ -318,7 +319,9 @@
         if (config.listen, config.control) != (self.config.listen, self.config.control) {
             self.log.line(now, "a change of the addresses to listen on takes effect at the next start");
         }
+        let renumbering = renumber::renumbering(&self.config.deployment, &config.deployment);
         self.config = config;
+        self.renumber(now, renumbering);
         self.admission.retune(self.config.admission.as_ref());
         let admission = self.admission.is_on();
         if let Mode::Operator { front, .. } = &mut self.mode {
--- a/node/src/node/requests.rs
+++ b/node/src/node/requests.rs
@@ -1,5 +1,6 @@
 //! Requests, from a front to the engine, and their answers, from the engine to the front.
 
+use super::renumber::NO_CLASS;
 use super::*;
 
 /// Longest timeout of a call whose class only the other version of a rollout knows.
@@ -85,12 +86,13 @@
             return front.error(now, origin, problem, &mut self.log);
         }
         // The class bounds the timeout: requests that stay open for a day would accumulate.
-        let class = class.unwrap_or(usize::MAX);
+        let class = class.unwrap_or(NO_CLASS);
         let known = self.agreed_settings().classes.get(class);
         let max_timeout = known.map_or(MAX_UNKNOWN_CLASS_TIMEOUT_US, |c| 2 * c.give_up);
         let incoming = Incoming {
             id: request.id,
             class,
+            terms: self.class_terms(class, &request.class),
             class_name: request.class,
             tenant,
             function: request.function,
@@ -117,11 +119,13 @@
             invoke::Origin::Deferred(_) => deferred,
         };
         let id = format!("{:016x}", ids.u64(..));
+        let class_name = self.config.deployment.classes[call.class].clone();
         // If the client sent no key, the id lets hosts drop repeats by this activator.
         let keyed = matches!(settings.effect, Effect::Keyed { .. });
         let incoming = Incoming {
             class: call.class,
-            class_name: self.config.deployment.classes[call.class].clone(),
+            terms: self.class_terms(call.class, &class_name),
+            class_name,
             tenant: call.tenant,
             function: call.function,
             timeout: self.time_left(now, call.timeout.unwrap_or(default).min(settings.give_up.max(deferred))),
@@ -194,13 +198,14 @@
             key: incoming.key,
             body: Rc::from(incoming.body),
         };
-        let class = new.class;
+        let (class, terms) = (new.class, incoming.terms);
         let version = Version::Old;
         let mut pending = Pending {
             call,
             origin,
             answer: None,
             new,
+            terms,
             arrived: now,
             attempts: Attempts::default(),
             version,
@@ -218,7 +223,7 @@
                 ticket
             }
             // Only the candidate knows the class, and the request could not be passed to it.
-            None if class == usize::MAX => {
+            None if terms.is_none() => {
                 self.release(now, &pending, false);
                 let retry_after = self.config.deployment.settings.max_retry_after;
                 return self.reply(now, &pending.origin, Reply::Refused(retry_after));
@@ -226,6 +231,7 @@
             None => {
                 let new = pending.new.clone();
                 let preferred = incoming.preferred;
+                self.keep_arrival_terms(now, class, &pending.call.class, terms);
                 let ticket =
                     self.run_engine(|engine, out| engine.request_with_preferences(now, new, preferred, out));
                 self.attach_turn(ticket, incoming.placed, Vec::new());
--- a/node/src/node/rollout/candidate.rs
+++ b/node/src/node/rollout/candidate.rs
@@ -102,6 +102,7 @@
             body: Rc::from(passed.body),
         };
         let origin = Origin::Peer(seq);
+        let terms = self.class_terms(class, &call.class);
         let (version, owner) = (Version::New, Owner::Others);
         let pending = Pending {
             attempts: Attempts::default(),
@@ -109,6 +110,7 @@
             origin,
             answer: None,
             new: new.clone(),
+            terms,
             arrived: now,
             version,
             owner,
--- a/node/src/node/rollout/holder.rs
+++ b/node/src/node/rollout/holder.rs
@@ -153,8 +153,7 @@
             Reply::Refused(_) | Reply::TurnedAway(_) => Ending::Refused,
             Reply::Failed | Reply::TimedOut => Ending::Failed,
         };
-        let class = self.config.deployment.settings.classes.get(pending.new.class);
-        let aim = class.map_or(Micros::MAX, |c| c.aim);
+        let aim = pending.terms.map_or(Micros::MAX, |terms| terms.aim);
         let took = now - pending.arrived;
         self.rollout.machine.record(pending.version, &pending.call.class, ending, took, aim);
     }
@@ -360,10 +359,7 @@
     pub(super) fn recover_call(&mut self, now: Micros, seq: u64, recovery: Recovery) {
         let counts = &mut self.rollout.counts;
         let retry_after = self.config.deployment.settings.max_retry_after;
-        let known = self
-            .pending
-            .get(&ticket_of(seq))
-            .is_some_and(|p| p.new.class < self.config.deployment.classes.len());
+        let known = self.pending.get(&ticket_of(seq)).is_some_and(|p| p.terms.is_some());
         let verdict = match recovery {
             Recovery::Rerun(past) if known => {
                 counts.rerun += 1;
@@ -392,6 +388,7 @@
         let new = pending.new.clone();
         self.passed_call_over(now, ticket_of(seq));
         let (turn, preferred) = self.detach_turn(ticket_of(seq));
+        self.keep_arrival_terms(now, new.class, &pending.call.class, pending.terms);
         let ticket = self.run_engine(|engine, out| {
             engine.prefer_locations(now, preferred, out);
             engine.request_with_past_attempts(now, new, past, out)
--- a/node/src/node/turns.rs
+++ b/node/src/node/turns.rs
@@ -150,6 +150,20 @@
         site
     }
 
+    /// Applies new indexes of classes, tenants and zones. A site keeps its name, also if its zone is gone.
+    pub(super) fn renumber(&mut self, renumbering: &Renumbering) {
+        for host in self.hosts.values_mut() {
+            host.zone = renumbering.zone(host.zone);
+        }
+        self.labels.retain(|_, (_, location)| location.renumber(renumbering));
+        for call in self.calls.values_mut() {
+            call.advice.retain_mut(|location| location.renumber(renumbering));
+        }
+        for call in self.waiting.values_mut() {
+            call.incoming.renumber(renumbering);
+        }
+    }
+
     /// Applies a change of the host list. A site is lost when its last host is gone, or when its only host was restarted.
     pub(super) fn list(&mut self, kind: ListKind, entries: &[ListEntry], zones: &[String]) {
         let mut touched = BTreeMap::new();
@@ -388,6 +402,13 @@
         }
     }
 
+    /// The number by which the router of turns knows a tenant. It comes from the name, as the index of a tenant may change
+    /// with the configuration.
+    fn tenant_number(&self, tenant: Option<usize>) -> u32 {
+        let name = tenant.and_then(|tenant| self.config.deployment.tenants.get(tenant));
+        name.map_or(u32::MAX, |name| site_id(name).0)
+    }
+
     /// Adds the preferred locations of a call's turn to the call. Returns `None` if the call waits first or was rejected and
     /// answered.
     pub(super) fn place_turn(
@@ -397,13 +418,14 @@
         origin: Origin,
         mut incoming: Incoming,
     ) -> Option<(Origin, Incoming)> {
+        let tenant = self.tenant_number(incoming.tenant);
         let Some(t) = &mut self.turn_routing else { return Some((origin, incoming)) };
         let Some((conversation, new, prefix)) = incoming.turn.take() else { return Some((origin, incoming)) };
         let settings = &self.config.deployment.settings;
         let class = settings.classes.get(incoming.class);
         let turn = Turn {
             conversation,
-            tenant: incoming.tenant.map_or(u32::MAX, |t| t as u32),
+            tenant,
             prefix,
             new_blocks: new,
             worth: class.map_or(1.0, |c| c.worth),
--- a/node/tests/turns.rs
+++ b/node/tests/turns.rs
@@ -578,10 +578,9 @@
     assert_eq!(program.ask("GET", "/turns", "").0, 200);
 }
 
-/// Turns whose prefix was lost with its site wait for a budget. If the client disconnects meanwhile, no call is sent for its turn
-/// when the budget allows it.
-#[test]
-fn held_back_turns_of_clients_that_disconnect_are_not_run() {
+/// A fleet of one activator that has lost one of its two sites, and the conversations that were cached there: their next
+/// turns wait for a budget.
+fn fleet_with_a_lost_site() -> (Fleet, Vec<Conversation>, usize) {
     let table = format!(
         "[turns]\nsite = \"cell\"\nblock_us = {}\nlanes = {LANES}\nresident = true\nperiod_ms = 50\nanew = {ANEW_SHARE}\nhold = 0.9\n",
         1e6 / BLOCKS_PER_SEC
@@ -598,7 +597,6 @@
         }
     }
     let lost_site = (0..2).max_by_key(|site| fleet.sites[*site].calls()).unwrap();
-    let site = &fleet.sites[1 - lost_site];
     let was_lost = |conversation: &Conversation| {
         let cache = fleet.sites[lost_site].cache.lock().unwrap();
         cache.missed.iter().any(|(number, ..)| *number == conversation.number)
@@ -606,14 +604,28 @@
     conversations.retain(was_lost);
     fleet.set_listed(lost_site, false);
     fleet.wait_sites(0, 1);
+    (fleet, conversations, 1 - lost_site)
+}
+
+/// The next turn of a conversation, as a call of this class.
+fn next_turn(conversation: &Conversation, class: &str) -> String {
+    let header = format!("Wheellink-Turn: {:x};2;{}", conversation.number, conversation.prefix.join(","));
+    let body = format!("leaves {} {:x}", conversation.number, conversation.number << 32 | 99);
+    call("chat", class, &[&header], &body)
+}
+
+/// Turns whose prefix was lost with its site wait for a budget. If the client disconnects meanwhile, no call is sent for its turn
+/// when the budget allows it.
+#[test]
+fn held_back_turns_of_clients_that_disconnect_are_not_run() {
+    let (fleet, conversations, left) = fleet_with_a_lost_site();
+    let site = &fleet.sites[left];
     let ended = || fleet.program(0).logged("ended reason=");
     let before = ended();
     let mut clients = Vec::new();
     for conversation in &conversations {
-        let header = format!("Wheellink-Turn: {:x};2;{}", conversation.number, conversation.prefix.join(","));
-        let body = format!("leaves {} {:x}", conversation.number, conversation.number << 32 | 99);
         let mut client = fleet.program(0).connect();
-        client.write_all(call("chat", "check-score", &[&header], &body).as_bytes()).unwrap();
+        client.write_all(next_turn(conversation, "check-score").as_bytes()).unwrap();
         clients.push(client);
     }
     let held_back = || fleet.view(0)["held_back"]["now"].as_u64().unwrap();
@@ -638,3 +650,29 @@
     (0..16).for_each(|_| other());
     assert_eq!(received(site), before_wait + others + 16, "a turn of {waiting} held back was run");
 }
+
+/// The classes that a turn waits under may move or go by a reload: it keeps its own. The review found that it kept the
+/// index of its class, by which the engine took it for a call of another class, or did not take it at all.
+#[test]
+fn held_back_turns_keep_their_class_over_a_reload() {
+    let (fleet, conversations, _) = fleet_with_a_lost_site();
+    let mut clients = Vec::new();
+    for conversation in &conversations {
+        let mut client = fleet.program(0).connect();
+        client.write_all(next_turn(conversation, "send-mail").as_bytes()).unwrap();
+        clients.push(client);
+    }
+    let held_back = || fleet.view(0)["held_back"]["now"].as_u64().unwrap();
+    wait_for("turns that are held back", || held_back() > 0);
+    let file = &fleet.files[0];
+    let (mail, after) =
+        (file.find("[[class]]\nname = \"send-mail\"").unwrap(), file.find("[[tenant]]").unwrap());
+    let first = file.find("[[class]]").unwrap();
+    let text = format!("{}{}{}", &file[..first], &file[mail..after], &file[after..]);
+    fleet.program(0).reload(&text);
+    wait_for("the reload", || fleet.program(0).logged("configuration read again") == 1);
+    assert!(held_back() > 0, "no turn is held back any more");
+    let statuses: Vec<u16> =
+        clients.iter_mut().map(|client| read_reply(client).expect("an answer").status).collect();
+    assert!(statuses.iter().all(|status| [200, 503].contains(status)), "{statuses:?}");
+}
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -10,6 +10,7 @@
 use std::collections::{BTreeMap, BinaryHeap};
 
 use crate::interface::*;
+use crate::renumbering::Renumbering;
 use crate::state::Router;
 
 /// Time after its client half-closed the connection in which attempts of a request may begin. A half-close does not
@@ -291,6 +292,12 @@
         }
     }
 
+    /// Sets the terms of the class under which the next request arrived. They hold for it whatever the settings say now.
+    pub fn keep_arrival_terms(&mut self, now: Micros, terms: Class, out: &mut Vec<Command>) {
+        self.advance(now);
+        self.deliver(Event::ArrivalTerms(terms), out);
+    }
+
     /// Accepts a request that had attempts in a process that has ended; the attempts have ended too. They count as this
     /// engine's own for the maximum number of attempts, and for where and whether it may be retried or refused.
     pub fn request_with_past_attempts(
@@ -422,6 +429,12 @@
         self.deliver(Event::OutOfService { worker: id, out }, commands);
     }
 
+    /// Applies new indexes of classes, tenants and zones. [`Engine::update_settings`] must follow.
+    pub fn renumber(&mut self, now: Micros, renumbering: Renumbering, out: &mut Vec<Command>) {
+        self.advance(now);
+        self.deliver(Event::Renumbered(renumbering), out);
+    }
+
     /// Applies new settings, which must have been checked. Open requests keep the settings that they began with.
     pub fn update_settings(
         &mut self,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -5,6 +5,8 @@
 use std::fmt;
 use std::sync::Arc;
 
+use crate::renumbering::Renumbering;
+
 /// A point in time or a length of time, in microseconds.
 pub type Micros = i64;
 
@@ -478,6 +480,10 @@
     /// [`MAX_PREFERRED_LOCATIONS`] are used. They only order the workers that the router could choose anyway: they change
     /// neither which workers may be used nor how much.
     PreferredLocations(Vec<PreferredLocation>),
+    /// The terms of the class under which the next request arrived, if the settings have changed since.
+    ArrivalTerms(Class),
+    /// The lists of the settings have changed: precedes [`Event::Settings`] with the new lists.
+    Renumbered(Renumbering),
     /// The time requested by [`Action::Wake`] has come.
     Woken,
 }
@@ -497,6 +503,15 @@
 }
 
 impl PreferredLocation {
+    /// Applies the new index of its zone; false if the zone is gone.
+    pub fn renumber(&mut self, renumbering: &Renumbering) -> bool {
+        if let Self::Zone(zone) = self {
+            let Some(new) = renumbering.zone(Some(*zone)) else { return false };
+            *zone = new;
+        }
+        true
+    }
+
     /// Index of the first location that includes this worker; [`MAX_PREFERRED_LOCATIONS`] if none does.
     pub(crate) fn rank(
         locations: &[PreferredLocation],
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 mod hash;
 pub mod interface;
 pub mod ramp;
+pub mod renumbering;
 mod repeats;
 pub mod rules;
 mod state;
@@ -19,4 +20,5 @@
 
 pub use engine::{Engine, Ticket};
 pub use interface::*;
+pub use renumbering::{NewIndexes, Renumbering};
 pub use state::Router;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -126,17 +126,17 @@
             Event::List { kind, entries } => self.apply_list(kind, entries),
             Event::Arrival { request, class, tenant, function, due, lanes, repeat, hint } => {
                 let (past, preferred) = (std::mem::take(&mut self.past), std::mem::take(&mut self.preferred));
-                if class >= self.settings.classes.len() || self.requests.contains_key(&request) {
-                    return;
-                }
+                // A request that arrived before the settings changed keeps its terms; its class may be gone.
+                let terms = self.arrival_terms.take().or(self.settings.classes.get(class).copied());
+                let Some(terms) = terms.filter(|_| !self.requests.contains_key(&request)) else { return };
                 let (counted, learned) = self.record_call(&function, tenant, lanes);
                 let fresh = Request {
                     class,
-                    terms: self.settings.classes[class],
-                    max_attempts: self.settings.classes[class].attempts.unwrap_or(self.settings.max_attempts),
+                    terms,
+                    max_attempts: terms.attempts.unwrap_or(self.settings.max_attempts),
                     tenant,
                     arrived: self.now,
-                    worth: self.worth(class, tenant, repeat),
+                    worth: self.worth(&terms, tenant, repeat),
                     function: function.clone(),
                     due,
                     attempts: past,
@@ -205,6 +205,8 @@
             Event::Handover(state) => self.inherit(state),
             Event::PastAttempts(past) => self.set_past_attempts(past),
             Event::PreferredLocations(preferred) => self.preferred = preferred,
+            Event::ArrivalTerms(terms) => self.arrival_terms = Some(terms),
+            Event::Renumbered(renumbering) => self.renumber(&renumbering),
             Event::Woken => {}
         }
         if self.wake_at <= self.now {
@@ -753,7 +755,9 @@
                 if let Some(w) = self.workers.get_mut(worker) {
                     w.rejections.retain(|rejection| rejection.2 > now);
                     // A full queue rejects at once; a slow rejection concerns this class and tenant.
-                    if duration > TICK_US && outcome == Outcome::Full {
+                    // The classes of requests that a change of settings left without one are not compared.
+                    let valid = class < self.settings.classes.len();
+                    if duration > TICK_US && outcome == Outcome::Full && valid {
                         w.rejections.push((class, tenant, now + REJECTION_MEMORY_US));
                     } else {
                         w.full_until = now + 5 * TICK_US;
@@ -950,8 +954,7 @@
 
     /// Expected worth of an answer: less when the tenant exceeds its quota, as far as this router can see,
     /// and less for a client's retry, whose latency aim has mostly passed.
-    fn worth(&self, class: usize, tenant: Option<usize>, repeat: bool) -> f64 {
-        let c = &self.settings.classes[class];
+    fn worth(&self, c: &Class, tenant: Option<usize>, repeat: bool) -> f64 {
         let over = tenant.is_some_and(|t| match (self.settings.tenants.get(t), self.tenant_rates.get(t)) {
             (Some(t), Some(rate)) => rate * self.settings.routers as f64 > t.quota * QUOTA_TOLERANCE,
             _ => false,
--- a/src/state.rs
+++ b/src/state.rs
@@ -8,6 +8,7 @@
 use crate::hash::hash;
 use crate::interface::*;
 use crate::ramp::share_per_router;
+use crate::renumbering::Renumbering;
 use crate::succession::Succession;
 
 /// Minimum number of calls that a function's calls are divided by to get its share.
@@ -296,6 +297,8 @@
     pub(crate) past: Vec<Attempt>,
     /// Preferred locations of the next request to arrive.
     pub(crate) preferred: Vec<PreferredLocation>,
+    /// Terms under which the next request arrived, if the settings have changed since.
+    pub(crate) arrival_terms: Option<Class>,
     pub(crate) peer: PeerRouter,
     pub(crate) gossip: PeerTable,
     pub(crate) composer: Composer,
@@ -641,6 +644,30 @@
         self.settings = settings;
     }
 
+    /// Applies new indexes of tenants and zones. Open requests keep their terms and lose their class, see
+    /// [`Core::apply_settings`].
+    pub(crate) fn renumber(&mut self, renumbering: &Renumbering) {
+        for w in self.workers.values_mut() {
+            w.zone = renumbering.zone(w.zone);
+        }
+        for r in self.requests.values_mut() {
+            r.attempts.iter_mut().for_each(|t| t.zone = renumbering.zone(t.zone));
+            r.preferred.retain_mut(|location| location.renumber(renumbering));
+        }
+        if renumbering.tenants.is_identity() {
+            return;
+        }
+        let rates = std::mem::take(&mut self.tenant_rates);
+        self.tenant_rates.resize(rates.len(), 0.0);
+        for (tenant, rate) in rates.into_iter().enumerate() {
+            let new = renumbering.tenants.of(tenant);
+            if let Some(slot) = new.and_then(|tenant| self.tenant_rates.get_mut(tenant)) {
+                *slot = rate;
+            }
+        }
+        self.recent_calls.clear();
+    }
+
     /// Applies other terms of the same classes and tenants; open requests get the stricter of old and new.
     pub(crate) fn apply_terms(&mut self, settings: Settings) {
         self.tenant_rates.resize(settings.tenants.len(), 0.0);
