--- a/node/tests/held_up.rs
+++ b/node/tests/held_up.rs
@@ -70,3 +70,43 @@
     let mails = seen.calls.iter().filter(|(line, _)| line.contains("send-mail")).count();
     assert_eq!(mails, 0, "an attempt was sent half a second after the client had left");
 }
+
+/// Number of processes that are stopped, each at another moment of its work.
+const PROCESSES: u64 = 8;
+/// Frames that a client sends at once.
+const BATCH: usize = 400;
+
+/// Guards against a timeout that is counted from when the request is read where the process was stopped between its poll and
+/// that read: it answers other frames of the connection then, and reads on.
+#[rstest]
+fn a_request_that_is_read_in_the_iteration_of_a_stop_is_answered_within_its_timeout(
+    #[values(0, 1, 2)] round: u64,
+) {
+    let host = Host::start(Ways { does: Does::Nothing, work: ms(1), load: None });
+    let one = |process: u64, host: &Host| {
+        let p = platform(&[host]);
+        let mut client = p.program.connect();
+        client.set_read_timeout(Some(LONG)).unwrap();
+        // The answers to these are written after the first read of the connection and before its last one.
+        let questions: Vec<u8> = (0..BATCH).flat_map(|_| client_frame(4, 9, &[0])).collect();
+        client.write_all(&questions).unwrap();
+        sleep(std::time::Duration::from_micros(100 * (1 + process + PROCESSES * round)));
+        p.program.stop(true);
+        let sent = Instant::now();
+        client.write_all(&call_frame(process as u32 + 1, "send-mail", TIMEOUT_MS as u32, b"")).unwrap();
+        sleep(ms(STOPPED_MS));
+        p.program.stop(false);
+        std::iter::from_fn(|| read_frame(&mut client)).find(|f| f.kind == 2).expect("an answer");
+        sent.elapsed()
+    };
+    let all: Vec<_> = std::thread::scope(|scope| {
+        let threads: Vec<_> = (0..PROCESSES)
+            .map(|process| {
+                let host = &host;
+                scope.spawn(move || one(process, host))
+            })
+            .collect();
+        threads.into_iter().map(|thread| thread.join().unwrap()).collect()
+    });
+    assert!(all.iter().all(|after| *after < ms(MAX_ANSWER_MS)), "answered after {all:?}");
+}
