--- a/node/src/node/stall.rs
+++ b/node/src/node/stall.rs
@@ -30,11 +30,9 @@
         (late >= MIN_STALL_US).then_some(late)
     }
 
-    /// The earliest time at which input that is read now may have arrived. The process may have been stopped since the
-    /// last poll, too: a connection is read until it has no more, and what it then has may have come during the stop.
+    /// The earliest time at which input that is read now may have arrived.
     pub fn earliest_arrival(&self, now: Micros) -> Micros {
-        let since_poll = self.last_poll.filter(|poll| now - poll >= MIN_STALL_US);
-        self.stalled_since.iter().flatten().copied().chain(since_poll).fold(now, Micros::min)
+        self.stalled_since.iter().flatten().copied().fold(now, Micros::min)
     }
 }
 
