Tests of the pool wait until a socket is full for good

Cause: six polls are 30 ms or less, as a poll ends early with any event. The kernel delays an acknowledgement by up to 200 ms, and a socket takes more bytes once that has come.

Change: a socket counts as full after 300 ms without a byte taken. What the tests check is as before.

--- a/node/src/hosts/pool/tests.rs
+++ b/node/src/hosts/pool/tests.rs
@@ -15,8 +15,9 @@
 use crate::wake::Wakes;
 
 const SECOND: Micros = 1_000_000;
-/// Polls of 5 ms without progress after which a socket counts as full.
-const IDLE_POLLS: usize = 6;
+/// Time without progress after which a socket is full for good. The kernel delays an acknowledgement by up to 200 ms, and the
+/// socket takes more once that has come.
+const FULL_AFTER: Duration = Duration::from_millis(300);
 /// Timeout of all waits.
 const LONG: Duration = Duration::from_secs(10);
 
@@ -180,28 +181,32 @@
         panic!("the socket never gets full");
     }
 
-    /// Whether the socket has accepted no byte for some polls. On a busy machine a full socket accepts more after a
-    /// moment, and does not become ready for a few bytes.
+    /// Whether the socket accepts no byte for [`FULL_AFTER`]. A full socket does not become ready for a few bytes.
     fn is_socket_full(&mut self) -> bool {
-        (0..IDLE_POLLS).all(|_| {
-            let left = self.conn().conn.outbox.len();
+        let (left, since) = (self.conn().conn.outbox.len(), Instant::now());
+        while left > 0 && since.elapsed() < FULL_AFTER {
             self.poll();
             let id = self.conn_id();
             self.hosts.write_queued(self.now, id, &mut self.log);
             self.collect();
-            left > 0 && self.conn().conn.outbox.len() == left
-        })
+            if self.conn().conn.outbox.len() != left {
+                return false;
+            }
+        }
+        left > 0
     }
 
-    /// Fills the socket, bypassing the queue, until it has accepted no byte for some polls.
+    /// Fills the socket, bypassing the queue, until it has accepted no byte for [`FULL_AFTER`].
     fn fill_socket(&mut self) {
-        let mut idle_polls = 0;
-        while idle_polls < IDLE_POLLS {
+        let mut since = Instant::now();
+        while since.elapsed() < FULL_AFTER {
             let c = self.hosts.conns.values_mut().next().unwrap();
             assert!(c.conn.outbox.push(&[b'x'; 32 << 10]));
             let written = c.conn.flush().unwrap();
             c.conn.outbox.consume(usize::MAX);
-            idle_polls = if written == 0 { idle_polls + 1 } else { 0 };
+            if written > 0 {
+                since = Instant::now();
+            }
             self.poll();
         }
     }
