A test of drafts waits for its client's first call

Cause, by the order of events: the test stopped its client once a call of its own was served; the client's thread may not have begun its first call by then, and has served none. Nothing of the program is at fault.

Change: the test waits until the client has had a call served. What it checks is as before.

--- a/node/tests/drafts.rs
+++ b/node/tests/drafts.rs
@@ -6,7 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
-use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
 use std::sync::{Arc, Mutex};
 use std::thread::{sleep, spawn, JoinHandle};
 use std::time::{Duration, Instant};
@@ -160,6 +160,7 @@
 /// A client that sends calls to an activator one after another.
 struct Load {
     stopped: Arc<AtomicBool>,
+    served: Arc<AtomicU64>,
     thread: Option<JoinHandle<u64>>,
 }
 
@@ -167,6 +168,8 @@
     fn start(program: &Program) -> Self {
         let stopped = Arc::new(AtomicBool::new(false));
         let (ends, address) = (stopped.clone(), program.address);
+        let all_served = Arc::new(AtomicU64::new(0));
+        let count = all_served.clone();
         let thread = spawn(move || {
             let mut served = 0;
             while !ends.load(Relaxed) {
@@ -184,12 +187,13 @@
                         Some(reply) => served += u64::from(reply.status == 200),
                         None => break,
                     }
+                    count.store(served, Relaxed);
                     sleep(ms(4));
                 }
             }
             served
         });
-        Self { stopped, thread: Some(thread) }
+        Self { stopped, served: all_served, thread: Some(thread) }
     }
 
     /// Stops the client, and returns the number of calls that were served.
@@ -531,6 +535,8 @@
     assert_eq!(fleet.process(0).operate("GET", "/drafts", ""), 404);
     let load = Load::start(fleet.process(0));
     wait_for("a call", || fleet.process(0).http(&call("f", CLASS, &[], "x")).status == 200);
+    // On a busy machine the client may begin after that call.
+    wait_for("a call of the client", || load.served.load(Relaxed) > 0);
     assert!(load.stop() > 0);
     assert!(fleet.model.seen.lock().unwrap().is_empty(), "no call has a draft field");
     // A reload that adds the settings applies without a restart.
