--- a/review/stand-ins-2/src/cases.rs
+++ b/review/stand-ins-2/src/cases.rs
@@ -18,6 +18,10 @@
         "upgrade-and-open-limit" => upgrade_and_open_limit(rig, trouble),
         "rollout-and-resolver" => rollout_and_resolver(rig, trouble),
         "complete-and-stop" => complete_and_stop(rig, trouble),
+        "second-answer" => second_answer(rig, trouble),
+        "class-of-the-new-version" => class_of_the_new_version(rig, trouble),
+        "two-upgrades" => two_upgrades(rig, trouble),
+        "stopped-candidate" => stopped_candidate(rig, trouble),
         other => Err(format!("no case {other}")),
     }
 }
@@ -480,3 +484,184 @@
         _ => None,
     })
 }
+
+/// A script host gives an answer a second time, some milliseconds late, while the repeat of a mail runs.
+fn second_answer(mut rig: Rig, trouble: bool) -> Verdict {
+    let how = if trouble { "lazy-twice" } else { "lazy" };
+    rig.host_that(600, "300", how)?;
+    rig.host_that(600, "300", how)?;
+    let (listen, control) = (free_port(), free_port());
+    let text = operators_file(&rig, listen, control, 1).replace("on_miss = \"miss\"", "on_miss = \"load\"");
+    let program = rig.program("activator", loopback(listen), loopback(control), &text)?;
+    rig.ready(program)?;
+    wait_for("hosts", ms(5000), || {
+        http(loopback(listen), "GET", "/healthz", &[], "", ms(1000)).is_ok_and(|r| r.status == 200)
+    })?;
+    rig.record.line("client: call mail-1 of the class send-mail");
+    let class = ["Wheellink-Class: send-mail"];
+    let reply = http(loopback(listen), "POST", "/v1/functions/form7/calls", &class, "mail-1", ms(6000));
+    rig.record.line(format!("client: call mail-1 answered: {:?}", reply.map(|r| (r.status, r.body))));
+    sleep(ms(2000));
+    rig.log_lines("activator", &["request "]);
+    let runs: Vec<String> = rig
+        .hosts
+        .iter()
+        .flat_map(|h| h.events("run").into_iter().filter(|e| e.body == "mail-1").map(|_| h.name.clone()))
+        .collect();
+    Ok((runs.len() > 1).then(|| format!("a mail ran {} times, at {}", runs.len(), runs.join(" and "))))
+}
+
+/// A class that only the new version of a rollout knows, and a connection that is reset under a call of it.
+fn class_of_the_new_version(mut rig: Rig, trouble: bool) -> Verdict {
+    rig.host(600, "300")?;
+    rig.host(600, "300")?;
+    let listen = free_port();
+    let more = "\n[[class]]\nname = \"show-form\"\neffect = \"safe\"\naim_ms = 2000\ngive_up_ms = 5000\nlanes = 4\n";
+    for version in ["old", "new"] {
+        let control = free_port();
+        let mut text = operators_file(&rig, listen, control, 1);
+        if version == "new" {
+            text += more;
+        }
+        text += &ROLLOUT.replace("VERSION", version);
+        rig.program(version, loopback(listen), loopback(control), &text)?;
+    }
+    rig.ready(0)?;
+    let view = |rig: &Rig| rig.programs[0].ask("/rollout").map(|r| r.body).unwrap_or_default();
+    wait_for("the new version to know its hosts", ms(5000), || view(&rig).contains("\"caught_up\":true"))?;
+    let plan = r#"{"name":"new","silent_ms":1000,"on_fail":"hold","step":[{"percent":100,"least_ms":60000}]}"#;
+    let begun = http(rig.programs[0].control, "POST", "/rollout", &[], plan, ms(2000));
+    rig.record.line(format!("POST /rollout at the old version: {:?}", begun.map(|r| (r.status, r.body))));
+    let call = |rig: &Rig, class: &str, body: &str| {
+        let (path, class) = ("/v1/functions/form7/calls", format!("Wheellink-Class: {class}"));
+        rig.record.line(format!("client: call {body}, {class}"));
+        let reply = http(loopback(listen), "POST", path, &[&class], body, ms(8000));
+        rig.record.line(format!("client: call {body} answered: {:?}", reply.as_ref().map(|r| r.status)));
+        reply
+    };
+    call(&rig, "check-score", "answers-0").map_err(|e| e.to_string())?;
+    if trouble {
+        rig.hosts.iter_mut().for_each(|h| h.tell("reset"));
+        sleep(ms(100));
+    }
+    let reply = call(&rig, "show-form", "form-1");
+    sleep(ms(1000));
+    let ended = rig.programs[1].has_ended();
+    rig.record.line(format!("the new version {}", if ended { "has ended" } else { "runs on" }));
+    rig.log_lines("old", &["rollout"]);
+    Ok(ended.then(|| format!("the new version was ended; the call was answered {:?}", reply.map(|r| r.status))))
+}
+
+/// Requests that have ended at a process, by its metrics.
+fn ended_requests(program: &Program) -> u64 {
+    let page = program.ask("/metrics").map(|r| r.body).unwrap_or_default();
+    let lines = page.lines().filter(|l| l.starts_with("wheellink_requests_total"));
+    lines.filter_map(|l| l.rsplit(' ').next()?.parse::<f64>().ok()).sum::<f64>() as u64
+}
+
+/// A second upgrade soon after the first, while the first old process still owes an answer.
+fn two_upgrades(mut rig: Rig, trouble: bool) -> Verdict {
+    rig.host(20, "300")?;
+    let listen = free_port();
+    let start = |rig: &mut Rig, name: &str| {
+        let control = free_port();
+        let text = operators_file(rig, listen, control, 1);
+        rig.program(name, loopback(listen), loopback(control), &text)
+    };
+    let a = start(&mut rig, "A")?;
+    rig.ready(a)?;
+    wait_for("hosts", ms(5000), || {
+        http(loopback(listen), "GET", "/healthz", &[], "", ms(1000)).is_ok_and(|r| r.status == 200)
+    })?;
+    let path = "/v1/functions/form7/calls";
+    let class = ["Wheellink-Class: check-score"];
+    http(loopback(listen), "POST", path, &class, "first", ms(6000)).map_err(|e| e.to_string())?;
+    rig.hosts[0].tell("work 9000");
+    sleep(ms(50));
+    defer(&rig, a, "form7", "check-score", "long")?;
+    wait_for("the long call", ms(2000), || rig.hosts[0].events("run").iter().any(|e| e.body == "long"))?;
+    rig.hosts[0].tell("work 20");
+
+    let b = start(&mut rig, "B")?;
+    rig.ready(b)?;
+    rig.programs[a].signal("TERM");
+    rig.record.line("A is told to end (SIGTERM)");
+    let mut last = b;
+    sleep(ms(3000));
+    if trouble {
+        last = start(&mut rig, "C")?;
+        rig.ready(last)?;
+        rig.programs[b].signal("TERM");
+        rig.record.line("B is told to end (SIGTERM)");
+    }
+    sleep(ms(1000));
+    let before = ended_requests(&rig.programs[a]);
+    let mut lost = 0;
+    for n in 0..60 {
+        let reply = http(loopback(listen), "POST", path, &class, &format!("call-{n}"), ms(3000));
+        if !reply.as_ref().is_ok_and(|r| r.status == 200) {
+            lost += 1;
+            rig.record.line(format!("client: call-{n}: {:?}", reply.map(|r| r.status)));
+        }
+        sleep(ms(20));
+    }
+    let taken = ended_requests(&rig.programs[a]).saturating_sub(before);
+    rig.record.line(format!("60 calls, {lost} not served; A, which was told to end, served {taken} of them"));
+    for at in [a, b].into_iter().filter(|at| *at != last) {
+        let name = rig.programs[at].name.clone();
+        let ended = wait_for(&format!("the end of {name}"), ms(10_000), || rig.programs[at].has_ended());
+        rig.record.line(format!("{name} {}", if ended.is_ok() { "has ended" } else { "has not ended" }));
+    }
+    let control = free_port();
+    let text = operators_file(&rig, listen, control, 1);
+    let next = rig.program("D", loopback(listen), loopback(control), &text);
+    let yes = || rig.programs.last().is_some_and(|p| p.ask("/status").is_some_and(|r| r.status == 200));
+    let took = next.is_ok() && wait_for("D", ms(6000), yes).is_ok();
+    rig.record.line(format!("D, the next new process, {}", if took { "takes clients" } else { "did not come to take clients" }));
+    for name in ["A", "B", "C", "D"] {
+        rig.log_lines(name, &["process", "taking clients", "told to stop", "cannot listen"]);
+    }
+    Ok(match (taken, took) {
+        (0, true) => None,
+        (_, true) => Some(format!("A took {taken} calls after it was told to end and replaced twice")),
+        (_, false) => Some(format!("the next new process could not start; A took {taken} calls after it was told to end")),
+    })
+}
+
+/// A client leaves while the new version, which decides its call, is stopped for less than its silence.
+fn stopped_candidate(mut rig: Rig, trouble: bool) -> Verdict {
+    rig.host(50, "300")?;
+    let listen = free_port();
+    for version in ["old", "new"] {
+        let control = free_port();
+        let text = operators_file(&rig, listen, control, 1) + &ROLLOUT.replace("VERSION", version);
+        rig.program(version, loopback(listen), loopback(control), &text)?;
+    }
+    rig.ready(0)?;
+    let view = |rig: &Rig| rig.programs[0].ask("/rollout").map(|r| r.body).unwrap_or_default();
+    wait_for("the new version to know its hosts", ms(5000), || view(&rig).contains("\"caught_up\":true"))?;
+    let plan = r#"{"name":"new","silent_ms":1000,"on_fail":"hold","step":[{"percent":100,"least_ms":60000}]}"#;
+    let begun = http(rig.programs[0].control, "POST", "/rollout", &[], plan, ms(2000));
+    rig.record.line(format!("POST /rollout at the old version: {:?}", begun.map(|r| (r.status, r.body))));
+    let class = ["Wheellink-Class: send-mail"];
+    let path = "/v1/functions/form7/calls";
+    http(loopback(listen), "POST", path, &class, "mail-0", ms(5000)).map_err(|e| e.to_string())?;
+    if trouble {
+        rig.programs[1].signal("STOP");
+        rig.record.line("the new version is stopped");
+    }
+    // The client leaves after 50 ms.
+    rig.hosts[0].tell("work 500");
+    let left = http(loopback(listen), "POST", path, &class, "mail-1", ms(50));
+    let gone = now_us();
+    rig.record.at(gone, &format!("the client has gone: {:?}", left.map(|r| r.status)));
+    sleep(ms(500));
+    if trouble {
+        rig.programs[1].signal("CONT");
+        rig.record.line("the new version goes on");
+    }
+    sleep(ms(1500));
+    rig.log_lines("old", &["rollout"]);
+    let late = rig.hosts[0].events("FN").into_iter().find(|e| e.body == "mail-1" && e.at_us > gone + 100_000);
+    Ok(late.map(|e| format!("an attempt began {:.3} s after its client had gone", (e.at_us - gone) as f64 / 1e6)))
+}
--- a/review/stand-ins-2/src/host.rs
+++ b/review/stand-ins-2/src/host.rs
@@ -3,7 +3,9 @@
 //! It answers FN, KILL, SPAWN, REAP and HELO as the protocol page says: a function that is neither loaded nor loading is a
 //! miss, calls that come during a load wait for it, and a call that is killed before it begins never runs. LOAD_MS is `hold`
 //! for a store that stands still: loads then end with the line `loaded` on standard input. `work N` there changes the time
-//! of a run. Standard output has a line for each thing that happened: Unix microseconds, what, id or tag, function, body.
+//! of a run, and `reset` resets the connection under the next call that runs. With `lazy` after LOAD_MS the host loads what it
+//! lacks by itself while the call waits; its first load fails, and with `lazy-twice` it gives each answer of that load a second
+//! time, 5 ms late. Standard output has a line for each thing that happened: Unix microseconds, what, id or tag, function, body.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{BufRead, BufReader, Read, Write};
@@ -24,6 +26,14 @@
     load_ms: Option<u64>,
     /// How often `loaded` was told.
     releases: u64,
+    /// Loads by itself what it lacks.
+    lazy: bool,
+    /// A second answer follows the one that a load failed.
+    twice: bool,
+    /// Loads begun by itself.
+    loads: u64,
+    /// The connection under the next call that runs is ended.
+    resets: bool,
 }
 
 struct Host {
@@ -37,10 +47,16 @@
     let _ = out.flush();
 }
 
-pub fn run(port: u16, work_ms: u64, load_ms: Option<u64>) -> ! {
+pub fn run(port: u16, work_ms: u64, load_ms: Option<u64>, how: &str) -> ! {
     let listener = TcpListener::bind(("127.0.0.1", port)).expect("the host's port");
     let host = Arc::new(Host {
-        state: Mutex::new(State { work_ms, load_ms, ..State::default() }),
+        state: Mutex::new(State {
+            work_ms,
+            load_ms,
+            lazy: how.starts_with("lazy"),
+            twice: how == "lazy-twice",
+            ..State::default()
+        }),
         changed: Condvar::new(),
     });
     let told = host.clone();
@@ -49,6 +65,7 @@
             let mut state = told.state.lock().unwrap();
             match line.split(' ').collect::<Vec<_>>()[..] {
                 ["loaded"] => state.releases += 1,
+                ["reset"] => state.resets = true,
                 ["work", ms] => state.work_ms = ms.parse().expect("a time"),
                 _ => {}
             }
@@ -73,6 +90,7 @@
 fn serve(host: &Arc<Host>, number: u64, stream: TcpStream) {
     let _ = stream.set_nodelay(true);
     let out = Arc::new(Mutex::new(stream.try_clone().expect("a second handle")));
+    let raw = stream.try_clone().expect("a second handle");
     let answer = move |id: &str, word: &str, fields: &str, body: &[u8]| {
         let head = format!("{id} {word} {fields} {}\r\n", body.len());
         let _ = out.lock().unwrap().write_all(&[head.as_bytes(), body, b"\r\n"].concat());
@@ -97,7 +115,7 @@
                 say("FN", &id, &item, &text);
                 let known = {
                     let state = host.state.lock().unwrap();
-                    state.loaded.contains(&item) || state.loading.contains_key(&item)
+                    state.lazy || state.loaded.contains(&item) || state.loading.contains_key(&item)
                 };
                 if !known {
                     say("miss", &id, &item, &text);
@@ -105,8 +123,33 @@
                     continue;
                 }
                 let (host, answer) = (host.clone(), answer.clone());
+                let raw = raw.try_clone().expect("a further handle");
                 spawn(move || {
                     let mut state = host.state.lock().unwrap();
+                    if state.lazy && !state.loaded.contains(&item) && !state.loading.contains_key(&item) {
+                        state.loading.insert(item.clone(), 1);
+                        state.loads += 1;
+                        let (fails, load_ms) = (state.loads == 1, state.load_ms.unwrap_or(300));
+                        say("load", &id, &item, &text);
+                        drop(state);
+                        sleep(Duration::from_millis(load_ms));
+                        state = host.state.lock().unwrap();
+                        state.loading.remove(&item);
+                        if fails {
+                            let twice = state.twice;
+                            drop(state);
+                            say("load-failed", &id, &item, &text);
+                            answer(&id, "404", "tell=load_failed", b"");
+                            if twice {
+                                sleep(Duration::from_millis(5));
+                                say("second-answer", &id, &item, &text);
+                                answer(&id, "404", "tell=load_failed", b"");
+                            }
+                            return;
+                        }
+                        state.loaded.insert(item.clone());
+                        host.changed.notify_all();
+                    }
                     while !state.loaded.contains(&item) {
                         state = host.changed.wait(state).unwrap();
                     }
@@ -114,8 +157,14 @@
                         return;
                     }
                     let work = state.work_ms;
+                    let resets = std::mem::take(&mut state.resets);
                     drop(state);
                     say("run", &id, &item, &text);
+                    if resets {
+                        sleep(Duration::from_millis(100));
+                        say("reset", &id, &item, &text);
+                        return drop(raw.shutdown(std::net::Shutdown::Both));
+                    }
                     sleep(Duration::from_millis(work));
                     if host.state.lock().unwrap().killed.contains(&(number, id.clone())) {
                         return;
--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -21,8 +21,8 @@
     let arguments: Vec<String> = std::env::args().skip(1).collect();
     let words: Vec<&str> = arguments.iter().map(String::as_str).collect();
     match words[..] {
-        ["host", port, work, load] => {
-            host::run(port.parse().expect("a port"), work.parse().expect("a time"), load.parse().ok())
+        ["host", port, work, load, how] => {
+            host::run(port.parse().expect("a port"), work.parse().expect("a time"), load.parse().ok(), how)
         }
         [case, folder] => play(case, Path::new(folder)),
         _ => {
--- a/review/stand-ins-2/src/rig.rs
+++ b/review/stand-ins-2/src/rig.rs
@@ -203,11 +203,16 @@
 
     /// Starts a script host and lists it. `load` is a time in milliseconds or `hold`.
     pub fn host(&mut self, work_ms: u64, load: &str) -> Outcome<()> {
+        self.host_that(work_ms, load, "ordered")
+    }
+
+    /// The same, with a way to load: `ordered`, `lazy` or `lazy-twice`.
+    pub fn host_that(&mut self, work_ms: u64, load: &str, how: &str) -> Outcome<()> {
         let name = format!("h{}", self.hosts.len());
         let port = free_port();
         let program = std::env::current_exe().map_err(|e| e.to_string())?;
         let mut child = Command::new(program)
-            .args(["host", &port.to_string(), &work_ms.to_string(), load])
+            .args(["host", &port.to_string(), &work_ms.to_string(), load, how])
             .stdin(Stdio::piped())
             .stdout(Stdio::piped())
             .spawn()
