Clients at full speed keep others from their answers: a failing test on both fronts

Change: the lab has flooding clients of twelve kinds, and usual clients whose answers are timed; node/tests/floods.rs plays six of the first beside four of the second on real processes.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod bus;
 pub mod check;
+pub mod flood;
 pub mod history;
 pub mod host;
 pub mod http;
--- a/crates/lab/src/program.rs
+++ b/crates/lab/src/program.rs
@@ -314,6 +314,13 @@
         stat.split_whitespace().next().unwrap().parse().unwrap()
     }
 
+    /// The most memory that it has ever held, in bytes.
+    pub fn peak_memory(&self) -> usize {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("its peak");
+        peak.split_whitespace().next().and_then(|kb| kb.parse::<usize>().ok()).expect("a number") << 10
+    }
+
     /// Ends it without a word.
     pub fn kill(&mut self) {
         self.child.kill().unwrap();
--- /dev/null
+++ b/node/tests/floods.rs
@@ -0,0 +1,60 @@
+//! Clients that send at full speed must not keep others from their answers, nor grow the process.
+
+mod common;
+
+use std::time::Instant;
+
+use common::*;
+use wheellink_lab::flood::{Flood, Front, Kind, Usual};
+
+/// The memory limit of the configurations here.
+const MEMORY_LIMIT_BYTES: usize = 192 << 20;
+const FLOODING_CLIENTS: usize = 6;
+
+/// Plays usual clients beside a flood. Returns what is wrong: answers that came late or never, or too much memory.
+fn play(p: &Program, front: Front, kind: Kind, reads: bool) -> Option<String> {
+    let usual = Usual { front, clients: 4, pause: ms(10), timeout: ms(400), length: ms(1500) };
+    let flood = Flood::start(p.address, kind, FLOODING_CLIENTS, reads);
+    let (used, begun) = (p.used(), Instant::now());
+    let answers = usual.call(p.address);
+    let used = (p.used() - used) as f64 / 100.0 / begun.elapsed().as_secs_f64();
+    let sent = flood.stop();
+    let (peak, stalls) = (p.peak_memory(), p.lines().into_iter().filter(|l| l.contains("held up")));
+    let seen = format!(
+        "{kind:?} reads={reads}: {answers:?}; flood sent {sent}; processor {used:.2}; peak {} MB; {:?}",
+        peak >> 20,
+        stalls.collect::<Vec<_>>()
+    );
+    println!("{seen}");
+    let kept = (answers.late, answers.never) == (0, 0) && answers.served > 0 && peak < MEMORY_LIMIT_BYTES;
+    (!kept).then_some(seen)
+}
+
+/// Guards against turns of the event loop without a bound in work: timers and other clients waited for their end.
+#[test]
+fn platform_clients_are_answered_beside_clients_at_full_speed() {
+    use Kind::*;
+    let kinds = [Checks, Cancels, UnknownTypes, Unsound, ManyFields, NewClasses, TakenBack];
+    let one = |(kind, reads)| {
+        let (a, b) = (Host::warm(), Host::warm());
+        play(&platform(&[&a, &b]).program, Front::Platform, kind, reads)
+    };
+    let broken: Vec<String> =
+        kinds.iter().flat_map(|kind| [(*kind, true), (*kind, false)]).filter_map(one).collect();
+    assert!(broken.is_empty(), "{broken:#?}");
+}
+
+/// The same on the invoke front.
+#[test]
+fn invoke_clients_are_answered_beside_clients_at_full_speed() {
+    use Kind::*;
+    let kinds = [Health, UnknownPaths, HttpNewClasses, ManyHeaders, Deferred];
+    let one = |(kind, reads)| {
+        let (a, b) = (Host::warm(), Host::warm());
+        let (program, _resolver) = operator(&[&a, &b], |text| text);
+        play(&program, Front::Invoke, kind, reads)
+    };
+    let broken: Vec<String> =
+        kinds.iter().flat_map(|kind| [(*kind, true), (*kind, false)]).filter_map(one).collect();
+    assert!(broken.is_empty(), "{broken:#?}");
+}
