A turn of the event loop is bounded in work, so that no client keeps others waiting

Cause: Platform::serve and Invoke::serve took from a connection all that 8 reads of its ring hold, up to 26,000 frames with a write each, and resume_reads did so for every connection with more before timers and other connections had their turn. The class: a bound in bytes where the cost is a count, and no order among those who wait. Change: front/read_queue.rs. A visit takes 32 frames of a connection, as many as a client may have open; who has more waits in a queue and is read in turn, for 1 ms a turn of the loop; after 20 ms of a turn, the margin of deadlines, connections that become ready wait there too.

--- a/node/src/front.rs
+++ b/node/src/front.rs
@@ -2,6 +2,7 @@
 
 pub mod invoke;
 pub mod platform;
+mod read_queue;
 
 use std::net::{SocketAddr, TcpStream};
 
--- a/node/src/front/invoke.rs
+++ b/node/src/front/invoke.rs
@@ -13,6 +13,7 @@
 use wheellink_turns::Turn;
 
 use crate::conn::{Conn, ConnId};
+use crate::front::read_queue::{ReadQueue, Visit};
 use crate::front::{AcceptedClient, ProxyState, Rejection, Reply};
 use crate::hosts::lines::is_word;
 use crate::http::{self, Parsed, Request, Response};
@@ -36,9 +37,6 @@
 const IDLE_US: Micros = 200_000;
 /// How long idle connections stay open while clients are being drained.
 const DRAIN_GRACE_US: Micros = 1_000_000;
-/// Maximum reads of one connection in one turn of the event loop: a client that sends at full speed must not starve
-/// the others.
-const MAX_READS_PER_TURN: usize = 8;
 /// `Retry-After` for clients that poll for a deferred result or reach a limit of this front.
 const POLL_AFTER_SECS: &str = "1";
 const RESULTS_PATH: &str = "/v1/results/";
@@ -170,7 +168,7 @@
     /// Maximum unsent bytes of all connections together.
     max_unsent: usize,
     /// Connections that may have more to read.
-    unread: Vec<ConnId>,
+    unread: ReadQueue,
     /// Names of the classes and of the tenants; calls hold their indices.
     names: (Vec<String>, Vec<String>),
     /// Since when clients are drained: each answer closes its connection.
@@ -199,7 +197,7 @@
             conn_idle,
             results: Results::new(limits),
             max_unsent,
-            unread: Vec::new(),
+            unread: ReadQueue::default(),
             names,
             draining: None,
             ready: false,
@@ -348,32 +346,46 @@
         oldest.inspect(|id| self.end(now, *id, Reason::Evicted, log)).is_some()
     }
 
-    /// Handles a socket that is readable or writable.
+    /// Handles a socket that is readable or writable. One whose turn to be read has yet to come is only written to.
     pub fn on_ready(&mut self, now: Micros, id: ConnId, log: &mut Log) {
-        if let Err(reason) = self.serve(now, id, log) {
+        let waits = self.unread.contains(id);
+        let done = if waits { self.flush(now, id) } else { self.serve(now, id, log) };
+        if let Err(reason) = done {
             self.end(now, id, reason, log);
         }
     }
 
+    /// Has a socket that is readable or writable handled by [`Invoke::resume_read`].
+    pub fn postpone(&mut self, id: ConnId) {
+        self.unread.push(id);
+    }
+
     /// Whether connections may have more to read.
     pub fn has_pending_reads(&self) -> bool {
         !self.unread.is_empty()
     }
 
-    /// Continues reading those connections.
-    pub fn resume_reads(&mut self, now: Micros, log: &mut Log) {
-        for id in std::mem::take(&mut self.unread) {
-            self.on_ready(now, id, log);
+    /// Continues reading the next of those connections; false if there is none.
+    pub fn resume_read(&mut self, now: Micros, log: &mut Log) -> bool {
+        let next = self.unread.pop();
+        next.into_iter().for_each(|id| self.on_ready(now, id, log));
+        next.is_some()
+    }
+
+    fn flush(&mut self, now: Micros, id: ConnId) -> Result<(), Reason> {
+        let Some(c) = self.conns.get_mut(&id) else { return Ok(()) };
+        if c.conn.flush()? > 0 {
+            c.active_at = now;
         }
+        c.linger_if_done(now);
+        Ok(())
     }
 
     fn serve(&mut self, now: Micros, id: ConnId, log: &mut Log) -> Result<(), Reason> {
-        for _ in 0..MAX_READS_PER_TURN {
+        let mut visit = Visit::new();
+        while visit.read() {
+            self.flush(now, id)?;
             let Some(c) = self.conns.get_mut(&id) else { return Ok(()) };
-            if c.conn.flush()? > 0 {
-                c.active_at = now;
-            }
-            c.linger_if_done(now);
             let before = c.conn.inbox.len();
             let more = c.conn.fill()?;
             if c.conn.inbox.len() > before {
@@ -414,14 +426,20 @@
                 c.conn.inbox.consume(usize::MAX);
             }
             let mut progressed = overflowed;
-            while self.take_request(now, id, log)? {
+            while visit.allows_frame() && self.take_request(now, id, log)? {
+                visit.took_frame();
                 progressed = true;
             }
+            if !visit.allows_frame() {
+                break;
+            }
             if !more || !progressed {
                 return Ok(());
             }
         }
-        self.unread.push(id);
+        if self.conns.contains_key(&id) {
+            self.unread.push(id);
+        }
         Ok(())
     }
 
@@ -680,6 +698,7 @@
     /// Ends a connection. A call that it waited for is cancelled; deferred calls continue.
     fn end(&mut self, now: Micros, id: ConnId, reason: Reason, log: &mut Log) {
         let Some(c) = self.conns.remove(&id) else { return };
+        self.unread.remove(id);
         log.ended(now, format_args!("http {}", c.peer), reason, format_args!("calls={}", c.requests));
         if let State::Waiting { ticket: Some(ticket), .. } = c.state {
             self.notices.push(Notice::ClientLeft { ticket });
@@ -711,7 +730,8 @@
             let stuck = |b| now - b >= REQUEST_TIMEOUT_US || now - c.read_at >= REQUEST_GAP_US;
             matches!(c.state, State::Reading) && c.partial.is_some_and(stuck)
         };
-        let mut slow: Vec<_> = self.conns.iter().filter(|(_, c)| slow(c)).map(|(id, _)| *id).collect();
+        let slow = self.conns.iter().filter(|(id, c)| slow(c) && !self.unread.contains(**id));
+        let mut slow: Vec<_> = slow.map(|(id, _)| *id).collect();
         slow.sort();
         for id in slow {
             let answer = Response::problem(408, "the request did not come whole in time");
--- a/node/src/front/platform.rs
+++ b/node/src/front/platform.rs
@@ -9,6 +9,7 @@
 use wheellink::{Micros, Ticket};
 
 use crate::conn::{Conn, ConnId};
+use crate::front::read_queue::{ReadQueue, Visit};
 use crate::front::{AcceptedClient, ProxyState, Reply};
 use crate::log::{Log, Reason};
 use crate::wake::{Handle, Wake};
@@ -57,9 +58,6 @@
 const IDLE_US: Micros = 200_000;
 /// How long clients that were asked to leave may keep idle connections.
 const DRAIN_GRACE_US: Micros = 1_000_000;
-/// Maximum reads of one connection in one turn of the event loop: a client that sends at full speed must not starve
-/// the others.
-const MAX_READS_PER_TURN: usize = 8;
 
 /// The connection and stream on which a request is answered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -181,7 +179,7 @@
     /// Maximum unsent bytes of all connections together.
     max_unsent: usize,
     /// Connections that may have more to read.
-    unread: Vec<ConnId>,
+    unread: ReadQueue,
     /// The answer to readiness queries.
     pub ready: bool,
     /// Since when clients are asked to open no new request.
@@ -191,7 +189,7 @@
 
 impl Platform {
     pub fn new(handle: Handle, (max_conns, max_unsent): (usize, usize), conn_idle: Micros) -> Self {
-        let (conns, unread, notices) = (HashMap::new(), Vec::new(), Vec::new());
+        let (conns, unread, notices) = (HashMap::new(), ReadQueue::default(), Vec::new());
         Self { handle, conns, max_conns, conn_idle, max_unsent, unread, ready: true, draining: None, notices }
     }
 
@@ -342,31 +340,44 @@
         ids
     }
 
-    /// Handles a socket that is readable or writable.
+    /// Handles a socket that is readable or writable. One whose turn to be read has yet to come is only written to.
     pub fn on_ready(&mut self, now: Micros, id: ConnId, log: &mut Log) {
-        if let Err(reason) = self.serve(now, id, log) {
+        let waits = self.unread.contains(id);
+        let done = if waits { self.flush(now, id) } else { self.serve(now, id, log) };
+        if let Err(reason) = done {
             self.end(now, id, reason, log);
         }
     }
 
+    /// Has a socket that is readable or writable handled by [`Platform::resume_read`].
+    pub fn postpone(&mut self, id: ConnId) {
+        self.unread.push(id);
+    }
+
     /// Whether connections may have more to read.
     pub fn has_pending_reads(&self) -> bool {
         !self.unread.is_empty()
     }
 
-    /// Continues reading those connections.
-    pub fn resume_reads(&mut self, now: Micros, log: &mut Log) {
-        for id in std::mem::take(&mut self.unread) {
-            self.on_ready(now, id, log);
+    /// Continues reading the next of those connections; false if there is none.
+    pub fn resume_read(&mut self, now: Micros, log: &mut Log) -> bool {
+        let next = self.unread.pop();
+        next.into_iter().for_each(|id| self.on_ready(now, id, log));
+        next.is_some()
+    }
+
+    fn flush(&mut self, now: Micros, id: ConnId) -> Result<(), Reason> {
+        let Some(c) = self.conns.get_mut(&id) else { return Ok(()) };
+        if c.conn.flush()? > 0 {
+            c.active_at = now;
         }
+        Ok(())
     }
 
     fn serve(&mut self, now: Micros, id: ConnId, log: &mut Log) -> Result<(), Reason> {
-        for _ in 0..MAX_READS_PER_TURN {
-            let Some(c) = self.conns.get_mut(&id) else { return Ok(()) };
-            if c.conn.flush()? > 0 {
-                c.active_at = now;
-            }
+        let mut visit = Visit::new();
+        while visit.read() {
+            self.flush(now, id)?;
             // Answers that are still unsent are flushed by a later call, which releases the queue.
             self.release_queued(now, id, log);
             let Some(c) = self.conns.get_mut(&id) else { return Ok(()) };
@@ -380,7 +391,12 @@
                 filled?;
                 return Ok(());
             }
-            while self.take_frame(now, id, log)? {}
+            while visit.allows_frame() && self.take_frame(now, id, log)? {
+                visit.took_frame();
+            }
+            if !visit.allows_frame() {
+                break;
+            }
             let Some(c) = self.conns.get_mut(&id) else { return Ok(()) };
             c.partial = if c.conn.inbox.is_empty() { None } else { c.partial.or(Some(now)) };
             if c.partial.is_none() {
@@ -390,7 +406,9 @@
                 return self.end_if_done(now, id);
             }
         }
-        self.unread.push(id);
+        if self.conns.contains_key(&id) {
+            self.unread.push(id);
+        }
         self.end_if_done(now, id)
     }
 
@@ -645,6 +663,7 @@
 
     fn end(&mut self, now: Micros, id: ConnId, reason: Reason, log: &mut Log) {
         let Some(c) = self.conns.remove(&id) else { return };
+        self.unread.remove(id);
         log.ended(
             now,
             format_args!("client {}", c.peer),
@@ -663,7 +682,7 @@
             let Some(c) = self.conns.get(&id) else { continue };
             let quiet = now - c.active_at;
             let late = match c.partial {
-                _ if c.broken || !c.conn.outbox.is_empty() => false,
+                _ if c.broken || !c.conn.outbox.is_empty() || self.unread.contains(id) => false,
                 _ if !c.used && c.open.is_empty() => {
                     now - c.opened_at >= FIRST_FRAME_US || now - c.read_at >= FRAME_GAP_US
                 }
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -70,6 +70,11 @@
 const MEMORY_PARTS: usize = 6;
 /// Connections accepted per event of a listener, so that hundreds at once do not delay requests that have arrived.
 const MAX_ACCEPTS_PER_WAKE: usize = 32;
+/// Time after which a turn of the event loop no longer reads clients as they become ready: within the margin of
+/// deadlines, so that timers are on time.
+const MAX_WAKES_US: Micros = DUE_MARGIN_US;
+/// Time that a turn spends on clients that have sent more than one visit takes.
+const MAX_RESUMED_READS_US: Micros = 1_000;
 /// Pause of a listener after there was no file descriptor for a connection.
 const NO_DESCRIPTOR_PAUSE_US: Micros = 100_000;
 /// Pause of the client listener while every connection waits for an answer.
@@ -226,6 +231,8 @@
     catch_up_deadline: Micros,
     /// When SIGTERM was received.
     stopping: Option<Micros>,
+    /// When the event loop last polled, by [`Clock::running`].
+    polled_at: Micros,
     /// No client had sent anything in the last iteration of the loop.
     clients_idle: bool,
     /// Iterations since `SHUTDOWN_GRACE_US` after SIGTERM has passed.
@@ -317,6 +324,7 @@
             metrics: Metrics::default(),
             log: Log::new(),
             stopping: None,
+            polled_at: started,
             clients_idle: false,
             final_iterations: 0,
             last_housekeeping: 0,
@@ -399,6 +407,7 @@
     /// Must be called after each poll of the event loop, with the timeout of the poll: detects stalls of the process.
     pub fn polled(&mut self, wait: Duration) {
         let now = self.clock.running();
+        self.polled_at = now;
         if let Some(stall) = self.stalls.polled(now, wait) {
             self.metrics.hold_ups.inc();
             self.log.line(now, format_args!("held up for {} ms", stall / 1000));
@@ -444,13 +453,7 @@
         // One step per iteration, so that events are handled between two steps.
         let more = self.run_accord_step();
         let now = self.clock.now();
-        if self.has_more() {
-            match &mut self.mode {
-                Mode::Platform(front, _) => front.resume_reads(now, &mut self.log),
-                Mode::Operator { front, .. } => front.resume_reads(now, &mut self.log),
-            }
-            self.process_events();
-        }
+        self.resume_reads(now);
         if due {
             self.run_engine(|engine, out| engine.tick(now, out));
             self.hosts.tick(now, &mut self.log);
--- a/node/src/node/requests.rs
+++ b/node/src/node/requests.rs
@@ -8,6 +8,12 @@
 
 impl Node {
     pub(super) fn client_ready(&mut self, id: ConnId) {
+        if self.clock.running() - self.polled_at >= MAX_WAKES_US {
+            return match &mut self.mode {
+                Mode::Platform(front, _) => front.postpone(id),
+                Mode::Operator { front, .. } => front.postpone(id),
+            };
+        }
         let now = self.clock.now();
         match &mut self.mode {
             Mode::Platform(front, _) => front.on_ready(now, id, &mut self.log),
@@ -16,6 +22,24 @@
         self.process_events();
     }
 
+    /// Continues reading clients that have more input than one visit takes, one after another for a limited time.
+    pub(super) fn resume_reads(&mut self, now: Micros) {
+        let began = self.clock.running();
+        loop {
+            let resumed = match &mut self.mode {
+                Mode::Platform(front, _) => front.resume_read(now, &mut self.log),
+                Mode::Operator { front, .. } => front.resume_read(now, &mut self.log),
+            };
+            if !resumed {
+                return;
+            }
+            self.process_events();
+            if self.clock.running() - began >= MAX_RESUMED_READS_US {
+                return;
+            }
+        }
+    }
+
     /// Handles the notices of the front. Returns false if there were none.
     pub(super) fn handle_front_notices(&mut self) -> bool {
         match &mut self.mode {
