--- a/crates/lab/src/host.rs
+++ b/crates/lab/src/host.rs
@@ -71,7 +71,11 @@
 impl Host {
     /// Listens, and behaves like this.
     pub fn start(ways: Ways) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        Self::on(TcpListener::bind("127.0.0.1:0").unwrap(), ways)
+    }
+
+    /// Behaves like this at this listener's address.
+    pub fn on(listener: TcpListener, ways: Ways) -> Self {
         let address = listener.local_addr().unwrap();
         let host = Self { address, ways: Arc::new(Mutex::new(ways)), seen: Arc::default() };
         let (ways, seen) = (host.ways.clone(), host.seen.clone());
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -9,8 +9,9 @@
 
 use std::net::{SocketAddr, TcpStream};
 use std::ops::{Deref, DerefMut};
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::process::ExitStatus;
+use std::sync::LazyLock;
 
 use wheellink_lab::program::Start;
 pub use wheellink_lab::program::{meeting_place, shared_folder};
@@ -20,6 +21,14 @@
 
 /// Path of the program that these tests are built with.
 const PROGRAM: &str = env!("CARGO_BIN_EXE_wheellink-node");
+/// Names another build of the program, with which a test is to be played.
+const OTHER_PROGRAM: &str = "WHEELLINK_TEST_PROGRAM";
+
+fn program() -> &'static Path {
+    static PATH: LazyLock<PathBuf> =
+        LazyLock::new(|| std::env::var_os(OTHER_PROGRAM).map_or_else(|| PROGRAM.into(), PathBuf::from));
+    &PATH
+}
 
 /// A running process of the program.
 pub struct Program(wheellink_lab::program::Program);
@@ -30,17 +39,17 @@
     }
 
     pub fn start(text: &str, operator: bool) -> Self {
-        Self::run(Start::new(Path::new(PROGRAM), text, operator))
+        Self::run(Start::new(program(), text, operator))
     }
 
     /// Starts it with a limit of `most` descriptors, whatever its configuration says.
     pub fn start_with_descriptors(most: u32, text: &str, operator: bool) -> Self {
-        Self::run(Start::new(Path::new(PROGRAM), text, operator).descriptors(most))
+        Self::run(Start::new(program(), text, operator).descriptors(most))
     }
 
     /// Starts it with a limit of `most` descriptors, at which it must fail, and returns what it printed.
     pub fn fails_with_descriptors(most: u32, text: &str, operator: bool) -> String {
-        let start = Start::new(Path::new(PROGRAM), text, operator).descriptors(most);
+        let start = Start::new(program(), text, operator).descriptors(most);
         start.run().err().expect("it ends before it listens")
     }
 
@@ -51,12 +60,12 @@
 
     /// Starts it with a wall clock that the test can step.
     pub fn start_with_clock(clock: &WallClock, text: &str) -> Self {
-        Self::run(Start::new(Path::new(PROGRAM), text, false).wall_clock(clock))
+        Self::run(Start::new(program(), text, false).wall_clock(clock))
     }
 
     /// Starts it with an additional environment variable.
     pub fn start_with(name: &str, value: &str, text: &str, operator: bool) -> Self {
-        Self::run(Start::new(Path::new(PROGRAM), text, operator).env(name, value))
+        Self::run(Start::new(program(), text, operator).env(name, value))
     }
 }
 
@@ -76,12 +85,12 @@
 
 /// Starts the program on a file that it must reject, and returns its exit status and what it printed.
 pub fn turned_down(text: &str, operator: bool) -> (ExitStatus, String) {
-    wheellink_lab::program::turned_down(Path::new(PROGRAM), text, operator)
+    wheellink_lab::program::turned_down(program(), text, operator)
 }
 
 /// Starts the program with the invoke front, and waits until it knows these hosts.
 pub fn operator(hosts: &[&Host], edit: impl Fn(String) -> String) -> (Program, Resolver) {
-    let (program, resolver) = wheellink_lab::resolver::operator(Path::new(PROGRAM), hosts, edit);
+    let (program, resolver) = wheellink_lab::resolver::operator(program(), hosts, edit);
     (Program(program), resolver)
 }
 
