A request whose client left does not run again when its id comes again

Cause: Node::client_left forgot the id together with the request, though an attempt may have run; and ids never passed between the processes of an upgrade. The class: what may have run was remembered only as long as somebody waited for it. The state that an old process hands over has them and those of its open requests; later ones follow by a message that older versions ignore.

--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -3,6 +3,7 @@
 
 mod accord;
 mod admission;
+mod departed;
 mod discovery;
 mod dispatch;
 mod drafts;
@@ -56,6 +57,7 @@
 use crate::wake::{Handle, Wake};
 
 use admission::AdmissionControl;
+use departed::DepartedIds;
 use drafts::DraftState;
 use request_log::Attempts;
 use rollout::{Role, RolloutState};
@@ -192,6 +194,8 @@
     pending: HashMap<Ticket, Pending>,
     /// Ids of the pending requests, by which duplicates are rejected.
     ids: HashSet<Rc<str>>,
+    /// Ids of requests that may have run and are not pending any more.
+    departed: DepartedIds,
     mode: Mode,
     hosts: HostPool,
     host_starts: StartTimes,
@@ -305,6 +309,7 @@
             scratch: Vec::new(),
             pending: HashMap::new(),
             ids: HashSet::new(),
+            departed: DepartedIds::default(),
             mode,
             hosts: HostPool::new(handle.clone(), transport, (most, share)),
             host_starts: StartTimes::default(),
--- a/node/src/node/lifecycle.rs
+++ b/node/src/node/lifecycle.rs
@@ -14,6 +14,7 @@
         if let Some(learnt) = &state.admission {
             self.admission.inherit(now, learnt.clone());
         }
+        self.inherit_departed(now, &state.departed);
         if let (Mode::Platform(_, bus), Some(place)) = (&mut self.mode, state.bus) {
             bus.require_position(place);
         }
@@ -97,6 +98,7 @@
             PeerEvent::Message(Message::Standby { on }) => self.set_standby(now, on),
             PeerEvent::Message(Message::Admission(call)) => drop(self.set_prefix(now, &call)),
             PeerEvent::Message(Message::Learned { addresses }) => self.admission.inherit(now, addresses),
+            PeerEvent::Message(Message::Departed { ids }) => self.inherit_departed(now, &ids),
             PeerEvent::Message(Message::Tally { clients, tallies }) => {
                 self.peer_clients = clients;
                 self.update_limits();
@@ -147,6 +149,7 @@
             standby: self.standby,
             admission: self.admission.state(self.tallied_until),
             clock: Some(self.clock.base()),
+            departed: self.ids_not_to_run(),
             bus: match &self.mode {
                 Mode::Platform(_, bus) => Some(bus.position()),
                 Mode::Operator { .. } => None,
--- a/node/src/node/request_log.rs
+++ b/node/src/node/request_log.rs
@@ -12,6 +12,16 @@
     first_sent: Micros,
     /// The host of the last attempt, and its outcome if it has ended.
     last: Option<(WorkerId, Option<Outcome>)>,
+    /// An attempt before the last one may have run.
+    ran_before: bool,
+}
+
+impl Attempts {
+    /// Whether the request may have run: an earlier attempt may have, or the last one was not proven not to have.
+    pub(super) fn may_have_run(&self) -> bool {
+        let last = self.last.as_ref().is_some_and(|(_, end)| !end.is_some_and(Outcome::never_ran));
+        last || self.ran_before
+    }
 }
 
 impl Node {
@@ -20,6 +30,7 @@
         self.metrics.attempts.inc();
         let Some(pending) = self.pending.get_mut(&attempt.ticket) else { return };
         let attempts = &mut pending.attempts;
+        attempts.ran_before = attempts.may_have_run();
         attempts.count += 1;
         if attempts.count == 1 {
             attempts.first_sent = now;
--- a/node/src/node/requests.rs
+++ b/node/src/node/requests.rs
@@ -103,6 +103,7 @@
             _ if shared && tenant.is_none() => Some("a tenant that is not known"),
             // Hosts identify calls by the id.
             _ if self.ids.contains(request.id.as_str()) => Some("the id of a request that is open"),
+            _ if self.departed.contains(now, &request.id) => Some("the id of a request that may have run"),
             _ => None,
         };
         let Mode::Platform(front, _) = &mut self.mode else { return };
@@ -287,12 +288,33 @@
             self.release(now, &pending, false);
             self.log_client_left(now, &pending);
             self.ids.remove(&pending.call.id);
+            self.remember_departed(now, &pending);
         }
         if !self.passed_client_left(ticket) {
             self.run_engine(|engine, out| engine.client_left(now, ticket, out));
         }
     }
 
+    /// Remembers the id of a request whose client has left, here and at the other process of an upgrade.
+    fn remember_departed(&mut self, now: Micros, pending: &Pending) {
+        if matches!(pending.origin, Origin::Platform(_)) && pending.may_not_run_again() {
+            self.departed.insert(now, pending.call.id.clone());
+            self.upgrade.send(&Message::Departed { ids: vec![pending.call.id.to_string()] });
+        }
+    }
+
+    /// Ids that the other process of an upgrade must not run: of requests that are pending here or have departed.
+    pub(super) fn ids_not_to_run(&self) -> Vec<String> {
+        let pending = self.pending.values().filter(|pending| pending.may_not_run_again());
+        let pending = pending.map(|pending| &pending.call.id);
+        self.departed.newest().chain(pending).map(|id| id.to_string()).collect()
+    }
+
+    /// Remembers ids of the other process.
+    pub(super) fn inherit_departed(&mut self, now: Micros, ids: &[String]) {
+        ids.iter().for_each(|id| self.departed.insert(now, id.as_str().into()));
+    }
+
     /// The client of these requests has closed its sending side: it has disconnected, or still waits for answers.
     fn client_half_closed(&mut self, tickets: &[Ticket], since: Micros) {
         let now = self.clock.now();
@@ -301,6 +323,9 @@
             // Kept for a later decision by the other version of a rollout, which counts from the same time.
             if let Some(pending) = self.pending.get_mut(ticket) {
                 pending.new.half_closed = Some(since);
+                if pending.may_not_run_again() {
+                    self.upgrade.send(&Message::Departed { ids: vec![pending.call.id.to_string()] });
+                }
             }
             if !self.forward_half_close(*ticket, since) {
                 self.run_engine(|engine, out| engine.client_half_closed(now, *ticket, since, out));
--- a/node/src/upgrade.rs
+++ b/node/src/upgrade.rs
@@ -86,6 +86,9 @@
         #[serde(rename = "ration")]
         tallies: TallyRows,
     },
+    /// Either process: the clients of requests with these ids have left, or ended their side of the connection. The requests
+    /// may have run, so the other process must not run them if they come again. Older versions ignore it.
+    Departed { ids: Vec<String> },
     /// Holder of a rollout to its candidate: the client of a passed call closed its sending side at this time, on the
     /// clock that both processes share. Versions without this message decide the call as if the client had not.
     HalfClosed { seq: u64, since: Micros },
@@ -141,6 +144,9 @@
     /// The time base of all times in the messages. Older versions use the wall clock and send none.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub clock: Option<TimeBase>,
+    /// Ids of requests that may have run, or may still run, at the old process.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub departed: Vec<String>,
     /// What admission has learned of client addresses.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub admission: Option<LearnedState>,
