The end of a connection is noticed before what is unread on it is sent on

Cause: the end of a connection is queued behind its input, and was noticed only once all of that was read. The class: a state that was learnt as a side effect of reading. Change: where a read leaves input behind, the socket is asked whether its peer has ended (poll with RDHUP; where the system cannot tell, nothing changes). A reset ends the connection at once. On the platform front a request with unread input behind it is held, 32 KiB a connection and 20 ms at most, until that is read.

--- a/node/src/conn.rs
+++ b/node/src/conn.rs
@@ -7,6 +7,7 @@
 
 use calloop::generic::Generic;
 use calloop::{Interest, Mode, PostAction, RegistrationToken};
+use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use socket2::{Domain, Protocol, Socket, Type};
 
 use crate::faults;
@@ -35,6 +36,15 @@
 /// Makes the wake-up that tells a connection's owner that the socket is ready.
 pub type WakeFn = fn(ConnId) -> Wake;
 
+/// What of a connection has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HangUp {
+    /// The peer sends no more, and may still read.
+    PeerSide,
+    /// Both directions: the peer is gone.
+    Connection,
+}
+
 pub struct Conn {
     stream: Rc<TcpStream>,
     token: RegistrationToken,
@@ -127,6 +137,19 @@
         Ok(false)
     }
 
+    /// Whether the peer has ended its side or the whole connection, even though input before that end is still unread.
+    pub fn hang_up(&self) -> Option<HangUp> {
+        let mut polled = [PollFd::new(&*self.stream, PollFlags::RDHUP)];
+        // Where the system cannot tell, the end is noticed once all input has been read.
+        poll(&mut polled, Some(&Timespec { tv_sec: 0, tv_nsec: 0 })).ok()?;
+        let found = polled[0].revents();
+        if found.intersects(PollFlags::HUP | PollFlags::ERR) {
+            Some(HangUp::Connection)
+        } else {
+            found.contains(PollFlags::RDHUP).then_some(HangUp::PeerSide)
+        }
+    }
+
     /// Writes until the ring is empty or the socket would block. Returns the number of bytes written.
     pub fn flush(&mut self) -> Result<usize, Reason> {
         let mut written = 0;
--- a/node/src/front/invoke.rs
+++ b/node/src/front/invoke.rs
@@ -388,6 +388,13 @@
             let Some(c) = self.conns.get_mut(&id) else { return Ok(()) };
             let before = c.conn.inbox.len();
             let more = c.conn.fill()?;
+            // The end of a connection with much unread is noticed before its requests are handed on.
+            if more
+                && c.conn.hang_up().is_some()
+                && !matches!(c.state, State::Closing(_) | State::Lingering(..))
+            {
+                return Err(Reason::PeerClosed);
+            }
             if c.conn.inbox.len() > before {
                 c.read_at = now;
             }
--- a/node/src/front/platform.rs
+++ b/node/src/front/platform.rs
@@ -8,7 +8,7 @@
 
 use wheellink::{Micros, Ticket};
 
-use crate::conn::{Conn, ConnId};
+use crate::conn::{Conn, ConnId, HangUp};
 use crate::front::read_queue::{ReadQueue, Visit};
 use crate::front::{AcceptedClient, ProxyState, Reply};
 use crate::log::{Log, Reason};
@@ -30,6 +30,8 @@
 /// Maximum time in that queue: this, or the request's timeout divided by the divisor below, if that is shorter. An
 /// early refusal leaves the client time to send the request elsewhere.
 const MAX_QUEUED_US: Micros = 200_000;
+/// Maximum time for which a request waits until the input behind it is read: the client may have closed its connection.
+const MAX_HELD_US: Micros = 20_000;
 /// Divisor of the request's timeout; see `MAX_QUEUED_US`.
 const QUEUED_TIMEOUT_DIVISOR: i64 = 4;
 /// Maximum number of streams that a connection may use out of order; further ones are rejected.
@@ -102,6 +104,10 @@
     open: BTreeMap<u32, Option<Ticket>>,
     /// Requests that wait until their client has read its answers, oldest first. Their streams are open.
     queue: VecDeque<QueuedRequest>,
+    /// Requests that are handed on once the input behind them has been read, or after `MAX_HELD_US`. Their streams are open.
+    held: Vec<HeldRequest>,
+    /// The last read left input unread.
+    behind: bool,
     streams: Streams,
     /// When the client ended its side of the connection.
     half_closed_at: Option<Micros>,
@@ -147,6 +153,15 @@
     until: Micros,
 }
 
+/// A request behind which there may be the end of the connection.
+struct HeldRequest {
+    stream: u32,
+    request: Box<Request>,
+    /// Length of the frame's payload.
+    size: usize,
+    since: Micros,
+}
+
 /// Stream numbers that a connection has used.
 #[derive(Default)]
 struct Streams {
@@ -212,6 +227,8 @@
                     proxy: if proxied { ProxyState::AwaitHeader } else { ProxyState::Settled },
                     open: BTreeMap::new(),
                     queue: VecDeque::new(),
+                    held: Vec::new(),
+                    behind: false,
                     streams: Streams::default(),
                     half_closed_at: None,
                     skip_bytes: 0,
@@ -382,13 +399,19 @@
             self.release_queued(now, id, log);
             let Some(c) = self.conns.get_mut(&id) else { return Ok(()) };
             let before = c.conn.inbox.len();
-            let filled = c.conn.fill();
+            // Requests before a reset are dropped with the connection: nobody waits for them.
+            let more = c.conn.fill()?;
+            c.behind = more;
+            // The end of a connection with much unread is noticed before its requests are handed on.
+            let hang_up = if more { c.conn.hang_up() } else { None };
+            if hang_up == Some(HangUp::Connection) {
+                return Err(Reason::PeerReset);
+            }
             if c.conn.inbox.len() > before {
                 (c.read_at, c.reads) = (now, c.reads.saturating_add(1));
             }
-            self.note_half_close(now, id);
+            self.note_half_close(now, id, hang_up);
             if !self.is_admitted(now, id, log)? {
-                filled?;
                 return Ok(());
             }
             while visit.allows_frame() && self.take_frame(now, id, log)? {
@@ -402,10 +425,12 @@
             if c.partial.is_none() {
                 c.reads = 0;
             }
-            if !filled? {
+            if !more {
+                self.release_held(now, id, log);
                 return self.end_if_done(now, id);
             }
         }
+        self.release_held_if_due(now, id, log);
         if self.conns.contains_key(&id) {
             self.unread.push(id);
         }
@@ -414,10 +439,12 @@
 
     /// Reports once that a client has ended its side of the connection. For requests that are taken after this, the
     /// node asks [`Platform::half_closed`].
-    fn note_half_close(&mut self, now: Micros, id: ConnId) {
-        let Some(c) = self.conns.get_mut(&id).filter(|c| c.conn.eof && c.half_closed_at.is_none()) else {
+    fn note_half_close(&mut self, now: Micros, id: ConnId, hang_up: Option<HangUp>) {
+        let has_ended = |c: &&mut ClientConn| c.conn.eof || hang_up.is_some();
+        let Some(c) = self.conns.get_mut(&id).filter(has_ended) else { return };
+        if c.half_closed_at.is_some() {
             return;
-        };
+        }
         c.half_closed_at = Some(now);
         let tickets: Vec<Ticket> = c.open.values().flatten().copied().collect();
         if !tickets.is_empty() {
@@ -536,7 +563,8 @@
                 }
             }
             Ok(Frame::Cancel) => {
-                c.queue.retain(|q| q.stream != header.stream);
+                c.queue.retain(|queued| queued.stream != header.stream);
+                c.held.retain(|held| held.stream != header.stream);
                 if let Some(Some(ticket)) = c.open.remove(&header.stream) {
                     self.notices.push(Notice::ClientLeft { ticket });
                 }
@@ -550,8 +578,7 @@
         }
     }
 
-    /// Hands a request to the node, queues it while its client does not read its answers, or refuses it if the queue is
-    /// full.
+    /// Holds a request while input behind it is unread; then, or if too much is held, hands it on.
     fn accept_request(
         &mut self,
         now: Micros,
@@ -560,6 +587,35 @@
         size: usize,
         log: &mut Log,
     ) {
+        let Some(c) = self.conns.get_mut(&origin.conn) else { return };
+        let held: usize = c.held.iter().map(|held| held.size).sum();
+        if c.behind && held + size <= MAX_QUEUED_BYTES {
+            return c.held.push(HeldRequest { stream: origin.stream, request, size, since: now });
+        }
+        self.release_held(now, origin.conn, log);
+        self.hand_on(now, origin, request, size, log);
+    }
+
+    /// Hands on the requests that were held.
+    fn release_held(&mut self, now: Micros, id: ConnId, log: &mut Log) {
+        let Some(c) = self.conns.get_mut(&id) else { return };
+        for HeldRequest { stream, mut request, size, since } in std::mem::take(&mut c.held) {
+            request.timeout_ms -= (now - since) / 1000;
+            self.hand_on(now, Origin { conn: id, stream }, request, size, log);
+        }
+    }
+
+    /// Hands on the requests that have been held for too long.
+    fn release_held_if_due(&mut self, now: Micros, id: ConnId, log: &mut Log) {
+        let first = self.conns.get(&id).and_then(|c| c.held.first()).map(|held| held.since);
+        if first.is_some_and(|since| now - since >= MAX_HELD_US) {
+            self.release_held(now, id, log);
+        }
+    }
+
+    /// Hands a request to the node, queues it while its client does not read its answers, or refuses it if the queue is
+    /// full.
+    fn hand_on(&mut self, now: Micros, origin: Origin, request: Box<Request>, size: usize, log: &mut Log) {
         let Some(c) = self.conns.get_mut(&origin.conn) else { return };
         if c.conn.outbox.len() <= BACKPRESSURE_BYTES && c.queue.is_empty() {
             return self.notices.push(Notice::Request { origin, request });
