Functions that hosts serve are bounded in number, and so is what is learnt of each

Cause: since the incident of made-up functions names that no host has share 256 slots, but a name that a host served was kept for 40 s without a bound, as a successor of all others of its second; and each call stepped over all names of the last second. Change: 4,096 idle functions are kept, those called once go first; 128 successors of each, those below the average go; a call counts for the 256 functions that were called last. Result: what_a_router_keeps_of_functions_that_workers_serve_is_bounded (1,000 new served names a second) failed with 7,354,772 entries after 8 s and 52 s of processor time for the test; it holds now, below 1,000,000 and no more 16 s later.

--- a/src/called_functions.rs
+++ b/src/called_functions.rs
@@ -12,6 +12,12 @@
 
 /// Maximum number of functions that are learnt from, or kept without open requests, before a worker has served them.
 const MAX_UNSERVED_FUNCTIONS: usize = 256;
+/// Maximum number of functions without open requests that are kept, whoever has served them.
+const MAX_IDLE_FUNCTIONS: usize = 4_096;
+/// Share of these that is removed when there are more.
+const REMOVED_SHARE: usize = 4;
+/// Maximum number of functions that are counted as successors of one.
+const MAX_SUCCESSORS: usize = 128;
 /// A call counts as a successor of an earlier call of the same tenant within this time, once per call.
 const SUCCESSION_WINDOW_US: Micros = 1_000_000;
 
@@ -62,6 +68,21 @@
         self.unserved.as_ref().is_some_and(|unserved| unserved.refuted)
     }
 
+    /// Counts calls that the other function has followed. At the limit, the successors that follow less than the average
+    /// are removed.
+    fn count_successor(&mut self, id: &FunctionId, calls: u32) {
+        if self.successors.len() >= MAX_SUCCESSORS && !self.successors.contains_key(id) {
+            let average = self.successors.values().sum::<f64>() / self.successors.len() as f64;
+            self.successors.retain(|_, n| *n > average);
+        }
+        *self.successors.entry(id.clone()).or_default() += f64::from(calls);
+    }
+
+    /// Whether nothing is under way that concerns it.
+    fn is_idle(&self) -> bool {
+        self.open == 0 && self.places.values().all(|p| p.loading.is_none() && p.in_flight == 0)
+    }
+
     /// A worker answered a call of it with an error.
     pub(crate) fn refute(&mut self) {
         let known = self.known;
@@ -73,6 +94,7 @@
     /// Records an open request of the function, and counts its call unless the function is neither served nor holds a
     /// slot. Returns whether it was counted.
     pub(crate) fn open_function(&mut self, id: &FunctionId, tenant: Option<usize>, lanes: u32) -> bool {
+        self.limit_functions();
         self.register_function(id);
         let now = self.now;
         let f = self.functions.entry(id.clone()).or_default();
@@ -109,7 +131,7 @@
         let mut predecessors = Vec::new();
         self.recent_calls.call(self.now, (id, tenant), SUCCESSION_WINDOW_US, |before, calls| {
             let Some(f) = functions.get_mut(before) else { return };
-            *f.successors.entry(id.clone()).or_default() += f64::from(calls);
+            f.count_successor(id, calls);
             if unserved {
                 predecessors.push(before.clone());
             }
@@ -172,6 +194,19 @@
         expired.iter().for_each(|id| self.remove_function(id));
     }
 
+    /// Removes idle functions if there are too many, those that were called once first, then those that were called longest
+    /// ago: a worker may serve any name that a client makes up.
+    fn limit_functions(&mut self) {
+        if self.functions.len() <= MAX_IDLE_FUNCTIONS + self.requests.len() {
+            return;
+        }
+        let idle = self.functions.iter().filter(|(_, f)| f.is_idle());
+        let mut idle: Vec<_> = idle.map(|(id, f)| (f.call_count > 1, f.last_call, id.clone())).collect();
+        idle.sort();
+        idle.truncate(MAX_IDLE_FUNCTIONS / REMOVED_SHARE);
+        idle.iter().for_each(|(_, _, id)| self.remove_function(id));
+    }
+
     /// Removes the function. Of one that was not served, what was counted for it goes too.
     fn remove_function(&mut self, id: &FunctionId) {
         let Some(f) = self.functions.remove(id) else { return };
--- a/src/succession.rs
+++ b/src/succession.rs
@@ -9,6 +9,10 @@
 
 use crate::interface::{FunctionId, Micros};
 
+/// A call counts for this many other functions at most, those that were called last, so that its cost does not grow with the
+/// names that a client makes up.
+const MAX_FOLLOWED: usize = 256;
+
 /// The calls of one tenant within the window.
 #[derive(Default)]
 struct TenantCalls {
@@ -52,7 +56,7 @@
         let since = own.back().copied().unwrap_or(0);
         own.push_back(self.number);
         tenant_calls.latest.remove(&since);
-        for other in tenant_calls.latest.range(since + 1..).map(|(_, other)| other) {
+        for (_, other) in tenant_calls.latest.range(since + 1..).rev().take(MAX_FOLLOWED) {
             let calls = &tenant_calls.calls[other];
             let before = calls.partition_point(|number| *number <= since);
             followed(other, (calls.len() - before) as u32);
--- a/tests/made_up_functions.rs
+++ b/tests/made_up_functions.rs
@@ -88,6 +88,19 @@
     }
 }
 
+/// A worker may serve any name, as one that loads what it is asked for: each name became a successor of all others of its
+/// second, and was kept for 40 s.
+#[test]
+fn what_a_router_keeps_of_functions_that_workers_serve_is_bounded() {
+    let mut flooded = Flooded::new(settings());
+    flooded.flood(8, Outcome::Done, |bed| drop(bed.serve(SAFE, "usual")));
+    let after_eight_seconds = flooded.bed.router.entries();
+    flooded.flood(16, Outcome::Done, |bed| drop(bed.serve(SAFE, "usual")));
+    let later = flooded.bed.router.entries();
+    assert!(after_eight_seconds < 1_000_000, "{after_eight_seconds} entries");
+    assert!(later < after_eight_seconds * 11 / 10, "{after_eight_seconds} entries, later {later}");
+}
+
 /// Hundreds of connections may each keep many requests open: what they make up grows with them, not with their square.
 #[test]
 fn what_a_router_keeps_of_open_made_up_calls_is_linear_in_their_number() {
