An answer that a host writes slowly may take as long as its call

Cause: ANSWER_TIMEOUT_US ended the connection of any answer that took 4 s, though a client may wait longer. The class: a fixed bound on work that has a deadline of its own. Change: the bound holds only for an answer whose call has ended. One that is waited for ends by its call's deadline; silence of 0.5 s within it still ends the connection.

--- a/node/src/hosts/lines.rs
+++ b/node/src/hosts/lines.rs
@@ -151,6 +151,13 @@
     }
 }
 
+/// The id in the first line of an answer that is incomplete; `None` while that line is.
+pub fn partial_answer_id(ring: &Ring) -> Option<String> {
+    let line = ring.find_line_end().and_then(|end| ring.copy(0, end))?;
+    let line = String::from_utf8(line).ok()?;
+    line.split(' ').next().map(str::to_string)
+}
+
 /// Takes the next answer from the ring; `None` while it is incomplete.
 pub fn next_answer(ring: &mut Ring) -> Result<Option<Answer>, String> {
     let Some(end) = ring.find_line_end() else {
--- a/node/src/hosts/pool/connection.rs
+++ b/node/src/hosts/pool/connection.rs
@@ -1,6 +1,6 @@
 //! State of a connection to a host: queued, partially written and outstanding commands.
 
-use super::lines::CallLine;
+use super::lines::{self, CallLine};
 use super::*;
 
 /// A host that accepts no bytes for this long while some are to be written has stopped reading.
@@ -118,6 +118,11 @@
         self.queue.is_empty() && self.writing.is_none() && self.calls.is_empty() && self.orders.is_empty()
     }
 
+    /// Whether the answer that is being read belongs to a call that has not ended: that one ends by its deadline.
+    pub(super) fn reads_awaited_answer(&self) -> bool {
+        lines::partial_answer_id(&self.conn.inbox).is_some_and(|id| self.calls.contains_key(id.as_str()))
+    }
+
     /// Whether writing the current command takes too long.
     pub(super) fn is_write_stalled(&self, now: Micros) -> bool {
         now - self.sent_at.max(self.writing_since) >= MAX_STALL_US || now - self.writing_since >= MAX_WRITE_US
--- a/node/src/hosts/pool/ending.rs
+++ b/node/src/hosts/pool/ending.rs
@@ -10,7 +10,8 @@
 const PROBE_TIMEOUT_US: Micros = 400_000;
 /// A host that pauses for this long within an answer has failed. Any received byte restarts the interval.
 const ANSWER_GAP_US: Micros = 500_000;
-/// Maximum time from the first to the last byte of an answer, as answers behind it on the connection wait.
+/// Maximum time from the first to the last byte of an answer for which nobody waits any more, as answers behind it on the
+/// connection wait. An answer that is waited for may take as long as its call.
 const ANSWER_TIMEOUT_US: Micros = 4_000_000;
 
 impl HostPool {
@@ -134,7 +135,11 @@
         let end_reason = |c: &HostConn| match c.connected {
             false if now - c.started >= self.transport.connect_timeout => Some(Reason::ConnectTimeout),
             true if c.partial_since.is_some() && now - c.read_at >= ANSWER_GAP_US => Some(Reason::Protocol),
-            true if c.partial_since.is_some_and(|at| now - at >= ANSWER_TIMEOUT_US) => Some(Reason::Protocol),
+            true if c.partial_since.is_some_and(|at| now - at >= ANSWER_TIMEOUT_US)
+                && !c.reads_awaited_answer() =>
+            {
+                Some(Reason::Protocol)
+            }
             true if c.probed_at.is_some_and(|at| now - at >= PROBE_TIMEOUT_US) => Some(Reason::Silent),
             true if c.writing.is_some() && c.is_write_stalled(now) => Some(Reason::SlowReader),
             true if c.is_idle() && self.maintenance.contains(&c.host) => Some(Reason::Barred),
