--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod run;
 pub mod scenario;
 pub mod site;
+pub mod slow;
 pub mod tamper;
 pub mod wall_clock;
 
