A buffer that is drained to its last bytes gives its storage back

Cause: Ring::consume gave storage back only from an empty ring; a connection with 5 MB of answers, read down to a few bytes, held 8 MB, and the limit counts bytes, not storage. Change: a ring over 64 KiB that is a quarter full or less is moved to storage of the size that it needs. Result: a_ring_that_is_drained_to_its_last_bytes_gives_its_storage_back holds, and fails with that branch off.

--- a/node/src/ring.rs
+++ b/node/src/ring.rs
@@ -12,6 +12,10 @@
 
 /// Storage that the first use of a ring allocates.
 const MIN_CAPACITY_BYTES: usize = 4096;
+/// Storage above which a ring gives back what it does not need any more.
+const LARGE_CAPACITY_BYTES: usize = 64 << 10;
+/// Multiple of what is in a large ring above which it does.
+const MAX_CAPACITY_MULTIPLE: usize = 4;
 /// Maximum storage that a ring keeps when it becomes empty.
 const MAX_EMPTY_CAPACITY_BYTES: usize = 16 << 10;
 
@@ -52,9 +56,12 @@
         let n = n.min(self.len);
         self.len -= n;
         self.head = if self.len == 0 { 0 } else { (self.head + n) % self.buf.len() };
-        // Otherwise one long message would hold its storage until the connection closes.
+        // Otherwise one long message would hold its storage until the connection closes, or until its last byte has gone.
         if self.len == 0 && self.buf.len() > MAX_EMPTY_CAPACITY_BYTES {
             self.buf = Box::default();
+        } else if self.buf.len() > LARGE_CAPACITY_BYTES && self.len <= self.buf.len() / MAX_CAPACITY_MULTIPLE
+        {
+            self.resize(self.len.next_power_of_two());
         }
     }
 
@@ -133,7 +140,12 @@
         if wanted <= self.buf.len() {
             return;
         }
-        let size = wanted.next_power_of_two().max(MIN_CAPACITY_BYTES).min(self.max_len);
+        self.resize(wanted.next_power_of_two());
+    }
+
+    /// Moves the bytes to storage of this size, within the bounds of storage.
+    fn resize(&mut self, size: usize) {
+        let size = size.max(MIN_CAPACITY_BYTES).min(self.max_len);
         let mut buf = vec![0; size].into_boxed_slice();
         let (a, b) = self.filled();
         buf[..a.len()].copy_from_slice(a);
--- a/node/src/ring/tests.rs
+++ b/node/src/ring/tests.rs
@@ -38,3 +38,17 @@
     ring.push(b"\nz");
     assert_eq!(ring.find_line_end(), Some(3));
 }
+
+/// A client that reads all but the last bytes of long answers would hold the storage of all of them.
+#[test]
+fn a_ring_that_is_drained_to_its_last_bytes_gives_its_storage_back() {
+    let mut ring = Ring::new(8 << 20);
+    let bytes: Vec<u8> = (0..5 << 20).map(|i| i as u8).collect();
+    assert!(ring.push(&bytes));
+    while ring.len() > 1000 {
+        ring.consume(777.min(ring.len() - 1000));
+        assert!(ring.buf.len() <= LARGE_CAPACITY_BYTES.max(MAX_CAPACITY_MULTIPLE * 2 * ring.len()));
+    }
+    assert_eq!(ring.copy(0, 1000).unwrap(), bytes[bytes.len() - 1000..]);
+    assert!(ring.buf.len() <= LARGE_CAPACITY_BYTES, "{}", ring.buf.len());
+}
