A failing test: a host that sends at full speed keeps all clients from their answers

Change: a test with a host that sends answers to nobody, and one that serves; usual clients may call several functions.

--- a/crates/lab/examples/floods.rs
+++ b/crates/lab/examples/floods.rs
@@ -48,7 +48,7 @@
             p
         }
     };
-    let usual = Usual { front, clients: 4, pause: ms(2), timeout: ms(400), length };
+    let usual = Usual { front, clients: 4, pause: ms(2), timeout: ms(400), length, functions: 1 };
     let flood = kind.map(|kind| Flood::start(p.address, kind, FLOODING_CLIENTS, true));
     let ran = p.ran();
     let answers = usual.call(p.address);
--- a/crates/lab/src/flood.rs
+++ b/crates/lab/src/flood.rs
@@ -206,6 +206,8 @@
     pub timeout: Duration,
     /// For how long they call.
     pub length: Duration,
+    /// Number of functions that they call in turn.
+    pub functions: u32,
 }
 
 impl Usual {
@@ -256,14 +258,15 @@
     /// Sends a call and reads its answer: whether it was served.
     fn one(self, stream: &mut TcpStream, client: usize, number: u32) -> std::io::Result<bool> {
         let timeout = self.timeout.as_millis() as u32;
+        let function = format!("7f3a9c21{:08x}", number % self.functions);
         let frame = match self.front {
             Front::Platform => {
-                let names = [&id(client, number), "check-score", "k", "7f3a9c21e0b4d655"];
+                let names = [&id(client, number), "check-score", "k", &function];
                 whole_call_frame(number, names, timeout, b"answers")
             }
             Front::Invoke => {
                 let wait = format!("Wheellink-Timeout-Ms: {timeout}");
-                call("7f3a9c21e0b4d655", "check-score", &[&wait], "answers").into_bytes()
+                call(&function, "check-score", &[&wait], "answers").into_bytes()
             }
         };
         stream.write_all(&frame)?;
--- a/node/tests/floods.rs
+++ b/node/tests/floods.rs
@@ -2,8 +2,12 @@
 
 mod common;
 
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener};
+use std::thread::spawn;
 use std::time::Instant;
 
+use common::raw_host::platform_of;
 use common::*;
 use wheellink_lab::flood::{Flood, Front, Kind, Usual};
 
@@ -13,7 +17,7 @@
 
 /// Plays usual clients beside a flood. Returns what is wrong: answers that came late or never, or too much memory.
 fn play(p: &Program, front: Front, kind: Kind, reads: bool) -> Option<String> {
-    let usual = Usual { front, clients: 4, pause: ms(10), timeout: ms(400), length: ms(1500) };
+    let usual = Usual { front, clients: 4, pause: ms(10), timeout: ms(400), length: ms(1500), functions: 1 };
     let flood = Flood::start(p.address, kind, FLOODING_CLIENTS, reads);
     let (used, begun) = (p.used(), Instant::now());
     let answers = usual.call(p.address);
@@ -58,3 +62,36 @@
         kinds.iter().flat_map(|kind| [(*kind, true), (*kind, false)]).filter_map(one).collect();
     assert!(broken.is_empty(), "{broken:#?}");
 }
+
+/// A host that sends answers to nobody at full speed on each connection, whatever it is asked.
+fn noisy_host() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    spawn(move || {
+        for mut stream in listener.incoming().map_while(Result::ok) {
+            let mut commands = stream.try_clone().unwrap();
+            spawn(move || while commands.read(&mut [0; 4096]).is_ok_and(|n| n > 0) {});
+            let noise = "0000000000000000 200 - 0\r\n\r\n".repeat(1000);
+            spawn(move || while stream.write_all(noise.as_bytes()).is_ok() {});
+        }
+    });
+    address
+}
+
+/// The same fault, where a host sends at full speed: its connection was read for as long as it had something.
+#[test]
+fn clients_are_answered_beside_a_host_that_sends_at_full_speed() {
+    let warm = Host::warm();
+    let p = platform_of(&[(0, warm.address), (1, noisy_host())], |text| text);
+    let usual = Usual {
+        front: Front::Platform,
+        clients: 8,
+        pause: ms(5),
+        timeout: ms(400),
+        length: ms(3000),
+        functions: 64,
+    };
+    let answers = usual.call(p.program.address);
+    println!("{answers:?}; peak {} MB", p.program.peak_memory() >> 20);
+    assert_eq!((answers.late, answers.never), (0, 0), "{answers:?}");
+}
--- a/node/tests/slow_clients.rs
+++ b/node/tests/slow_clients.rs
@@ -31,7 +31,7 @@
         Front::Invoke
     };
     let slow = SlowClients::start(program.address, platform_front, manner, CLIENTS);
-    let usual = Usual { front, clients: 2, pause: ms(20), timeout: ms(2000), length: ms(4000) };
+    let usual = Usual { front, clients: 2, pause: ms(20), timeout: ms(2000), length: ms(4000), functions: 1 };
     let answers = usual.call(program.address);
     let peak = program.peak_memory();
     let ended =
