A visit of a connection to a host is bounded as well

Seen: beside one host that sends answers to nobody at full speed, no client got an answer; the process did nothing else. Change: a visit takes 128 answers in 8 reads at most; a connection with more is visited again in the next turn of the loop. Result: clients_are_answered_beside_a_host_that_sends_at_full_speed failed with 16 of 16 calls unanswered; now 80 of 80 are answered in time, 16 of them served: those at the noisy host time out, as it answers none. The floods and the tests of the pool hold.

--- a/node/src/hosts/pool.rs
+++ b/node/src/hosts/pool.rs
@@ -78,6 +78,8 @@
     conns: HashMap<ConnId, HostConn>,
     /// The connection of each attempt that has not ended.
     attempts: HashMap<AttemptId, ConnId>,
+    /// Connections that may have more to read than their last visit took, oldest first, each once.
+    unread: VecDeque<ConnId>,
     next_probe: u64,
     idle_limit: IdleLimit,
     probe_delay: ProbeDelay,
@@ -98,6 +100,7 @@
             maintenance: BTreeSet::new(),
             conns: HashMap::new(),
             attempts: HashMap::new(),
+            unread: VecDeque::new(),
             next_probe: 0,
             idle_limit: IdleLimit::default(),
             probe_delay: ProbeDelay::default(),
--- a/node/src/hosts/pool/answers.rs
+++ b/node/src/hosts/pool/answers.rs
@@ -5,7 +5,25 @@
 /// Size of an incomplete answer above which its connection is ended once all incomplete answers exceed their limit.
 const LARGE_ANSWER_BYTES: usize = 32 << 10;
 
+/// Maximum answers that one visit takes from a connection, so that a host that sends at full speed does not delay everything
+/// else: more than a connection has calls and orders outstanding.
+const MAX_ANSWERS_PER_VISIT: usize = 128;
+/// Maximum reads of a connection in one visit.
+const MAX_READS_PER_VISIT: usize = 8;
+
 impl HostPool {
+    /// Whether connections may have more to read.
+    pub fn has_pending_reads(&self) -> bool {
+        !self.unread.is_empty()
+    }
+
+    /// Visits those connections once more.
+    pub fn resume_reads(&mut self, now: Micros, log: &mut Log) {
+        for id in std::mem::take(&mut self.unread) {
+            self.ready(now, id, log);
+        }
+    }
+
     /// Handles readiness of a connection's socket for reading or writing.
     pub fn ready(&mut self, now: Micros, id: ConnId, log: &mut Log) {
         let Some(c) = self.conns.get_mut(&id) else { return };
@@ -20,6 +38,10 @@
                 Err(_) => return self.end_conn(now, id, Reason::ConnectRefused, log),
             }
         }
+        // Its turn to be read has yet to come.
+        if self.unread.contains(&id) {
+            return self.write_queued(now, id, log);
+        }
         // Reads before it writes: an answer makes a queued KILL of its call unnecessary, and after the end of the
         // connection the queued commands go elsewhere.
         match self.read(now, id, log) {
@@ -28,9 +50,11 @@
         }
     }
 
-    /// Reads and processes all answers that have arrived; an error if the connection is to be ended.
+    /// Reads and processes the answers that have arrived, as many as one visit may take; an error if the connection is to be
+    /// ended.
     pub(super) fn read(&mut self, now: Micros, id: ConnId, log: &mut Log) -> Result<(), Reason> {
-        loop {
+        let mut answers = 0;
+        for _ in 0..MAX_READS_PER_VISIT {
             let Some(c) = self.conns.get_mut(&id) else { return Ok(()) };
             // Answers that arrived before a reset are processed first.
             let before = c.conn.inbox.len();
@@ -42,8 +66,9 @@
                     self.idle_limit.record(now, idle, false);
                 }
             }
-            loop {
+            while answers < MAX_ANSWERS_PER_VISIT {
                 let Some(c) = self.conns.get_mut(&id) else { return Ok(()) };
+                answers += 1;
                 match lines::next_answer(&mut c.conn.inbox) {
                     Ok(Some(answer)) => self.answer_received(now, id, answer),
                     Ok(None) => break,
@@ -54,6 +79,9 @@
                 }
             }
             let more = filled?;
+            if answers >= MAX_ANSWERS_PER_VISIT {
+                break;
+            }
             let Some(c) = self.conns.get_mut(&id) else { return Ok(()) };
             c.partial_since = if c.conn.inbox.is_empty() { None } else { c.partial_since.or(Some(now)) };
             if c.conn.inbox.len() > LARGE_ANSWER_BYTES {
@@ -70,6 +98,10 @@
                 return Ok(());
             }
         }
+        if !self.unread.contains(&id) {
+            self.unread.push_back(id);
+        }
+        Ok(())
     }
 
     fn answer_received(&mut self, now: Micros, id: ConnId, answer: lines::Answer) {
--- a/node/src/hosts/pool/ending.rs
+++ b/node/src/hosts/pool/ending.rs
@@ -26,6 +26,7 @@
     /// alone does not count against a host, while a failed attempt would.
     pub(super) fn end_conn(&mut self, now: Micros, id: ConnId, reason: Reason, log: &mut Log) {
         let Some(mut c) = self.conns.remove(&id) else { return };
+        self.unread.retain(|other| *other != id);
         if let Some(m) = self.known.get_mut(&c.host) {
             m.conns.retain(|other| *other != id);
         }
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -460,6 +460,10 @@
         // One step per iteration, so that events are handled between two steps.
         let more = self.run_accord_step();
         let now = self.clock.now();
+        if self.hosts.has_pending_reads() {
+            self.hosts.resume_reads(now, &mut self.log);
+            self.process_events();
+        }
         self.resume_reads(now);
         if due {
             self.run_engine(|engine, out| engine.tick(now, out));
@@ -509,7 +513,7 @@
             self.process_events();
         }
         self.clock.unfreeze();
-        if more || self.has_more() {
+        if more || self.has_more() || self.hosts.has_pending_reads() {
             return Duration::ZERO;
         }
         let now = self.clock.now();
