A keyed call whose host broke the connection is repeated at another host of its group first

Seen: refused any repeat of a keyed call at a host that broke its only connection. Two older tests failed with it (a_keyed_retry_is_sent_within_its_window_or_not_at_all, retries_and_failures_are_logged_with_id_reason_and_host): a host that lives and resets a connection lost the repeat, and the call failed even where its cell had another host, as the router takes the end 'not sent' for the last. The router repeats a keyed call at a host that broke a connection under it only if no other host of its group may take it. Plays of floods and slow clients take the machine one after the other: ten plays of 300 clients at once failed, as their own clients got no processor.

--- a/node/src/hosts/pool.rs
+++ b/node/src/hosts/pool.rs
@@ -59,9 +59,6 @@
     address: SocketAddr,
     entry: ListEntry,
     conns: Vec<ConnId>,
-    /// When the host last broke a connection with calls while no other one was established: from then on, another process
-    /// may listen at its address.
-    broke_at: Option<Micros>,
 }
 
 /// See the module documentation.
@@ -152,11 +149,6 @@
         self.known.keys()
     }
 
-    /// Whether the process at the host's address may be another one than at `since`.
-    pub fn may_be_another_process(&self, host: &WorkerId, since: Micros) -> bool {
-        self.known.get(host).is_some_and(|known| known.broke_at.is_some_and(|at| at >= since))
-    }
-
     pub fn in_maintenance(&self, host: &WorkerId) -> bool {
         self.maintenance.contains(host)
     }
@@ -214,7 +206,6 @@
                 address: *address,
                 entry: entry.clone(),
                 conns: Vec::new(),
-                broke_at: None,
             });
             known.entry = entry.clone();
             let moved = known.address != *address;
--- a/node/src/hosts/pool/ending.rs
+++ b/node/src/hosts/pool/ending.rs
@@ -31,9 +31,6 @@
             m.conns.retain(|other| *other != id);
         }
         let broke = matches!(reason, Reason::PeerReset | Reason::PeerClosed);
-        if broke && !c.calls.is_empty() {
-            self.note_broken(now, &c.host);
-        }
         if let Some(idle) = c.idle_before.filter(|_| broke && !c.is_idle()) {
             self.idle_limit.record(now, idle, true);
         }
@@ -74,14 +71,6 @@
         c.conn.close(&self.handle);
     }
 
-    /// Notes that a host broke a connection with calls. Another established connection shows that its process lives.
-    fn note_broken(&mut self, now: Micros, host: &WorkerId) {
-        let Some(known) = self.known.get_mut(host) else { return };
-        if !known.conns.iter().any(|id| self.conns.get(id).is_some_and(|c| c.connected)) {
-            known.broke_at = Some(now);
-        }
-    }
-
     /// Moves a command to another connection to the host if possible; otherwise returns it.
     fn requeue(
         &mut self,
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -564,9 +564,6 @@
             Command::Send { attempt, host, leave_by, .. } if self.clock.running() > leave_by => {
                 self.announce_unsent(now, attempt, host)
             }
-            Command::Send { attempt, host, .. } if self.may_meet_another_process(attempt, &host) => {
-                self.announce_unsent(now, attempt, host)
-            }
             Command::Send { attempt, host, until, leave_by } => {
                 self.turn_attempt_sent(now, attempt, &host);
                 self.log_attempt(now, attempt, &host);
--- a/node/src/node/request_log.rs
+++ b/node/src/node/request_log.rs
@@ -14,8 +14,6 @@
     last: Option<(WorkerId, Option<Outcome>)>,
     /// An attempt before the last one may have run.
     ran_before: bool,
-    /// Attempts of a call in a keyed class, with the times at which they were sent.
-    keyed: Vec<(WorkerId, Micros)>,
 }
 
 impl Attempts {
@@ -27,23 +25,11 @@
 }
 
 impl Node {
-    /// Whether the attempt repeats a keyed call at the address of a host whose process may have been replaced since it got the
-    /// call: the new process would not drop the repeat, and may belong to another group than the list says.
-    pub(super) fn may_meet_another_process(&self, attempt: AttemptId, host: &WorkerId) -> bool {
-        let Some(pending) = self.pending.get(&attempt.ticket) else { return false };
-        let earlier = pending.attempts.keyed.iter().filter(|(at, _)| at == host);
-        earlier.into_iter().any(|(_, sent)| self.hosts.may_be_another_process(host, *sent))
-    }
-
     /// Records an attempt that is about to be sent.
     pub(super) fn log_attempt(&mut self, now: Micros, attempt: AttemptId, host: &WorkerId) {
         self.metrics.attempts.inc();
         let Some(pending) = self.pending.get_mut(&attempt.ticket) else { return };
-        let keyed = pending.terms.is_some_and(|terms| matches!(terms.effect, Effect::Keyed { .. }));
         let attempts = &mut pending.attempts;
-        if keyed {
-            attempts.keyed.push((host.clone(), now));
-        }
         attempts.ran_before = attempts.may_have_run();
         attempts.count += 1;
         if attempts.count == 1 {
--- a/node/tests/floods.rs
+++ b/node/tests/floods.rs
@@ -4,6 +4,7 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener};
+use std::sync::{Mutex, PoisonError};
 use std::thread::spawn;
 use std::time::Instant;
 
@@ -11,6 +12,8 @@
 use common::*;
 use wheellink_lab::flood::{Flood, Front, Kind, Usual};
 
+/// Each play needs the machine for itself: together they would keep their own clients from the processor.
+static ALONE: Mutex<()> = Mutex::new(());
 /// The memory limit of the configurations here.
 const MEMORY_LIMIT_BYTES: usize = 192 << 20;
 const FLOODING_CLIENTS: usize = 6;
@@ -37,6 +40,7 @@
 /// Guards against turns of the event loop without a bound in work: timers and other clients waited for their end.
 #[test]
 fn platform_clients_are_answered_beside_clients_at_full_speed() {
+    let _alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
     use Kind::*;
     let kinds = [Checks, Cancels, UnknownTypes, Unsound, ManyFields, NewClasses, TakenBack];
     let one = |(kind, reads)| {
@@ -51,6 +55,7 @@
 /// The same on the invoke front.
 #[test]
 fn invoke_clients_are_answered_beside_clients_at_full_speed() {
+    let _alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
     use Kind::*;
     let kinds = [Health, UnknownPaths, HttpNewClasses, ManyHeaders, Deferred];
     let one = |(kind, reads)| {
@@ -81,6 +86,7 @@
 /// The same fault, where a host sends at full speed: its connection was read for as long as it had something.
 #[test]
 fn clients_are_answered_beside_a_host_that_sends_at_full_speed() {
+    let _alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
     let warm = Host::warm();
     let p = platform_of(&[(0, warm.address), (1, noisy_host())], |text| text);
     let usual = Usual {
--- a/node/tests/slow_clients.rs
+++ b/node/tests/slow_clients.rs
@@ -3,11 +3,15 @@
 
 mod common;
 
+use std::sync::{Mutex, PoisonError};
+
 use common::*;
 use rstest::rstest;
 use wheellink_lab::flood::{Front, Usual};
 use wheellink_lab::slow::{Manner, SlowClients};
 
+/// Each play needs the machine for itself: together they would keep their own clients from the processor.
+static ALONE: Mutex<()> = Mutex::new(());
 /// The memory limit of the configurations here.
 const MEMORY_LIMIT_BYTES: usize = 192 << 20;
 const CLIENTS: u32 = 300;
@@ -17,6 +21,7 @@
     #[values(true, false)] platform_front: bool,
     #[values(Manner::Stop, Manner::Write, Manner::Fields, Manner::Read, Manner::ReadMost)] manner: Manner,
 ) {
+    let _alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
     let long = || Host::start(Ways { does: Does::Long(200_000), work: ms(1), load: None });
     let (a, b) = (long(), long());
     let (bus, program, resolver);
--- a/node/tests/slow_hosts.rs
+++ b/node/tests/slow_hosts.rs
@@ -7,7 +7,7 @@
 use std::thread::{sleep, spawn};
 use std::time::{Duration, Instant};
 
-use common::raw_host::{platform_of, RawHost};
+use common::raw_host::{apply_changes, platform_of, RawHost, READY};
 use common::*;
 use rstest::rstest;
 
@@ -120,6 +120,28 @@
     });
 }
 
+/// A keyed call whose host dies under it, and another process at the host's address, while the list also has a second host
+/// of the cell: a repeat goes there.
+#[test]
+fn a_keyed_call_whose_host_died_is_repeated_at_another_host_of_its_cell() {
+    for round in 0..8u32 {
+        let (host, other) = (RawHost::start(), Host::warm());
+        let address = host.address;
+        let mut p = platform_of(&[(0, address)], |text| text);
+        let at = p.program.address;
+        let client = spawn(move || call_front((at, true), 1, "save-answers", 3000, "first"));
+        let mut conn = host.accept();
+        conn.call();
+        apply_changes(&p.program, &mut p.feed, 2, &[(1 + round, other.address, READY)]);
+        drop(host);
+        drop(conn);
+        let warm = Ways { does: Does::Answer("200"), work: ms(1), load: None };
+        let new = Host::on(TcpListener::bind(address).unwrap(), warm);
+        let (served, ..) = client.join().unwrap();
+        assert_eq!((new.calls(), other.calls(), served), (0, 1, true), "round {round}");
+    }
+}
+
 /// Guards against a process that came up at a host's address and is taken for that host before the list says who it is:
 /// a keyed call whose repeats only the old process knew would run twice.
 #[rstest]
--- a/src/repeats.rs
+++ b/src/repeats.rs
@@ -13,6 +13,20 @@
 /// A keyed retry is not sent in the last part, one over this, of the window: it still has to arrive.
 const ARRIVAL_MARGIN_DIVISOR: Micros = 32;
 
+impl Request {
+    /// Whether another process may be at this worker's address since it got the request: the connection broke under it. A
+    /// process that came up there would not drop the repeat of a keyed request, and may belong to another group.
+    pub(crate) fn may_meet_another_process(&self, worker: &WorkerId) -> bool {
+        self.attempts.iter().any(|t| t.worker == *worker && t.ended == Some(Outcome::Reset))
+    }
+
+    /// Whether it is repeated at such workers only if no other may take it.
+    pub(crate) fn avoids_workers(&self) -> bool {
+        let keyed = matches!(self.terms.effect, Effect::Keyed { .. });
+        keyed && self.attempts.iter().any(|t| t.ended == Some(Outcome::Reset))
+    }
+}
+
 impl Core {
     /// Whether the request may be refused: a refusal promises that a client's retry is harmless.
     pub(crate) fn may_refuse(&self, id: &RequestId) -> bool {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -315,7 +315,10 @@
             return Route::Busy;
         }
         let panic = self.is_panicking();
-        let usable = |n: &WorkerId, w: &Worker| self.usable(&n.0, w, r, panic) && self.may_retry_on(r, n, w);
+        let allowed = |n: &WorkerId, w: &Worker| self.usable(&n.0, w, r, panic) && self.may_retry_on(r, n, w);
+        let elsewhere = |n: &WorkerId, w: &Worker| !r.may_meet_another_process(n) && allowed(n, w);
+        let goes_elsewhere = r.avoids_workers() && self.workers.iter().any(|(n, w)| elsewhere(n, w));
+        let usable = |n: &WorkerId, w: &Worker| if goes_elsewhere { elsewhere(n, w) } else { allowed(n, w) };
         let limit = self.crowding_threshold();
         let others = (self.settings.routers - 1) as f64 * self.trust();
         let lanes = f.lanes.max(1) as f64;
