--- a/crates/lab/src/flood.rs
+++ b/crates/lab/src/flood.rs
@@ -193,6 +193,35 @@
     Invoke,
 }
 
+impl Front {
+    /// The bytes of a call with this id and stream, class and function, timeout and body. The invoke front has neither ids nor
+    /// streams.
+    pub fn call(
+        self,
+        (id, stream): (&str, u32),
+        (class, function): (&str, &str),
+        timeout: Duration,
+        body: &str,
+    ) -> Vec<u8> {
+        let timeout = timeout.as_millis() as u32;
+        match self {
+            Self::Platform => whole_call_frame(stream, [id, class, "k", function], timeout, body.as_bytes()),
+            Self::Invoke => {
+                let timeout = format!("Wheellink-Timeout-Ms: {timeout}");
+                call(function, class, &[&timeout], body).into_bytes()
+            }
+        }
+    }
+
+    /// Reads an answer: whether the call was served, and the body. `None` at the end of the connection.
+    pub fn answer(self, stream: &mut TcpStream) -> Option<(bool, Vec<u8>)> {
+        match self {
+            Self::Platform => read_frame(stream).map(|frame| (frame.code == SERVED, frame.body)),
+            Self::Invoke => read_reply(stream).map(|reply| (reply.status == 200, reply.body)),
+        }
+    }
+}
+
 /// How usual clients call.
 #[derive(Clone, Copy, Debug)]
 pub struct Usual {
@@ -257,28 +286,19 @@
 
     /// Sends a call and reads its answer: whether it was served.
     fn one(self, stream: &mut TcpStream, client: usize, number: u32) -> std::io::Result<bool> {
-        let timeout = self.timeout.as_millis() as u32;
         let function = format!("7f3a9c21{:08x}", number % self.functions);
-        let frame = match self.front {
-            Front::Platform => {
-                let names = [&id(client, number), "check-score", "k", &function];
-                whole_call_frame(number, names, timeout, b"answers")
-            }
-            Front::Invoke => {
-                let wait = format!("Wheellink-Timeout-Ms: {timeout}");
-                call(&function, "check-score", &[&wait], "answers").into_bytes()
-            }
-        };
-        stream.write_all(&frame)?;
+        let call = self.front.call(
+            (&id(client, number), number),
+            ("check-score", &function),
+            self.timeout,
+            "answers",
+        );
+        stream.write_all(&call)?;
         // Nothing within the read time-out is an error here, and would be a panic below.
         if stream.peek(&mut [0])? == 0 {
             return Err(std::io::ErrorKind::UnexpectedEof.into());
         }
-        let served = match self.front {
-            Front::Platform => read_frame(stream).is_some_and(|frame| frame.code == SERVED),
-            Front::Invoke => read_reply(stream).is_some_and(|reply| reply.status == 200),
-        };
-        Ok(served)
+        Ok(self.front.answer(stream).is_some_and(|(served, _)| served))
     }
 }
 
--- a/crates/lab/src/host.rs
+++ b/crates/lab/src/host.rs
@@ -220,3 +220,39 @@
         }
     }
 }
+
+/// A host that sends answers to nobody at full speed on each connection, whatever it is asked. Returns its address.
+pub fn noisy_host() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    spawn(move || {
+        for mut stream in listener.incoming().map_while(Result::ok) {
+            let mut commands = stream.try_clone().unwrap();
+            spawn(move || while commands.read(&mut [0; 4096]).is_ok_and(|n| n > 0) {});
+            let noise = "0000000000000000 200 - 0\r\n\r\n".repeat(1000);
+            spawn(move || while stream.write_all(noise.as_bytes()).is_ok() {});
+        }
+    });
+    address
+}
+
+/// A host with small buffers that reads so many bytes each 10 ms and never answers. Returns its address.
+pub fn slow_reader(bytes: usize) -> SocketAddr {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    socket.set_recv_buffer_size(2048).unwrap();
+    socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+    socket.listen(128).unwrap();
+    let listener: TcpListener = socket.into();
+    let address = listener.local_addr().unwrap();
+    spawn(move || {
+        for mut stream in listener.incoming().map_while(Result::ok) {
+            spawn(move || {
+                let mut part = vec![0; bytes];
+                while stream.read(&mut part).is_ok_and(|n| n > 0) {
+                    sleep(ms(10));
+                }
+            });
+        }
+    });
+    address
+}
--- a/node/tests/floods.rs
+++ b/node/tests/floods.rs
@@ -2,10 +2,7 @@
 
 mod common;
 
-use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener};
 use std::sync::{Mutex, PoisonError};
-use std::thread::spawn;
 use std::time::Instant;
 
 use common::raw_host::platform_of;
@@ -68,21 +65,6 @@
     assert!(broken.is_empty(), "{broken:#?}");
 }
 
-/// A host that sends answers to nobody at full speed on each connection, whatever it is asked.
-fn noisy_host() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = listener.local_addr().unwrap();
-    spawn(move || {
-        for mut stream in listener.incoming().map_while(Result::ok) {
-            let mut commands = stream.try_clone().unwrap();
-            spawn(move || while commands.read(&mut [0; 4096]).is_ok_and(|n| n > 0) {});
-            let noise = "0000000000000000 200 - 0\r\n\r\n".repeat(1000);
-            spawn(move || while stream.write_all(noise.as_bytes()).is_ok() {});
-        }
-    });
-    address
-}
-
 /// The same fault, where a host sends at full speed: its connection was read for as long as it had something.
 #[test]
 fn clients_are_answered_beside_a_host_that_sends_at_full_speed() {
