--- a/src/repeats.rs
+++ b/src/repeats.rs
@@ -14,8 +14,9 @@
 const ARRIVAL_MARGIN_DIVISOR: Micros = 32;
 
 impl Request {
-    /// Whether another process may be at this worker's address since it got the request: the connection broke under it. A
-    /// process that came up there would not drop the repeat of a keyed request, and may belong to another group.
+    /// Whether another process may be at this worker's address since it got the request: the connection
+    /// broke under it. A process that came up there would not drop the repeat of a keyed request, and may
+    /// belong to another group.
     pub(crate) fn may_meet_another_process(&self, worker: &WorkerId) -> bool {
         self.attempts.iter().any(|t| t.worker == *worker && t.ended == Some(Outcome::Reset))
     }
