A proposal of a test is based on the version that it has read, not on a second look

Traced: try_propose looked whether the activator acts on one version, and propose looked again; in between the activator came to act on two versions, and the second look panicked (accord.rs:346, then :73). Change: one look. The checks are as before. Result: the 29 tests of accord.rs pass beside the same three busy processes.

--- a/node/tests/accord.rs
+++ b/node/tests/accord.rs
@@ -70,7 +70,16 @@
 
 /// Posts a change of these keys to an activator, based on the version that it acts on.
 fn propose(fleet: &Fleet, at: usize, set: &str) -> (u16, Value) {
-    let base = view(fleet, at)["acting"]["version"]["number"].as_u64().expect("a version");
+    let base = acting_number(fleet, at).expect("a version");
+    propose_on(fleet, at, base, set)
+}
+
+/// The number of the version that an activator acts on; `None` while it acts on two versions or on the floor.
+fn acting_number(fleet: &Fleet, at: usize) -> Option<u64> {
+    view(fleet, at)["acting"]["version"]["number"].as_u64()
+}
+
+fn propose_on(fleet: &Fleet, at: usize, base: u64, set: &str) -> (u16, Value) {
     let program = fleet.programs[at].as_ref().expect("it runs");
     program.ask("POST", "/accord", &format!(r#"{{"base":{base},"set":{set}}}"#))
 }
@@ -342,10 +351,7 @@
 }
 
 fn try_propose(fleet: &Fleet, at: usize, set: &str) -> u16 {
-    match view(fleet, at)["acting"]["version"]["number"].as_u64() {
-        Some(_) => propose(fleet, at, set).0,
-        None => 0,
-    }
+    acting_number(fleet, at).map_or(0, |base| propose_on(fleet, at, base, set).0)
 }
 
 #[rstest]
