Lab: histories tell when the lab itself stood still, and what activators logged of calls

Trace: a script stopped the test's process and its activators at random for up to 1.2 s (0.4 to 0.8 of the time); with histories that hold the activators' log lines and naps that were too long, all kinds came up, and each was the lab's measurement: - keyed calls: the activators repeated 127, 909 and 914 ms after the first attempt, within the window of 1 s; the hosts of the lab, held up for 0.75 to 1.1 s, read it at 1.04 to 1.17 s. Change: threads of the lab write down when they were not scheduled. A repeat after the window counts from what the lab cannot explain by that, and a new check holds the activators' own log to the window without any allowance. Without a hold-up every check is as before.

--- a/crates/lab/src/check.rs
+++ b/crates/lab/src/check.rs
@@ -14,6 +14,7 @@
 
 use std::fmt;
 
+use crate::held_up::HeldUp;
 use crate::history::{Line, Saw, Turn};
 use crate::tamper::Tampered;
 
@@ -150,6 +151,17 @@
     Ok((flaws.0, figures))
 }
 
+/// When the lab was not scheduled, as a history says.
+fn held_up(lines: &[Line]) -> HeldUp {
+    let mut all = HeldUp::default();
+    for line in lines {
+        if let Saw::HeldUp { held_us } = line.saw {
+            all.add(line.at.saturating_sub(held_us), line.at);
+        }
+    }
+    all
+}
+
 /// Phases of a history, each with its beginning and end.
 fn phases(lines: &[Line]) -> Vec<(String, u64, u64)> {
     let mut phases: Vec<(String, u64, u64)> = vec![("calm".into(), 0, u64::MAX)];
--- a/crates/lab/src/check/lists/tests.rs
+++ b/crates/lab/src/check/lists/tests.rs
@@ -24,6 +24,9 @@
     assert!(with(2_500_000, &drained).is_empty());
     assert!(with(1_500_000, &[vec![listed(Be::Draining)], call(5, 1)]).is_empty(), "another host");
     assert_eq!(with(1_500_000, &[vec![listed(Be::Gone)], call(5, 0)]), [DRAINED]);
+    let read_late = |held_us| [vec![listed(Be::Draining), Saw::HeldUp { held_us }], call(5, 0)];
+    assert!(with(2_500_000, &read_late(500_000)).is_empty());
+    assert_eq!(with(2_499_999, &read_late(500_000)), [DRAINED]);
 }
 
 #[test]
--- a/crates/lab/src/history.rs
+++ b/crates/lab/src/history.rs
@@ -13,6 +13,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::held_up::HeldUp;
 use crate::list::Be;
 use crate::relay::Faults;
 use crate::scenario::Which;
@@ -131,6 +132,12 @@
         id: u64,
         /// Why.
         why: String,
+        /// Microseconds until it was written whole.
+        #[serde(default)]
+        written_us: u64,
+        /// Its connection had then not been used for so long that the front may have ended it.
+        #[serde(default)]
+        idle: bool,
     },
     /// The lab itself could not keep up and did not send calls.
     Shed {
@@ -315,6 +322,18 @@
         /// What it said, cut at 2,000 bytes.
         said: String,
     },
+    /// What an activator logged of a request or of a connection with a client, without its own time.
+    Logged {
+        /// The activator.
+        who: usize,
+        /// The line.
+        said: String,
+    },
+    /// The lab itself was not scheduled for a while, up to here.
+    HeldUp {
+        /// Microseconds.
+        held_us: u64,
+    },
     /// Something of the lab's own went wrong, by which nothing is proven.
     Trouble {
         /// What.
@@ -340,6 +359,7 @@
     out: BufWriter<File>,
     lines: usize,
     last: u64,
+    held_up: HeldUp,
     /// Set by [`Saw::End`], which stays the last line.
     closed: bool,
 }
@@ -361,7 +381,8 @@
     }
 
     fn bounded(path: &Path, most: usize) -> std::io::Result<Self> {
-        let inner = Inner { out: BufWriter::new(File::create(path)?), lines: 0, last: 0, closed: false };
+        let out = BufWriter::new(File::create(path)?);
+        let inner = Inner { out, lines: 0, last: 0, held_up: HeldUp::default(), closed: false };
         Ok(Self { begun: Instant::now(), most, inner: Mutex::new(inner) })
     }
 
@@ -370,6 +391,12 @@
         self.begun.elapsed()
     }
 
+    /// For how long the lab was not scheduled since then.
+    pub fn held_up_since(&self, since: Duration) -> Duration {
+        let held_up = &self.inner.lock().unwrap().held_up;
+        Duration::from_micros(held_up.within(since.as_micros() as u64, u64::MAX))
+    }
+
     /// Writes what was seen just now; nothing once the end was written.
     pub fn saw(&self, saw: Saw) {
         let mut inner = self.inner.lock().unwrap();
@@ -380,6 +407,9 @@
         // Taken under the lock, so that times never go back from line to line.
         let at = (self.begun.elapsed().as_micros() as u64).max(inner.last);
         inner.last = at;
+        if let Saw::HeldUp { held_us } = saw {
+            inner.held_up.add(at.saturating_sub(held_us), at);
+        }
         inner.lines += 1;
         let saw = match inner.lines.cmp(&self.most) {
             std::cmp::Ordering::Less => saw,
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod bus;
 pub mod check;
 pub mod flood;
+mod held_up;
 pub mod history;
 pub mod host;
 pub mod http;
@@ -26,6 +27,7 @@
 pub mod slow;
 pub mod tamper;
 pub mod wall_clock;
+pub mod watch;
 
 use std::thread::sleep;
 use std::time::{Duration, Instant};
--- a/crates/lab/src/rig/tests.rs
+++ b/crates/lab/src/rig/tests.rs
@@ -11,6 +11,7 @@
 #[case::bare_floor("1.5 accord: acts on the floor", Some(Saw::Acts { who: 1, obeys: Obeys::Floor(0) }))]
 #[case::gone("1.5 activator m2 is gone: heard 1740 ms ago", Some(Saw::Gone { who: 1, of: 2 }))]
 #[case::panic("thread 'x' panicked at a.rs:1:", Some(Saw::Crashed { who: 1, said: "thread 'x' panicked at a.rs:1:".into() }))]
+#[case::request("1.5 request 0a class=k attempt=2", Some(Saw::Logged { who: 1, said: "request 0a class=k attempt=2".into() }))]
 #[case::stranger("1.5 activator m9 is gone: heard 1740 ms ago", None)]
 #[case::other("1.5 host s0h0 is there", None)]
 fn lines_of_the_log_are_read(#[case] line: &str, #[case] wanted: Option<Saw>) {
