A keyed call is not repeated at a process that came up at its host's address

Cause: a repeat was bound to the host of the list, not to the process that got the first attempt. Change: a host has an epoch, which advances when the last established connection to it ends: while one stands, it is the same process. A call with a group of hosts that drop its repeats remembers the epoch of each attempt that may have run, and a repeat at that host is decided, and once more written, in the same epoch alone; else it is not sent, and the call fails. Repeats at other hosts of the group are as before, and classes whose repeats all hosts drop are not bound. Not covered: a call of a failed rollout that its holder decides again, as the holder did not make the first connection.

--- a/node/src/hosts.rs
+++ b/node/src/hosts.rs
@@ -6,5 +6,5 @@
 mod probe_delay;
 mod start_times;
 
-pub use pool::{Call, CallTimes, HostPool, PoolEvent};
+pub use pool::{Call, HostPool, PoolEvent, ProcessEpoch, SendLimits};
 pub use start_times::StartTimes;
--- a/node/src/hosts/pool.rs
+++ b/node/src/hosts/pool.rs
@@ -18,8 +18,8 @@
 use wheellink::{Condition, FunctionId, ListEntry, ListKind, Micros, Outcome, Renumbering, WorkerId};
 use wheellink_settings::Transport;
 
-pub use connection::CallTimes;
 use connection::{Command, HostConn};
+pub use connection::{ProcessEpoch, SendLimits};
 
 use super::idle_limit::IdleLimit;
 use super::lines;
@@ -59,6 +59,8 @@
     address: SocketAddr,
     entry: ListEntry,
     conns: Vec<ConnId>,
+    /// The process that connections reach now.
+    process: ProcessEpoch,
 }
 
 /// See the module documentation.
@@ -70,6 +72,8 @@
     /// Maximum size of all incomplete answers together.
     max_bytes: usize,
     known: BTreeMap<WorkerId, KnownHost>,
+    /// The last epoch that a host was given.
+    last_process: ProcessEpoch,
     /// Hosts that operators have put into maintenance, listed or not: no new work is sent to them.
     maintenance: BTreeSet<WorkerId>,
     conns: HashMap<ConnId, HostConn>,
@@ -94,6 +98,7 @@
             max_conns,
             max_bytes,
             known: BTreeMap::new(),
+            last_process: ProcessEpoch::default(),
             maintenance: BTreeSet::new(),
             conns: HashMap::new(),
             attempts: HashMap::new(),
@@ -190,6 +195,11 @@
         gone.collect()
     }
 
+    /// The process that an attempt at this host would meet now.
+    pub fn process(&self, host: &WorkerId) -> ProcessEpoch {
+        self.known.get(host).map_or(ProcessEpoch::default(), |known| known.process)
+    }
+
     /// Applies an update of the host list. Commands for a draining or removed host are withdrawn at once if no byte of
     /// them has been written, since the rules do not allow even the first byte after the update.
     pub fn update_hosts(&mut self, now: Micros, kind: ListKind, hosts: &[Host], log: &mut Log) {
@@ -202,10 +212,12 @@
         }
         for Host { entry, address } in hosts {
             let host = &entry.worker;
+            let process = self.last_process.next();
             let known = self.known.entry(host.clone()).or_insert_with(|| KnownHost {
                 address: *address,
                 entry: entry.clone(),
                 conns: Vec::new(),
+                process,
             });
             known.entry = entry.clone();
             let moved = known.address != *address;
--- a/node/src/hosts/pool/connection.rs
+++ b/node/src/hosts/pool/connection.rs
@@ -9,21 +9,36 @@
 /// among them its KILL.
 const MAX_WRITE_US: Micros = 4_000_000;
 
-/// Time limits of an attempt.
+/// Names the process that is at a host's address, as far as that shows: while a connection to it stands, it is the same.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ProcessEpoch(u64);
+
+impl ProcessEpoch {
+    /// Advances to an epoch that no host had before.
+    pub(super) fn next(&mut self) -> Self {
+        self.0 += 1;
+        *self
+    }
+}
+
+/// Until when an attempt may be written, and to which process.
 #[derive(Clone, Copy)]
-pub struct CallTimes {
+pub struct SendLimits {
     /// Deadline: the attempt has ended by then.
     pub until: Micros,
     /// Latest time at which it may be written.
     pub leave_by: Micros,
+    /// The only process that it may be written to, if it repeats an attempt that may have run there.
+    pub process: Option<ProcessEpoch>,
 }
 
-impl CallTimes {
-    /// The time in milliseconds until the deadline, which is sent to the host; `None` if the call may not be sent any
-    /// more.
-    pub(super) fn limit(&self, now: Micros) -> Option<i64> {
-        let limit = (self.until - now) / 1000;
-        (now <= self.leave_by && limit > 0).then_some(limit)
+impl SendLimits {
+    /// The time in milliseconds until the deadline, which is sent to the host; `None` if the call may not be sent to this
+    /// process, or not any more.
+    pub(super) fn timeout_ms(&self, now: Micros, process: ProcessEpoch) -> Option<i64> {
+        let timeout = (self.until - now) / 1000;
+        let allowed = now <= self.leave_by && self.process.is_none_or(|wanted| wanted == process);
+        (allowed && timeout > 0).then_some(timeout)
     }
 }
 
@@ -33,7 +48,7 @@
         attempt: AttemptId,
         id: Rc<str>,
         line: CallLine,
-        times: CallTimes,
+        limits: SendLimits,
         /// How often it was moved here from a connection that ended before it was written.
         moves: u32,
     },
--- a/node/src/hosts/pool/ending.rs
+++ b/node/src/hosts/pool/ending.rs
@@ -27,8 +27,12 @@
     pub(super) fn end_conn(&mut self, now: Micros, id: ConnId, reason: Reason, log: &mut Log) {
         let Some(mut c) = self.conns.remove(&id) else { return };
         self.unread.retain(|other| *other != id);
-        if let Some(m) = self.known.get_mut(&c.host) {
-            m.conns.retain(|other| *other != id);
+        if let Some(known) = self.known.get_mut(&c.host) {
+            known.conns.retain(|other| *other != id);
+            let stands = |id: &ConnId| self.conns.get(id).is_some_and(|conn| conn.connected);
+            if c.connected && !known.conns.iter().any(stands) {
+                known.process = self.last_process.next();
+            }
         }
         let broke = matches!(reason, Reason::PeerReset | Reason::PeerClosed);
         if let Some(idle) = c.idle_before.filter(|_| broke && !c.is_idle()) {
--- a/node/src/hosts/pool/sending.rs
+++ b/node/src/hosts/pool/sending.rs
@@ -24,7 +24,7 @@
         attempt: AttemptId,
         host: &WorkerId,
         (call, more): (&Call, &str),
-        times: CallTimes,
+        limits: SendLimits,
         log: &mut Log,
     ) {
         let what = (call.class.as_str(), &*call.function.0);
@@ -33,7 +33,7 @@
         match self.pick_conn(now, host, fits, log) {
             Some(id) => {
                 self.attempts.insert(attempt, id);
-                let command = Command::Call { attempt, id: call.id.clone(), line, times, moves: 0 };
+                let command = Command::Call { attempt, id: call.id.clone(), line, limits, moves: 0 };
                 self.enqueue(now, id, command, log);
             }
             // Reaching a limit of this process does not count against the host.
@@ -240,6 +240,7 @@
     /// Writes queued commands to the socket, one at a time.
     pub(super) fn write_queued(&mut self, now: Micros, id: ConnId, log: &mut Log) {
         let Some(c) = self.conns.get_mut(&id).filter(|c| c.connected) else { return };
+        let process = self.known.get(&c.host).map_or(ProcessEpoch::default(), |known| known.process);
         // No byte of this call has been written: check again whether it may be sent, and update the time that is left.
         let unsent = c.writing.take_if(|(i, started)| !*started && matches!(i, Command::Call { .. }));
         let mut unsent_since = unsent.is_some().then_some(c.writing_since);
@@ -247,15 +248,15 @@
             c.conn.outbox.consume(usize::MAX);
             c.queue.push_front(command);
         }
-        let (mut killed, mut too_late) = (Vec::new(), Vec::new());
+        let (mut killed, mut not_allowed) = (Vec::new(), Vec::new());
         let ended = loop {
             if c.writing.is_none() {
                 let Some(command) = c.queue.pop_front() else { break None };
                 let fits = match &command {
-                    Command::Call { attempt, line, times, .. } => match times.limit(now) {
-                        Some(limit) => c.conn.outbox.push(&line.bytes(limit)),
+                    Command::Call { attempt, line, limits, .. } => match limits.timeout_ms(now, process) {
+                        Some(timeout) => c.conn.outbox.push(&line.bytes(timeout)),
                         None => {
-                            too_late.push(*attempt);
+                            not_allowed.push(*attempt);
                             unsent_since = None;
                             continue;
                         }
@@ -304,7 +305,7 @@
                 Some((Command::Untracked(_), _)) | None => {}
             }
         };
-        for attempt in too_late {
+        for attempt in not_allowed {
             self.end_attempt(attempt, Outcome::NotSent.into());
         }
         for attempt in killed {
--- a/node/src/hosts/pool/tests.rs
+++ b/node/src/hosts/pool/tests.rs
@@ -90,8 +90,8 @@
             body: vec![b'x'; length].into(),
         };
         let until = self.now + 4 * SECOND;
-        let times = CallTimes { until, leave_by: until };
-        self.hosts.send(self.now, attempt, &self.host.clone(), (&call, ""), times, &mut self.log);
+        let limits = SendLimits { until, leave_by: until, process: None };
+        self.hosts.send(self.now, attempt, &self.host.clone(), (&call, ""), limits, &mut self.log);
         self.collect();
         attempt
     }
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -7,6 +7,7 @@
 mod discovery;
 mod dispatch;
 mod drafts;
+mod host_epochs;
 mod lifecycle;
 mod operators;
 mod renumber;
@@ -44,7 +45,7 @@
 use crate::front::platform::frames::Request;
 use crate::front::platform::{self, Platform};
 use crate::front::Reply;
-use crate::hosts::{self, Call, CallTimes, HostPool, StartTimes};
+use crate::hosts::{self, Call, HostPool, SendLimits, StartTimes};
 use crate::http::Response;
 use crate::ipc::fields::AnswerFields;
 use crate::listener::{self, Listener};
@@ -59,6 +60,7 @@
 use admission::AdmissionControl;
 use departed::DepartedIds;
 use drafts::DraftState;
+use host_epochs::HostEpochs;
 use request_log::Attempts;
 use rollout::{Role, RolloutState};
 use stall::StallDetector;
@@ -110,6 +112,8 @@
     terms: Option<Class>,
     arrived: Micros,
     attempts: Attempts,
+    /// The processes that its attempts were sent to.
+    met: HostEpochs,
     /// The version of a rollout that decides the request.
     version: Version,
     /// The owner that the memory of its body is charged to.
@@ -564,10 +568,14 @@
             Command::Send { attempt, host, leave_by, .. } if self.clock.running() > leave_by => {
                 self.announce_unsent(now, attempt, host)
             }
+            Command::Send { attempt, host, .. } if self.would_meet_another_process(attempt, &host) => {
+                self.announce_unsent(now, attempt, host)
+            }
             Command::Send { attempt, host, until, leave_by } => {
                 self.turn_attempt_sent(now, attempt, &host);
                 self.log_attempt(now, attempt, &host);
-                self.send_attempt(now, attempt, host, CallTimes { until, leave_by })
+                let process = self.bound_process(attempt, &host);
+                self.send_attempt(now, attempt, host, SendLimits { until, leave_by, process })
             }
             Command::Cancel { attempt } => {
                 if !self.cancel_unsent(now, attempt) {
--- a/node/src/node/requests.rs
+++ b/node/src/node/requests.rs
@@ -248,6 +248,7 @@
             terms,
             arrived: now,
             attempts: Attempts::default(),
+            met: HostEpochs::default(),
             version,
             owner,
             info,
@@ -395,6 +396,7 @@
                 self.draft_ended(now, attempt, &end, &fields);
                 self.turn_attempt_ended(now, attempt, &end, &fields);
                 if let Some(pending) = self.pending.get_mut(&attempt.ticket) {
+                    pending.met.ended(attempt.number, end.outcome);
                     if let Some(passed) = &mut pending.passed {
                         let done = end.outcome == Outcome::Done;
                         passed.reply = if done {
--- a/node/src/node/rollout.rs
+++ b/node/src/node/rollout.rs
@@ -104,7 +104,7 @@
     /// Candidate only: the tickets of passed calls by the holder's sequence numbers.
     calls: HashMap<u64, Ticket>,
     /// Attempts whose announcement is not written yet, each with the byte offset at which it will be.
-    unsent: VecDeque<(u64, AttemptId, WorkerId, CallTimes)>,
+    unsent: VecDeque<(u64, AttemptId, WorkerId, SendLimits)>,
     grant_requests: HashMap<OrderId, (WorkerId, FunctionId, u32)>,
     request_after: Micros,
     /// The holder's tallies for the load budget.
--- a/node/src/node/rollout/candidate.rs
+++ b/node/src/node/rollout/candidate.rs
@@ -106,6 +106,7 @@
         let (version, owner) = (Version::New, Owner::Others);
         let pending = Pending {
             attempts: Attempts::default(),
+            met: HostEpochs::default(),
             call,
             origin,
             answer: None,
@@ -163,7 +164,7 @@
         now: Micros,
         attempt: AttemptId,
         host: WorkerId,
-        times: CallTimes,
+        limits: SendLimits,
     ) {
         let Some(pending) = self.pending.get(&attempt.ticket) else {
             return self.run_engine(|e, out| e.attempt_ended(now, attempt, Outcome::NotSent.into(), out));
@@ -175,7 +176,7 @@
                 Some(by) if self.rollout.unsent.len() < MAX_UNSENT_ATTEMPTS => by,
                 _ => return self.attempt_not_sent(now, attempt),
             };
-            self.rollout.unsent.push_back((left, attempt, host, times));
+            self.rollout.unsent.push_back((left, attempt, host, limits));
             return self.send_announced(now);
         }
         if self.rollout.role == Role::Holder && self.engine.is_cold(&host) {
@@ -183,7 +184,7 @@
         }
         let fields = self.draft_field(attempt, &host) + &self.block_fields(attempt.ticket);
         if let Some(pending) = self.pending.get(&attempt.ticket) {
-            self.hosts.send(now, attempt, &host, (&pending.call, &fields), times, &mut self.log);
+            self.hosts.send(now, attempt, &host, (&pending.call, &fields), limits, &mut self.log);
         }
     }
 
@@ -207,11 +208,11 @@
     pub(in crate::node) fn send_announced(&mut self, now: Micros) {
         let taken = self.upgrade.sent_bytes();
         while self.rollout.unsent.front().is_some_and(|(by, ..)| *by <= taken) {
-            let Some((_, attempt, host, times)) = self.rollout.unsent.pop_front() else { return };
+            let Some((_, attempt, host, limits)) = self.rollout.unsent.pop_front() else { return };
             match self.pending.get(&attempt.ticket) {
                 Some(pending) => {
                     let fields = pending.passed.as_ref().map_or("", |passed| passed.request.as_str());
-                    self.hosts.send(now, attempt, &host, (&pending.call, fields), times, &mut self.log)
+                    self.hosts.send(now, attempt, &host, (&pending.call, fields), limits, &mut self.log)
                 }
                 None => self.attempt_not_sent(now, attempt),
             }
