Deferred calls are handed on at the end of a visit, unless their client has closed by then

Cause: a deferred call was handed on as soon as it was parsed, before its own 202 had shown that nobody is there any more. Change: the deferred calls of a visit wait for its end. If input is still unread then, the connection is looked at once more: the answers to a client that has closed come back as a reset at once. Then the calls are dropped with their names. A client with nothing unread pays no call to the system.

--- a/node/src/front/invoke.rs
+++ b/node/src/front/invoke.rs
@@ -125,6 +125,10 @@
     partial: Option<Micros>,
     /// When bytes last arrived.
     read_at: Micros,
+    /// The last read left input unread.
+    behind: bool,
+    /// Deferred calls that were accepted in this visit: handed on at its end, unless the connection has ended by then.
+    held: Vec<(String, Box<Call>)>,
     /// Requests received.
     requests: u64,
 }
@@ -253,6 +257,8 @@
                     active_at: now,
                     partial,
                     read_at: now,
+                    behind: false,
+                    held: Vec::new(),
                     requests,
                 };
                 self.conns.insert(id, conn);
@@ -351,7 +357,10 @@
     /// Handles a socket that is readable or writable. One whose turn to be read has yet to come is only written to.
     pub fn on_ready(&mut self, now: Micros, id: ConnId, log: &mut Log) {
         let waits = self.unread.contains(id);
-        let done = if waits { self.flush(now, id) } else { self.serve(now, id, log) };
+        let done = match waits {
+            true => self.flush(now, id),
+            false => self.serve(now, id, log).and_then(|()| self.release_held(id)),
+        };
         if let Err(reason) = done {
             self.end(now, id, reason, log);
         }
@@ -395,6 +404,7 @@
             let Some(c) = self.conns.get_mut(&id) else { return Ok(()) };
             let before = c.conn.inbox.len();
             let more = c.conn.fill()?;
+            c.behind = more;
             // The end of a connection with much unread is noticed before its requests are handed on.
             if more
                 && c.conn.hang_up().is_some()
@@ -601,13 +611,28 @@
                 .with("Retry-After", POLL_AFTER_SECS);
         };
         let location = format!("{RESULTS_PATH}{name}");
-        self.notices.push(Notice::Call { conn, origin: Origin::Deferred(name), call: Box::new(call) });
+        if let Some(c) = self.conns.get_mut(&conn) {
+            c.held.push((name, Box::new(call)));
+        }
         Response::new(202)
             .with("Location", location)
             .with("Preference-Applied", "respond-async")
             .with("Retry-After", POLL_AFTER_SECS)
     }
 
+    /// Hands on the deferred calls of a visit. Those of a client that has closed its connection with input unread are
+    /// dropped: it has not seen that they were accepted.
+    fn release_held(&mut self, conn: ConnId) -> Result<(), Reason> {
+        let Some(c) = self.conns.get_mut(&conn).filter(|c| !c.held.is_empty()) else { return Ok(()) };
+        if c.behind && c.conn.hang_up().is_some() {
+            return Err(Reason::PeerClosed);
+        }
+        for (name, call) in std::mem::take(&mut c.held) {
+            self.notices.push(Notice::Call { conn, origin: Origin::Deferred(name), call });
+        }
+        Ok(())
+    }
+
     /// Records the ticket under which the node has taken the call. False if the client no longer waits.
     pub fn set_ticket(&mut self, origin: &Origin, ticket: Ticket) -> bool {
         match origin {
@@ -717,6 +742,7 @@
         if let State::Waiting { ticket: Some(ticket), .. } = c.state {
             self.notices.push(Notice::ClientLeft { ticket });
         }
+        c.held.iter().for_each(|(name, _)| drop(self.results.remove(name)));
         c.conn.close(&self.handle);
         self.notices.push(Notice::Closed { conn: id });
     }
