A test: final answers are in time beside a host that reads very many large requests slowly

Change: 140 calls of 16 KiB at a host that reads 100 bytes each 10 ms, on both fronts; the loop of the test is shared with the older one.

--- a/node/tests/slow_hosts.rs
+++ b/node/tests/slow_hosts.rs
@@ -79,12 +79,28 @@
     #[values(1, 100)] bytes: usize,
 ) {
     let front = Setup::start(platform, slow_reader(bytes));
-    let body = "x".repeat(16 << 10);
+    assert_answers_are_on_time(&front, class, 12, 16 << 10);
+}
+
+/// The same with more calls than the connections to a host carry at once.
+#[rstest]
+fn answers_are_on_time_while_a_host_reads_very_many_large_requests_slowly(
+    #[values(true, false)] platform: bool,
+) {
+    // Fewer than connections that the configuration allows.
+    const CALLS: u32 = 140;
+    let front = Setup::start(platform, slow_reader(100));
+    assert_answers_are_on_time(&front, "send-mail", CALLS, 16 << 10);
+}
+
+/// Sends calls with different timeouts side by side: each has its final answer in time.
+fn assert_answers_are_on_time(front: &Setup, class: &str, calls: u32, body_bytes: usize) {
+    let body = "x".repeat(body_bytes);
     std::thread::scope(|scope| {
-        let timeout = |n: u32| 400 + 40 * n;
+        let timeout = |n: u32| 400 + 40 * (n % 50);
         let (front, body) = (front.at(), &body);
         let one = |n| (n, scope.spawn(move || call_front(front, n, class, timeout(n), body).2));
-        let calls: Vec<_> = (1..=12).map(one).collect();
+        let calls: Vec<_> = (1..=calls).map(one).collect();
         let late = |(n, call): (u32, std::thread::ScopedJoinHandle<Duration>)| {
             let time = call.join().unwrap();
             (time > Duration::from_millis(timeout(n).into()) + SLACK).then_some((timeout(n), time))
