--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -569,6 +569,7 @@
                 self.announce_unsent(now, attempt, host)
             }
             Command::Send { attempt, host, .. } if self.would_meet_another_process(attempt, &host) => {
+                self.log_withheld_repeat(now, attempt, &host);
                 self.announce_unsent(now, attempt, host)
             }
             Command::Send { attempt, host, until, leave_by } => {
--- a/node/src/node/request_log.rs
+++ b/node/src/node/request_log.rs
@@ -47,6 +47,14 @@
         self.log.request(now, text);
     }
 
+    /// Records that a request is not repeated at a host, as another process may be at its address.
+    pub(super) fn log_withheld_repeat(&mut self, now: Micros, attempt: AttemptId, host: &WorkerId) {
+        let Some(pending) = self.pending.get(&attempt.ticket) else { return };
+        let (id, class) = (&pending.call.id, &pending.call.class);
+        let text = format_args!("request {id} class={class} withheld host={} reason=other_process", host.0);
+        self.log.request(now, text);
+    }
+
     /// Records the outcome of an attempt.
     pub(super) fn log_attempt_end(&mut self, attempt: AttemptId, outcome: Outcome) {
         if outcome != Outcome::Done {
--- a/node/tests/request_log.rs
+++ b/node/tests/request_log.rs
@@ -27,6 +27,7 @@
         p.program.logged(&line)
     };
     wait_for("the retry at the other host", || to_other(0, 1) + to_other(1, 0) == 1);
+    logged("request 0000000000000008 class=save-answers withheld host=s-0000000");
     logged("request 0000000000000008 class=save-answers ended=failed attempts=2 last=reset at=s-0000000");
     p.feed.write_all(&event(2, false, &[(0, hosts[0].address, 1)])).unwrap();
     logged("host list Delta up=0 draining=1 gone=0 s-00000000=Draining");
