Tests: floods of new connections, and several floods at once, beside usual clients

Change: Flood::of_connections connects, sends one request and resets, again and again; a test for each on both fronts.

--- a/crates/lab/src/flood.rs
+++ b/crates/lab/src/flood.rs
@@ -7,6 +7,8 @@
 use std::thread::{sleep, spawn, JoinHandle};
 use std::time::{Duration, Instant};
 
+use socket2::SockRef;
+
 use crate::bus::{client_frame, read_frame, request_frame, whole_call_frame};
 use crate::http::{call, read_reply, request};
 use crate::ms;
@@ -52,7 +54,12 @@
 impl Kind {
     /// The bytes of a batch of requests, the first with this number on its connection.
     fn batch(self, client: usize, first: u32) -> Vec<u8> {
-        let one = |n: u32| match self {
+        (first..first + BATCH).flat_map(|number| self.request(client, number)).collect()
+    }
+
+    /// The bytes of one request.
+    fn request(self, client: usize, n: u32) -> Vec<u8> {
+        match self {
             Self::Checks => client_frame(4, n, &[0]),
             Self::Cancels => client_frame(3, n, &[]),
             Self::UnknownTypes => client_frame(9, n, &[]),
@@ -78,8 +85,7 @@
             Self::Deferred => {
                 call(&id(client, n), "check-score", &["Prefer: respond-async"], "").into_bytes()
             }
-        };
-        (first..first + BATCH).flat_map(one).collect()
+        }
     }
 }
 
@@ -115,6 +121,27 @@
         Self { stop, sent, threads }
     }
 
+    /// Starts so many clients that connect, send one request and break the connection at once, again and again.
+    pub fn of_connections(address: SocketAddr, kind: Kind, clients: usize) -> Self {
+        let (stop, sent) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicU64::new(0)));
+        let one = |client| {
+            let (stop, sent) = (stop.clone(), sent.clone());
+            spawn(move || {
+                let mut number = 1;
+                while !stop.load(Relaxed) {
+                    let Ok(mut stream) = TcpStream::connect(address) else { continue };
+                    let _ = stream.write_all(&kind.request(client, number));
+                    // A reset, as ports would run out otherwise.
+                    let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+                    number += 1;
+                    sent.fetch_add(1, Relaxed);
+                }
+            })
+        };
+        let threads = (0..clients).map(one).collect();
+        Self { stop, sent, threads }
+    }
+
     /// Ends it: how many requests were sent.
     pub fn stop(self) -> u64 {
         self.stop.store(true, Relaxed);
--- a/node/tests/floods.rs
+++ b/node/tests/floods.rs
@@ -17,15 +17,20 @@
 
 /// Plays usual clients beside a flood. Returns what is wrong: answers that came late or never, or too much memory.
 fn play(p: &Program, front: Front, kind: Kind, reads: bool) -> Option<String> {
-    let usual = Usual { front, clients: 4, pause: ms(10), timeout: ms(400), length: ms(1500), functions: 1 };
     let flood = Flood::start(p.address, kind, FLOODING_CLIENTS, reads);
+    play_beside(p, front, vec![flood], &format!("{kind:?} reads={reads}"))
+}
+
+/// The same beside floods that have begun.
+fn play_beside(p: &Program, front: Front, floods: Vec<Flood>, name: &str) -> Option<String> {
+    let usual = Usual { front, clients: 4, pause: ms(10), timeout: ms(400), length: ms(1500), functions: 1 };
     let (used, begun) = (p.used(), Instant::now());
     let answers = usual.call(p.address);
     let used = (p.used() - used) as f64 / 100.0 / begun.elapsed().as_secs_f64();
-    let sent = flood.stop();
+    let sent: u64 = floods.into_iter().map(Flood::stop).sum();
     let (peak, stalls) = (p.peak_memory(), p.lines().into_iter().filter(|l| l.contains("held up")));
     let seen = format!(
-        "{kind:?} reads={reads}: {answers:?}; flood sent {sent}; processor {used:.2}; peak {} MB; {:?}",
+        "{name}: {answers:?}; flood sent {sent}; processor {used:.2}; peak {} MB; {:?}",
         peak >> 20,
         stalls.collect::<Vec<_>>()
     );
@@ -65,6 +70,52 @@
     assert!(broken.is_empty(), "{broken:#?}");
 }
 
+/// Clients that connect, send a request and break the connection at full speed, on both fronts.
+#[test]
+fn clients_are_answered_beside_clients_that_connect_at_full_speed() {
+    let _alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
+    use Kind::*;
+    let one = |(front, kind)| {
+        let (a, b) = (Host::warm(), Host::warm());
+        with_program(front, &[&a, &b], |p| {
+            let flood = Flood::of_connections(p.address, kind, FLOODING_CLIENTS);
+            play_beside(p, front, vec![flood], &format!("connections, {kind:?}"))
+        })
+    };
+    let platform = [Checks, Unsound, TakenBack].map(|kind| (Front::Platform, kind));
+    let invoke = [Health, HttpNewClasses, Deferred].map(|kind| (Front::Invoke, kind));
+    let broken: Vec<String> = platform.into_iter().chain(invoke).filter_map(one).collect();
+    assert!(broken.is_empty(), "{broken:#?}");
+}
+
+/// Several floods at once, on both fronts.
+#[test]
+fn clients_are_answered_beside_several_floods() {
+    let _alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
+    use Kind::*;
+    let one = |(front, kinds): (Front, [Kind; 3])| {
+        let (a, b) = (Host::warm(), Host::warm());
+        with_program(front, &[&a, &b], |p| {
+            let flood = |kind: Kind| Flood::start(p.address, kind, FLOODING_CLIENTS / 3, true);
+            play_beside(p, front, kinds.map(flood).into(), &format!("{kinds:?}"))
+        })
+    };
+    let floods = [
+        (Front::Platform, [Checks, NewClasses, TakenBack]),
+        (Front::Invoke, [Health, HttpNewClasses, Deferred]),
+    ];
+    let broken: Vec<String> = floods.into_iter().filter_map(one).collect();
+    assert!(broken.is_empty(), "{broken:#?}");
+}
+
+/// Runs this with a program that has the front.
+fn with_program<T>(front: Front, hosts: &[&Host], run: impl FnOnce(&Program) -> T) -> T {
+    match front {
+        Front::Platform => run(&platform(hosts).program),
+        Front::Invoke => run(&operator(hosts, |text| text).0),
+    }
+}
+
 /// The same fault, where a host sends at full speed: its connection was read for as long as it had something.
 #[test]
 fn clients_are_answered_beside_a_host_that_sends_at_full_speed() {
