Tests of slow hosts: clients within the limit of connections, and addresses that no client takes

Beside busy processes two other tests of the same file failed in 1 of 3 and 7 of 9 runs. Traced: (1) the test was wrong: with 256 sockets clients have 128 at most, and 140 were started. With 160 the log has the late calls only 0.11 to 0.23 s before their answers, when other connections had ended: newcomers wait, as OPERATING.md says. (2) "Address already in use": between the end of a host and the next listener at its address the system gave its port to one of the hundreds of clients that the new test starts. Change: 120 calls; the check is as it was. Tests that listen at an address a second time do not run beside those with many clients.

--- a/node/tests/slow_hosts.rs
+++ b/node/tests/slow_hosts.rs
@@ -4,6 +4,7 @@
 
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{PoisonError, RwLock};
 use std::thread::spawn;
 use std::time::{Duration, Instant};
 
@@ -15,6 +16,10 @@
 /// By how much an answer may come after its time.
 const SLACK: Duration = Duration::from_millis(50);
 
+/// Held for writing by tests that listen at an address a second time, for reading by those with many clients: the system
+/// gives a client's connection the first free port, which may be that of a host that has gone.
+static PORTS: RwLock<()> = RwLock::new(());
+
 /// A program before one host.
 struct Setup {
     address: SocketAddr,
@@ -87,14 +92,15 @@
 fn answers_are_on_time_while_a_host_reads_very_many_large_requests_slowly(
     #[values(true, false)] platform: bool,
 ) {
-    // Fewer than connections that the configuration allows.
-    const CALLS: u32 = 140;
+    // Clients may hold half of the configuration's 256 sockets; others wait until a place is free.
+    const CALLS: u32 = 120;
     let front = Setup::start(platform, slow_reader(100));
     assert_answers_are_on_time(&front, "send-mail", CALLS, 16 << 10);
 }
 
 /// Sends calls with different timeouts side by side: each has its final answer in time.
 fn assert_answers_are_on_time(front: &Setup, class: &str, calls: u32, body_bytes: usize) {
+    let _ports = PORTS.read().unwrap_or_else(PoisonError::into_inner);
     let body = "x".repeat(body_bytes);
     std::thread::scope(|scope| {
         let timeout = |n: u32| 400 + 40 * (n % 50);
@@ -114,6 +120,7 @@
 /// of the cell: a repeat goes there.
 #[test]
 fn a_keyed_call_whose_host_died_is_repeated_at_another_host_of_its_cell() {
+    let _ports = PORTS.write().unwrap_or_else(PoisonError::into_inner);
     for round in 0..8u32 {
         let (host, other) = (RawHost::start(), Host::warm());
         let address = host.address;
@@ -139,6 +146,7 @@
     #[values(true, false)] platform: bool,
     #[values("save-answers", "send-mail")] class: &str,
 ) {
+    let _ports = PORTS.write().unwrap_or_else(PoisonError::into_inner);
     let host = RawHost::start();
     let address = host.address;
     let front = Setup::start(platform, address);
